Set down the shape: core types, charts, rings, configuration

Cause: an empty repository. Everything that follows needs the folders, the core types and the interfaces between duties first.

Ruled out: serde alone for files with comments, since it loses the line and column of all findings but the first; one part per object in the head, since 500 digests would be rewritten at every change.

Conclusion: the duties can be built side by side against these types.

--- /dev/null
+++ b/crates/cicadactl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operator's command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/cicadagw-accept/src/lib.rs
@@ -0,0 +1,1 @@
+//! Acceptance of changes of configuration: check, write parts, move the head.
--- /dev/null
+++ b/crates/cicadagw-admin/src/lib.rs
@@ -0,0 +1,1 @@
+//! The admin duty: health, dump and metrics of a node.
--- /dev/null
+++ b/crates/cicadagw-call/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions about calls: routing, choice of backend server, limits, retries.
--- /dev/null
+++ b/crates/cicadagw-config/src/secret.rs
@@ -0,0 +1,44 @@
+//! Secrets.
+
+use std::fmt;
+
+use compact_str::CompactString;
+
+/// Something that a cluster presents to its backend servers in a request header.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Secret {
+    /// The name of the request header, in lower case.
+    pub header: CompactString,
+    /// What the header holds.
+    pub value: Value,
+}
+
+/// The value of a secret; its `Debug` and `Display` do not show it.
+#[derive(Clone, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(transparent)]
+pub struct Value(CompactString);
+
+impl Value {
+    /// Creates a value.
+    pub fn new(text: &str) -> Self {
+        Self(text.into())
+    }
+
+    /// Returns the value itself, for the request header alone.
+    pub fn reveal(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Value {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("[redacted]")
+    }
+}
+
+impl fmt::Display for Value {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("[redacted]")
+    }
+}
--- /dev/null
+++ b/crates/cicadagw-dev/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins of the systems that cicadagw serves; the demo and the measuring programs are examples.
--- /dev/null
+++ b/crates/cicadagw-finding/src/place.rs
@@ -0,0 +1,36 @@
+//! Places in a source.
+
+use std::fmt;
+
+use compact_str::CompactString;
+
+/// A place in a source, such as a file.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Place {
+    /// The name of the source.
+    pub source: CompactString,
+    /// The line, from one.
+    pub line: usize,
+    /// The column in characters, from one.
+    pub column: usize,
+}
+
+impl Place {
+    /// Returns the place of byte `offset` of `text`.
+    pub fn of(source: &str, text: &str, offset: usize) -> Self {
+        let before = text.get(..offset).unwrap_or(text);
+        let line_start = before.rfind('\n').map_or(0, |index| index + 1);
+        Self {
+            source: source.into(),
+            line: before.matches('\n').count() + 1,
+            column: before[line_start..].chars().count() + 1,
+        }
+    }
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}:{}", self.source, self.line, self.column)
+    }
+}
--- /dev/null
+++ b/crates/cicadagw-jsonc/src/reader.rs
@@ -0,0 +1,157 @@
+//! Readers of single values.
+
+use std::cell::RefCell;
+use std::fmt::Display;
+use std::str::FromStr;
+
+use cicadagw_finding::{Finding, Findings, Place};
+use jsonc_parser::ast::Value;
+use jsonc_parser::common::Ranged;
+
+use crate::Table;
+
+/// What all readers of one document share.
+pub(crate) struct Context<'t> {
+    source: &'t str,
+    text: &'t str,
+    findings: RefCell<Findings>,
+}
+
+impl<'t> Context<'t> {
+    pub(crate) fn new(source: &'t str, text: &'t str) -> Self {
+        Self {
+            source,
+            text,
+            findings: RefCell::default(),
+        }
+    }
+
+    pub(crate) fn report(&self, offset: usize, message: String, help: Option<String>) {
+        self.findings.borrow_mut().push(Finding {
+            place: self.place(offset),
+            message,
+            help,
+        });
+    }
+
+    pub(crate) fn place(&self, offset: usize) -> Place {
+        Place::of(self.source, self.text, offset)
+    }
+
+    pub(crate) fn into_findings(self) -> Findings {
+        self.findings.into_inner()
+    }
+}
+
+/// Reads one value of a document.
+///
+/// Every method reports a finding and returns `None` when the value is not of the wanted kind.
+#[derive(Clone, Copy)]
+pub struct Reader<'d, 't> {
+    pub(crate) context: &'d Context<'t>,
+    value: &'d Value<'t>,
+}
+
+impl<'d, 't> Reader<'d, 't> {
+    pub(crate) fn new(context: &'d Context<'t>, value: &'d Value<'t>) -> Self {
+        Self { context, value }
+    }
+
+    /// Returns the place of the value.
+    pub fn place(&self) -> Place {
+        self.context.place(self.value.start())
+    }
+
+    /// Reports a finding at the place of the value.
+    pub fn report(&self, message: impl Into<String>) {
+        self.context
+            .report(self.value.start(), message.into(), None);
+    }
+
+    /// Reports a finding at the place of the value, with what to do next.
+    pub fn report_with_help(&self, message: impl Into<String>, help: impl Into<String>) {
+        self.context
+            .report(self.value.start(), message.into(), Some(help.into()));
+    }
+
+    /// Reads a text and parses it.
+    pub fn parsed<T>(&self) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let text = self.text()?;
+        text.parse()
+            .map_err(|error: T::Err| self.report(error.to_string()))
+            .ok()
+    }
+
+    /// Reads a text.
+    pub fn text(&self) -> Option<&'d str> {
+        match self.value {
+            Value::StringLit(literal) => Some(&literal.value),
+            _ => self.wrong("a text"),
+        }
+    }
+
+    /// Reads a boolean.
+    pub fn boolean(&self) -> Option<bool> {
+        match self.value {
+            Value::BooleanLit(literal) => Some(literal.value),
+            _ => self.wrong("true or false"),
+        }
+    }
+
+    /// Reads a whole number between `low` and `high`, both included.
+    pub fn number(&self, low: u64, high: u64) -> Option<u64> {
+        let Value::NumberLit(literal) = self.value else {
+            return self.wrong("a whole number");
+        };
+        let number = literal.value.parse().ok();
+        match number {
+            Some(number) if (low..=high).contains(&number) => Some(number),
+            _ => {
+                self.report(format!(
+                    "`{}` is not a whole number from {low} to {high}",
+                    literal.value
+                ));
+                None
+            }
+        }
+    }
+
+    /// Reads a list, each element by way of `take`; elements that fail are left out and reported.
+    pub fn list<T>(&self, mut take: impl FnMut(&Reader<'d, 't>) -> Option<T>) -> Option<Vec<T>> {
+        match self.value {
+            Value::Array(array) => Some(
+                array
+                    .elements
+                    .iter()
+                    .filter_map(|element| take(&Reader::new(self.context, element)))
+                    .collect(),
+            ),
+            _ => self.wrong("a list"),
+        }
+    }
+
+    /// Reads a table of named values.
+    pub fn table(&self) -> Option<Table<'d, 't>> {
+        match self.value {
+            Value::Object(object) => Some(Table::new(self.context, object)),
+            _ => self.wrong("a table of names and values"),
+        }
+    }
+
+    fn wrong<T>(&self, wanted: &str) -> Option<T> {
+        let found = match self.value {
+            Value::StringLit(_) => "a text",
+            Value::NumberLit(_) => "a number",
+            Value::BooleanLit(_) => "a boolean",
+            Value::Object(_) => "a table",
+            Value::Array(_) => "a list",
+            Value::NullKeyword(_) => "null",
+        };
+        self.report(format!("expected {wanted}, found {found}"));
+        None
+    }
+}
--- /dev/null
+++ b/crates/cicadagw-link/src/lib.rs
@@ -0,0 +1,1 @@
+//! The links duty: carries messages between nodes over JSON-RPC.
--- /dev/null
+++ b/crates/cicadagw-log/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs as JSON lines.
--- /dev/null
+++ b/crates/cicadagw-platform/src/lib.rs
@@ -0,0 +1,13 @@
+//! The platform's object API.
+//!
+//! [`Store`] is the edge: the HTTP client implements it for real processes, and tests pass fakes.
+
+mod error;
+pub mod key;
+mod object;
+mod store;
+
+pub use error::Error;
+pub use key::Key;
+pub use object::{Condition, Object, Revision};
+pub use store::Store;
--- /dev/null
+++ b/crates/cicadagw-proxy/src/lib.rs
@@ -0,0 +1,1 @@
+//! The calls duty: takes calls, carries them on, and takes announcements of backend servers.
--- /dev/null
+++ b/crates/cicadagw-ring/src/gauge.rs
@@ -0,0 +1,65 @@
+//! The fill of a ring.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Counts what went through a ring.
+#[derive(Clone, Debug)]
+pub struct Gauge {
+    name: &'static str,
+    capacity: usize,
+    counts: Arc<Counts>,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    sent: AtomicU64,
+    received: AtomicU64,
+    refused: AtomicU64,
+}
+
+impl Gauge {
+    pub(crate) fn new(name: &'static str, capacity: usize) -> Self {
+        Self {
+            name,
+            capacity,
+            counts: Arc::default(),
+        }
+    }
+
+    /// Returns the name of the ring.
+    pub const fn name(&self) -> &'static str {
+        self.name
+    }
+
+    /// Returns how many messages the ring holds at the most.
+    pub const fn capacity(&self) -> usize {
+        self.capacity
+    }
+
+    /// Returns how many messages wait; the two counts behind it are read one after the other.
+    pub fn fill(&self) -> u64 {
+        let received = self.counts.received.load(Ordering::Relaxed);
+        self.counts
+            .sent
+            .load(Ordering::Relaxed)
+            .saturating_sub(received)
+    }
+
+    /// Returns how many messages were refused because the ring was full.
+    pub fn refused(&self) -> u64 {
+        self.counts.refused.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn count_sent(&self) {
+        self.counts.sent.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_received(&self) {
+        self.counts.received.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_refused(&self) {
+        self.counts.refused.fetch_add(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/cicadagw-unit/src/macros.rs
@@ -0,0 +1,108 @@
+//! The macros that write a newtype together with its text form.
+
+/// Writes a newtype over a short name.
+macro_rules! name {
+    ($(#[$meta:meta])* $type:ident, $what:literal) => {
+        $(#[$meta])*
+        #[derive(
+            Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
+        )]
+        #[serde(try_from = "compact_str::CompactString", into = "compact_str::CompactString")]
+        pub struct $type(compact_str::CompactString);
+
+        impl $type {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl std::fmt::Display for $type {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.pad(&self.0)
+            }
+        }
+
+        impl std::str::FromStr for $type {
+            type Err = $crate::Error;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                if $crate::id::is_name(text) {
+                    Ok(Self(text.into()))
+                } else {
+                    Err($crate::Error::new($what, text, $crate::id::NAME_FORM))
+                }
+            }
+        }
+
+        impl TryFrom<compact_str::CompactString> for $type {
+            type Error = $crate::Error;
+
+            fn try_from(text: compact_str::CompactString) -> Result<Self, Self::Error> {
+                text.parse()
+            }
+        }
+
+        impl From<$type> for compact_str::CompactString {
+            fn from(name: $type) -> Self {
+                name.0
+            }
+        }
+    };
+}
+
+/// Writes a newtype over an unsigned integer, with an optional unit behind the number.
+macro_rules! number {
+    ($(#[$meta:meta])* $type:ident($int:ty), $what:literal, $unit:literal) => {
+        $(#[$meta])*
+        #[derive(
+            Clone,
+            Copy,
+            Debug,
+            Default,
+            Eq,
+            Hash,
+            Ord,
+            PartialEq,
+            PartialOrd,
+            serde::Deserialize,
+            serde::Serialize,
+        )]
+        #[serde(transparent)]
+        pub struct $type($int);
+
+        impl $type {
+            /// Creates a value from a number of its unit.
+            pub const fn new(number: $int) -> Self {
+                Self(number)
+            }
+
+            /// Returns the number of units.
+            pub const fn get(self) -> $int {
+                self.0
+            }
+        }
+
+        impl std::fmt::Display for $type {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                write!(f, "{}{}", self.0, $unit)
+            }
+        }
+
+        impl std::str::FromStr for $type {
+            type Err = $crate::Error;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                text.strip_suffix($unit)
+                    .filter(|digits| digits.bytes().all(|byte| byte.is_ascii_digit()))
+                    .and_then(|digits| digits.parse().ok())
+                    .map(Self)
+                    .ok_or_else(|| {
+                        $crate::Error::new($what, text, concat!("a whole number and `", $unit, "`"))
+                    })
+            }
+        }
+    };
+}
+
+pub(crate) use {name, number};
--- /dev/null
+++ b/crates/cicadagw-unit/src/time.rs
@@ -0,0 +1,55 @@
+//! Points in time and spans between them, in milliseconds.
+//!
+//! Decisions get the time passed in, so nothing here reads a clock.
+
+use std::time::Duration;
+
+use crate::macros::number;
+
+number! {
+    /// A point in time: milliseconds since an origin that the process chose.
+    Moment(u64), "moment", "ms"
+}
+
+number! {
+    /// A span of time, in milliseconds.
+    Span(u64), "span of time", "ms"
+}
+
+impl Moment {
+    /// Returns the span since `earlier`; zero when `earlier` is later.
+    pub const fn since(self, earlier: Self) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Returns the moment `span` later.
+    #[must_use]
+    pub const fn after(self, span: Span) -> Self {
+        Self(self.0.saturating_add(span.0))
+    }
+}
+
+impl Span {
+    /// Returns `seconds` seconds.
+    pub const fn seconds(seconds: u64) -> Self {
+        Self(seconds * 1_000)
+    }
+
+    /// Returns this span `factor` times.
+    #[must_use]
+    pub const fn times(self, factor: u64) -> Self {
+        Self(self.0.saturating_mul(factor))
+    }
+}
+
+impl From<Span> for Duration {
+    fn from(span: Span) -> Self {
+        Self::from_millis(span.0)
+    }
+}
+
+impl From<Duration> for Span {
+    fn from(duration: Duration) -> Self {
+        Self(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
+    }
+}
--- /dev/null
+++ b/crates/cicadagw-wire/src/lib.rs
@@ -0,0 +1,17 @@
+//! The messages between nodes, apart from how they are encoded and carried.
+//!
+//! A child joins its parent with a [`Hello`]; from then on [`Down`] goes to the child and [`Up`] to
+//! the parent.
+
+pub mod down;
+mod hello;
+pub mod link;
+pub mod member;
+pub mod report;
+mod up;
+
+pub use down::Down;
+pub use hello::{Hello, Refusal};
+pub use member::Member;
+pub use report::{Laggard, Reason, Report};
+pub use up::Up;
--- /dev/null
+++ b/crates/cicadagw/src/main.rs
@@ -0,0 +1,3 @@
+//! The node: proxy and control in one process, one for each backend server host.
+
+fn main() {}
