Drop member lists: endpoint records carry what re-parenting needs

Cause: a list of the members of a failure domain, spread at every change, would repeat what the endpoint records already spread: every instance has its node.

Ruled out: positions in a heap over an ordered list, since every leave and join moves other nodes; a standby lease, since the standby can be any child of the root that sees the lease lapse.

Change: a record names its node's link address and rack; beats carry the stamp alone; the path from the root is sent when it changes; three levels of leases (failure domain, region, fleet); types of status and directory.

--- a/crates/cicadagw-endpoint/src/record.rs
+++ b/crates/cicadagw-endpoint/src/record.rs
@@ -15,8 +15,12 @@
     pub domain: id::Domain,
     /// The endpoint.
     pub endpoint: id::Endpoint,
+    /// Where that node takes links from its peers.
+    pub link: SocketAddr,
     /// The node that stands before the backend server.
     pub node: id::Node,
+    /// The rack.
+    pub rack: id::Rack,
     /// The region.
     pub region: id::Region,
     /// Which of two records of the same endpoint is newer.
--- a/crates/cicadagw-platform/src/key.rs
+++ b/crates/cicadagw-platform/src/key.rs
@@ -23,21 +23,21 @@
         Self(format_compact!("part/{digest}"))
     }
 
-    /// The lease of the primary root of a failure domain.
-    pub fn primary(domain: &id::Domain) -> Self {
-        Self(format_compact!("lease/{domain}/primary"))
-    }
-
-    /// The lease of the standby root of a failure domain.
-    pub fn standby(domain: &id::Domain) -> Self {
-        Self(format_compact!("lease/{domain}/standby"))
+    /// The lease of the root of a failure domain.
+    pub fn domain_lease(domain: &id::Domain) -> Self {
+        Self(format_compact!("lease/domain/{domain}"))
     }
 
     /// The lease of the root of a region.
-    pub fn region(region: &id::Region) -> Self {
+    pub fn region_lease(region: &id::Region) -> Self {
         Self(format_compact!("lease/region/{region}"))
     }
 
+    /// The lease of the root of the fleet.
+    pub fn fleet_lease() -> Self {
+        Self("lease/fleet".into())
+    }
+
     /// The members of a failure domain.
     pub fn directory(domain: &id::Domain) -> Self {
         Self(format_compact!("directory/{domain}"))
@@ -48,6 +48,9 @@
         Self(format_compact!("status/{domain}"))
     }
 
+    /// What every key of a directory begins with.
+    pub const DIRECTORY_PREFIX: &str = "directory/";
+
     /// What every status key begins with.
     pub const STATUS_PREFIX: &str = "status/";
 
--- a/crates/cicadagw-wire/src/down.rs
+++ b/crates/cicadagw-wire/src/down.rs
@@ -1,8 +1,10 @@
 //! What a parent sends to its children.
 
+use std::collections::BTreeMap;
+
 use cicadagw_config::{Delta, Snapshot, Stamp};
 use cicadagw_endpoint::Record;
-use cicadagw_unit::id;
+use cicadagw_unit::{Digest, id};
 use smallvec::SmallVec;
 
 use crate::Member;
@@ -11,24 +13,19 @@
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Down {
-    /// The parent lives; the way from the root down to it, and what it holds.
-    Beat(Beat),
+    /// The parent lives, and holds this snapshot.
+    Beat(Stamp),
     /// What leads from an earlier snapshot to the one that the parent holds.
     Delta(Box<Delta>),
+    /// The digests of the endpoints that the parent knows, by failure domain.
+    Digests(BTreeMap<id::Domain, Digest>),
     /// News of endpoints.
     Endpoints(Vec<Record>),
-    /// The members of the failure domain.
-    Members(Vec<Member>),
+    /// The nodes from the root down to the parent, both included.
+    Path(Box<Path>),
     /// The whole snapshot that the parent holds.
     Whole(Box<Snapshot>),
 }
 
-/// A sign of life of a parent.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct Beat {
-    /// The snapshot that the parent holds.
-    pub held: Stamp,
-    /// The nodes from the root down to the parent, both included.
-    pub path: SmallVec<[id::Node; 4]>,
-}
+/// The nodes from the root down to some node, both included.
+pub type Path = SmallVec<[Member; 4]>;
