Decide about control: adoption, leases, the tree, endpoints, status

Cause: the duties have types but nothing decides yet.

Ruled out: positions in the tree handed out by the root, since a node that is refused can descend by itself into a child that has room; Left messages from parents, since a parent cannot know that its child joined another one; a roll call by the root finds the same and sets itself right.

Change: charts for lease, uplink and adoption; Core::step joins them as a plain function of state, event and time that returns effects.

--- /dev/null
+++ b/crates/cicadagw-control/src/charts.rs
@@ -0,0 +1,58 @@
+//! The charts of this package, embedded and checked when they are loaded.
+
+use cicadagw_chart::{Chart, Name};
+use cicadagw_finding::Findings;
+
+use crate::{adopt, lease, uplink};
+
+/// Every chart of this package.
+#[derive(Clone, Debug)]
+pub(crate) struct Charts {
+    pub(crate) adopt: adopt::Rules,
+    pub(crate) lease: lease::Rules,
+    pub(crate) uplink: uplink::Rules,
+}
+
+impl Charts {
+    /// Loads the embedded charts.
+    ///
+    /// # Errors
+    ///
+    /// All findings of all charts, with their places.
+    pub(crate) fn load() -> Result<Self, Findings> {
+        let mut findings = Findings::default();
+        let adopt = chart(
+            "charts/adopt.jsonc",
+            include_str!("../../../charts/adopt.jsonc"),
+            &mut findings,
+        );
+        let lease = chart(
+            "charts/lease.jsonc",
+            include_str!("../../../charts/lease.jsonc"),
+            &mut findings,
+        );
+        let uplink = chart(
+            "charts/uplink.jsonc",
+            include_str!("../../../charts/uplink.jsonc"),
+            &mut findings,
+        );
+        match (adopt, lease, uplink) {
+            (Some(adopt), Some(lease), Some(uplink)) => Ok(Self {
+                adopt,
+                lease,
+                uplink,
+            }),
+            _ => Err(findings),
+        }
+    }
+}
+
+fn chart<S: Name, E: Name, G: Name, A: Name>(
+    source: &str,
+    text: &str,
+    findings: &mut Findings,
+) -> Option<Chart<S, E, G, A>> {
+    Chart::load(source, text)
+        .map_err(|found| findings.append(found))
+        .ok()
+}
--- /dev/null
+++ b/crates/cicadagw-control/src/event.rs
@@ -0,0 +1,19 @@
+//! What happens to a node's control.
+
+use cicadagw_endpoint::Local;
+use cicadagw_wire::link;
+
+use crate::platform;
+
+/// Something that the control duty learns.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Something happened to a link.
+    Link(link::Event),
+    /// Something happened to the backend server of this host.
+    Local(Local),
+    /// The platform answered.
+    Platform(platform::Reply),
+    /// Time went by.
+    Tick,
+}
--- /dev/null
+++ b/crates/cicadagw-control/src/ladder.rs
@@ -0,0 +1,102 @@
+//! The leases that a node may hold, each of which needs the one before it.
+
+use cicadagw_platform::{Error, Key};
+use cicadagw_unit::time::{Moment, Span};
+use cicadagw_wire::Member;
+
+use crate::lease::{self, Change, Claim, Lease};
+use crate::platform::{Answer, Call};
+use crate::{Identity, Rank};
+
+/// The leases of a node, from its failure domain up to the fleet.
+#[derive(Clone, Debug)]
+pub(crate) struct Ladder {
+    leases: [(Rank, Lease); 3],
+}
+
+/// What a step of the ladder leads to.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Outcome {
+    pub(crate) calls: Vec<Call>,
+    pub(crate) changes: Vec<(Rank, Change)>,
+}
+
+impl Ladder {
+    pub(crate) fn new(
+        rules: &lease::Rules,
+        identity: &Identity,
+        term: u64,
+        duration: Span,
+    ) -> Self {
+        let claim = Claim {
+            domain: identity.domain.clone(),
+            holder: identity.member.clone(),
+            term,
+        };
+        let lease = |rank, key| {
+            (
+                rank,
+                Lease::new(rules.clone(), rank, key, claim.clone(), duration),
+            )
+        };
+        Self {
+            leases: [
+                lease(Rank::Domain, Key::domain_lease(&identity.domain)),
+                lease(Rank::Region, Key::region_lease(&identity.region)),
+                lease(Rank::Fleet, Key::fleet_lease()),
+            ],
+        }
+    }
+
+    /// Returns the highest lease held.
+    pub(crate) fn rank(&self) -> Option<Rank> {
+        let held = self.leases.iter().take_while(|(_, lease)| lease.is_held());
+        held.last().map(|(rank, _)| *rank)
+    }
+
+    /// Returns the holder of the lowest lease that this node does not hold.
+    pub(crate) fn superior(&self) -> Option<&Member> {
+        let missing = self.leases.iter().find(|(_, lease)| !lease.is_held());
+        missing.and_then(|(_, lease)| lease.other())
+    }
+
+    /// Returns where the node stands with every lease.
+    pub(crate) fn states(&self) -> impl Iterator<Item = (Rank, lease::State)> {
+        self.leases
+            .iter()
+            .map(|(rank, lease)| (*rank, lease.state()))
+    }
+
+    /// Looks at every lease that is wanted; the lowest one is while `wanted`.
+    pub(crate) fn tick(&mut self, now: Moment, mut wanted: bool) -> Outcome {
+        let mut outcome = Outcome::default();
+        for (rank, lease) in &mut self.leases {
+            wanted |= *rank == Rank::Domain && lease.is_held();
+            outcome.add(*rank, lease.tick(now, wanted));
+            wanted = wanted && lease.is_held();
+        }
+        outcome
+    }
+
+    /// Takes the answer to a call about the lease of `rank`.
+    pub(crate) fn reply(
+        &mut self,
+        now: Moment,
+        rank: Rank,
+        answer: Result<Answer, Error>,
+    ) -> Outcome {
+        let mut outcome = Outcome::default();
+        if let Some((_, lease)) = self.leases.iter_mut().find(|(held, _)| *held == rank) {
+            outcome.add(rank, lease.reply(now, answer));
+        }
+        outcome
+    }
+}
+
+impl Outcome {
+    fn add(&mut self, rank: Rank, outcome: lease::Outcome) {
+        self.calls.extend(outcome.call);
+        self.changes
+            .extend(outcome.change.map(|change| (rank, change)));
+    }
+}
--- a/crates/cicadagw-control/src/lib.rs
+++ b/crates/cicadagw-control/src/lib.rs
@@ -1,1 +1,28 @@
 //! Decisions about control: adoption of versions, leases, the tree, endpoints, status.
+//!
+//! [`Core::step`] is a plain function of state, event and time; it returns effects and does no I/O.
+
+mod adopt;
+mod charts;
+mod child;
+mod core;
+mod dump;
+mod effect;
+mod endpoints;
+mod event;
+mod fetch;
+mod identity;
+mod ladder;
+mod lease;
+mod links;
+pub mod platform;
+mod roll;
+mod status;
+mod uplink;
+
+pub use core::Core;
+pub use dump::Dump;
+pub use effect::{Effect, Note};
+pub use event::Event;
+pub use identity::Identity;
+pub use lease::{Claim, Rank};
--- a/crates/cicadagw-wire/src/down.rs
+++ b/crates/cicadagw-wire/src/down.rs
@@ -23,6 +23,8 @@
     Endpoints(Vec<Record>),
     /// The nodes from the root down to the parent, both included.
     Path(Box<Path>),
+    /// Every node of the failure domain is to say that it is there.
+    RollCall,
     /// The whole snapshot that the parent holds.
     Whole(Box<Snapshot>),
 }
--- a/crates/cicadagw-wire/src/report.rs
+++ b/crates/cicadagw-wire/src/report.rs
@@ -15,6 +15,8 @@
     pub lowest: Version,
     /// How many nodes there are.
     pub count: u32,
+    /// How many of them stand before a backend server.
+    pub serving: u32,
     /// Some of those that hold less than the newest version, or refused a version.
     #[serde(default, skip_serializing_if = "SmallVec::is_empty")]
     pub laggards: SmallVec<[Laggard; LAGGARDS_MAX]>,
--- a/crates/cicadagw-wire/src/up.rs
+++ b/crates/cicadagw-wire/src/up.rs
@@ -2,7 +2,6 @@
 
 use cicadagw_endpoint::Record;
 use cicadagw_unit::id;
-use smallvec::SmallVec;
 
 use crate::Report;
 
@@ -12,10 +11,8 @@
 pub enum Up {
     /// News of endpoints.
     Endpoints(Vec<Record>),
-    /// Nodes that joined somewhere below.
-    Joined(SmallVec<[id::Node; 4]>),
-    /// Nodes that were lost below and did not come back to the same parent.
-    Left(SmallVec<[id::Node; 4]>),
+    /// Nodes below that answer a roll call.
+    Present(Vec<id::Node>),
     /// The child lives; how it and those below it stand.
     Report(Box<Report>),
     /// A delta could not be used; the whole snapshot is wanted.
