--- /dev/null
+++ b/crates/cicadagw-link/src/traffic.rs
@@ -0,0 +1,119 @@
+//! Counts of what was carried, on the level of payloads.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use cicadagw_unit::size::Bytes;
+use cicadagw_wire::{Down, Up};
+
+/// What a message is about.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// Signs of life of a parent.
+    Beats,
+    /// Snapshots, deltas and the wish for them.
+    Configuration,
+    /// News of endpoints.
+    Endpoints,
+    /// Members of a failure domain.
+    Members,
+    /// Signs of life of a child.
+    Reports,
+}
+
+impl Kind {
+    /// Every kind.
+    pub const ALL: [Self; 5] = [
+        Self::Beats,
+        Self::Configuration,
+        Self::Endpoints,
+        Self::Members,
+        Self::Reports,
+    ];
+
+    /// Returns the name, for metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Beats => "beats",
+            Self::Configuration => "configuration",
+            Self::Endpoints => "endpoints",
+            Self::Members => "members",
+            Self::Reports => "reports",
+        }
+    }
+}
+
+impl From<&Down> for Kind {
+    fn from(message: &Down) -> Self {
+        match message {
+            Down::Beat(_) => Self::Beats,
+            Down::Delta(_) | Down::Whole(_) => Self::Configuration,
+            Down::Endpoints(_) => Self::Endpoints,
+            Down::Members(_) => Self::Members,
+        }
+    }
+}
+
+impl From<&Up> for Kind {
+    fn from(message: &Up) -> Self {
+        match message {
+            Up::Report(_) => Self::Reports,
+            Up::Endpoints(_) => Self::Endpoints,
+            Up::Members(_) => Self::Members,
+            Up::WantWhole => Self::Configuration,
+        }
+    }
+}
+
+/// Which way a message went.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Way {
+    /// From a peer.
+    Received,
+    /// To a peer.
+    Sent,
+}
+
+/// How much of one kind went one way.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Count {
+    /// The bytes of the payloads, as they were carried.
+    pub bytes: Bytes,
+    /// The messages.
+    pub messages: u64,
+}
+
+/// The shared counts; clones count together.
+#[derive(Clone, Debug, Default)]
+pub struct Traffic {
+    counters: Arc<[[Counter; Kind::ALL.len()]; 2]>,
+}
+
+#[derive(Debug, Default)]
+struct Counter {
+    bytes: AtomicU64,
+    messages: AtomicU64,
+}
+
+impl Traffic {
+    /// Returns how much of `kind` went `way`.
+    pub fn count(&self, way: Way, kind: Kind) -> Count {
+        let counter = self.counter(way, kind);
+        Count {
+            bytes: Bytes::new(counter.bytes.load(Ordering::Relaxed)),
+            messages: counter.messages.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Counts one message of `size` bytes.
+    pub(crate) fn add(&self, way: Way, kind: Kind, size: usize) {
+        let counter = self.counter(way, kind);
+        let size = u64::try_from(size).unwrap_or(u64::MAX);
+        counter.bytes.fetch_add(size, Ordering::Relaxed);
+        counter.messages.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn counter(&self, way: Way, kind: Kind) -> &Counter {
+        &self.counters[way as usize][kind as usize]
+    }
+}
