Speak to the platform over HTTP, and stand in for it

Cause: nothing reached the object API yet, and nothing stood in for it.

Change: `http::Client` implements `Store` with awc. A failure is sorted by how far the call came: no connection is `Unavailable`, a call sent without a whole answer is `Unknown` for writes. The library reports an end of the connection before the answer as a connection error; it is sorted as sent. The stand-in in `cicadagw-dev` keeps objects in memory and can be down, slow, deaf to some clients, or lose the answer of a write that took effect.

Ruled out: a lost answer by a delay alone. A second handle on the socket ends the connection, so the client meets a real reset.

--- /dev/null
+++ b/crates/cicadagw-dev/examples/platform.rs
@@ -0,0 +1,44 @@
+//! Runs the stand-in of the platform's object API.
+
+use std::net::TcpListener;
+use std::process::ExitCode;
+
+use cicadagw_dev::platform;
+
+use flags::Platform;
+
+#[expect(missing_docs, unreachable_pub, reason = "the macro writes no docs")]
+mod flags {
+    use std::net::SocketAddr;
+
+    xflags::xflags! {
+        /// A stand-in of the platform's object API, kept in memory.
+        cmd platform {
+            /// Where it answers.
+            required address: SocketAddr
+        }
+    }
+}
+
+#[actix_web::main]
+async fn main() -> ExitCode {
+    let flags = Platform::from_env_or_exit();
+    let listener = match TcpListener::bind(flags.address) {
+        Ok(listener) => listener,
+        Err(error) => {
+            anstream::eprintln!("cannot listen on {}: {error}", flags.address);
+            return ExitCode::FAILURE;
+        }
+    };
+    let outcome = match platform::serve(listener) {
+        Ok((server, _)) => server.await,
+        Err(error) => Err(error),
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            anstream::eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/cicadagw-platform/src/http/path.rs
@@ -0,0 +1,26 @@
+//! Paths of the object API.
+
+use cicadagw_unit::time::Span;
+
+use crate::{Key, Revision};
+
+/// The path that every object's path begins with.
+pub const OBJECTS: &str = "/v1/objects/";
+
+/// The path of the list of keys.
+pub const KEYS: &str = "/v1/objects";
+
+/// Returns the path of an object.
+pub fn object(key: &Key) -> String {
+    format!("{OBJECTS}{key}")
+}
+
+/// Returns the path that waits for a revision above `after`.
+pub fn watch(key: &Key, after: Revision, wait: Span) -> String {
+    format!("{OBJECTS}{key}?after={after}&wait={}", wait.get())
+}
+
+/// Returns the path that lists the keys which begin with `prefix`.
+pub fn keys(prefix: &str) -> String {
+    format!("{KEYS}?prefix={prefix}")
+}
--- a/crates/cicadagw-platform/src/lib.rs
+++ b/crates/cicadagw-platform/src/lib.rs
@@ -3,11 +3,14 @@
 //! [`Store`] is the edge: the HTTP client implements it for real processes, and tests pass fakes.
 
 mod error;
+pub mod http;
 pub mod key;
 mod object;
 mod store;
+mod traffic;
 
 pub use error::Error;
 pub use key::Key;
 pub use object::{Condition, Object, Revision};
 pub use store::Store;
+pub use traffic::{Traffic, Volume};
--- /dev/null
+++ b/crates/cicadagw-platform/src/traffic.rs
@@ -0,0 +1,53 @@
+//! Counts of the calls to the platform and of their bytes.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use cicadagw_unit::size::Bytes;
+
+/// Counts what passes between this process and the platform; clones share their counts.
+#[derive(Clone, Debug, Default)]
+pub struct Traffic {
+    counts: Arc<Counts>,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    calls: AtomicU64,
+    received: AtomicU64,
+    sent: AtomicU64,
+}
+
+/// The counts at one moment.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Volume {
+    /// How many calls were made; a waiting watch is one.
+    pub calls: u64,
+    /// Heads and bodies of the answers.
+    pub received: Bytes,
+    /// Heads and bodies of the requests.
+    pub sent: Bytes,
+}
+
+impl Traffic {
+    /// Returns the counts, each read on its own.
+    pub fn volume(&self) -> Volume {
+        Volume {
+            calls: self.counts.calls.load(Ordering::Relaxed),
+            received: Bytes::new(self.counts.received.load(Ordering::Relaxed)),
+            sent: Bytes::new(self.counts.sent.load(Ordering::Relaxed)),
+        }
+    }
+
+    pub(crate) fn count_sent(&self, bytes: usize) {
+        self.counts.calls.fetch_add(1, Ordering::Relaxed);
+        self.counts.sent.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_received(&self, bytes: usize) {
+        self.counts
+            .received
+            .fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+}
