--- /dev/null
+++ b/crates/cicadagw-call/src/attempt.rs
@@ -0,0 +1,155 @@
+//! The attempts of one call, as `charts/call.jsonc` lays them down.
+
+use std::sync::LazyLock;
+
+use cicadagw_chart::names;
+use cicadagw_config::Policy;
+use cicadagw_config::policy::Idempotency;
+
+names! {
+    /// Where a call stands.
+    pub enum State {
+        /// An endpoint is to be chosen; nothing can have run.
+        Choosing = "choosing",
+        /// An attempt is under way; none before it can have run.
+        Trying = "trying",
+        /// An endpoint is to be chosen; an earlier attempt may have run.
+        Rechoosing = "rechoosing",
+        /// An attempt is under way; an earlier one may have run.
+        Retrying = "retrying",
+        /// The caller gets the backend server's answer.
+        Answered = "answered",
+        /// The caller is told that nothing ran.
+        NotRun = "not-run",
+        /// The caller is told that the request may have run.
+        Unknown = "unknown",
+    }
+}
+
+names! {
+    /// What happens to a call.
+    pub enum Event {
+        /// An endpoint was chosen.
+        Chosen = "chosen",
+        /// No endpoint can be chosen.
+        NoEndpoint = "no-endpoint",
+        /// The backend server answered.
+        Answer = "answer",
+        /// The target refused since it takes no calls at all.
+        Leaving = "leaving",
+        /// The target refused since it has too many calls.
+        Shed = "shed",
+        /// The target refused since the time was over.
+        Expired = "expired",
+        /// The attempt failed after the request had begun to go out.
+        Lost = "lost",
+        /// The time for the call is over.
+        Deadline = "deadline",
+    }
+}
+
+names! {
+    /// What must be true for another attempt.
+    pub enum Guard {
+        /// Attempts are left, and the request can be sent again.
+        Again = "again",
+        /// As `again`, and the retry budget pays for it.
+        AgainInBudget = "again-in-budget",
+        /// As `again-in-budget`, and the call is idempotent.
+        Repeat = "repeat",
+    }
+}
+
+names! {
+    /// What is to be done for a call.
+    pub enum Action {
+        /// Choose an endpoint that was not tried yet.
+        Choose = "choose",
+        /// Send the request to the chosen endpoint.
+        Send = "send",
+        /// Take a retry from the budget.
+        Spend = "spend",
+        /// Pass the answer on.
+        PassAnswer = "pass-answer",
+        /// Tell the caller that nothing ran.
+        ReplyNotRun = "reply-not-run",
+        /// Tell the caller that the request may have run.
+        ReplyUnknown = "reply-unknown",
+    }
+}
+
+/// The chart of a call.
+pub type Chart = cicadagw_chart::Chart<State, Event, Guard, Action>;
+
+/// Returns the chart of a call.
+pub fn chart() -> &'static Chart {
+    static CHART: LazyLock<Chart> = LazyLock::new(|| {
+        Chart::load("charts/call.jsonc", include_str!("../charts/call.jsonc"))
+            .expect("the embedded chart is checked by a test")
+    });
+    &CHART
+}
+
+/// What only the moment of an event tells.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Facts {
+    /// The whole request is still there to be sent again.
+    pub replayable: bool,
+    /// The retry budget pays for one more attempt.
+    pub funded: bool,
+}
+
+/// One call and its attempts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Attempt {
+    state: State,
+    left: u8,
+    idempotent: bool,
+}
+
+impl Attempt {
+    /// Creates a call that is treated by `policy`.
+    pub fn new(policy: &Policy, method: &str) -> Self {
+        Self {
+            state: chart().initial(),
+            left: policy.attempts,
+            idempotent: is_idempotent(policy.idempotency, method),
+        }
+    }
+
+    /// Returns where the call stands.
+    pub const fn state(&self) -> State {
+        self.state
+    }
+
+    /// Takes `event` in and returns what is to be done.
+    pub fn step(&mut self, event: Event, facts: Facts) -> &'static [Action] {
+        let step = chart().step(self.state, event, |guard| self.holds(guard, facts));
+        self.state = step.to;
+        if step.actions.contains(&Action::Send) {
+            self.left = self.left.saturating_sub(1);
+        }
+        step.actions
+    }
+
+    fn holds(&self, guard: Guard, facts: Facts) -> bool {
+        let again = self.left > 0 && facts.replayable;
+        match guard {
+            Guard::Again => again,
+            Guard::AgainInBudget => again && facts.funded,
+            Guard::Repeat => again && facts.funded && self.idempotent,
+        }
+    }
+}
+
+/// Tells whether a call with `method` may run more than once.
+fn is_idempotent(rule: Idempotency, method: &str) -> bool {
+    match rule {
+        Idempotency::Always => true,
+        Idempotency::Never => false,
+        Idempotency::ByMethod => matches!(
+            method,
+            "GET" | "HEAD" | "OPTIONS" | "TRACE" | "PUT" | "DELETE"
+        ),
+    }
+}
--- /dev/null
+++ b/crates/cicadagw-call/src/life.rs
@@ -0,0 +1,258 @@
+//! The backend servers of a node's own host, from their first announcement to their end, as
+//! `charts/backend.jsonc` lays them down.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::LazyLock;
+
+use cicadagw_chart::names;
+use cicadagw_endpoint::{Local, State as Told};
+use cicadagw_unit::id;
+use cicadagw_unit::size::Slots;
+use cicadagw_unit::time::{Moment, Span};
+
+names! {
+    /// Where an endpoint stands.
+    pub enum State {
+        /// It was heard of.
+        Announced = "announced",
+        /// It takes work.
+        Ready = "ready",
+        /// It finishes its work and takes no new work.
+        Draining = "draining",
+        /// It is gone for good.
+        Gone = "gone",
+    }
+}
+
+names! {
+    /// What happens to an endpoint.
+    pub enum Event {
+        /// It says that it takes work.
+        Ready = "ready",
+        /// It says that it drains.
+        Draining = "draining",
+        /// It says that it ends, or another one took its address.
+        End = "end",
+        /// It has said nothing for too long.
+        Silence = "silence",
+        /// The node stops.
+        Stop = "stop",
+    }
+}
+
+names! {
+    /// No rule of this chart has a guard.
+    pub enum Guard {}
+}
+
+names! {
+    /// What is to be done for an endpoint.
+    pub enum Action {
+        /// Note that it was heard of.
+        Renew = "renew",
+        /// Refuse the calls that wait for it.
+        Refuse = "refuse",
+        /// Tell the control duty.
+        Tell = "tell",
+    }
+}
+
+/// The chart of an endpoint's life.
+pub type Chart = cicadagw_chart::Chart<State, Event, Guard, Action>;
+
+/// How many ended ids are remembered, so that they cannot come back.
+const GONE_MAX: usize = 1_024;
+
+/// Returns the chart of an endpoint's life.
+pub fn chart() -> &'static Chart {
+    static CHART: LazyLock<Chart> = LazyLock::new(|| {
+        let text = include_str!("../charts/backend.jsonc");
+        Chart::load("charts/backend.jsonc", text).expect("the embedded chart is checked by a test")
+    });
+    &CHART
+}
+
+/// What a backend server says of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Announcement {
+    /// Where it takes calls.
+    pub address: SocketAddr,
+    /// How many connections it takes.
+    pub connections: Slots,
+    /// Its id, new for every start.
+    pub endpoint: id::Endpoint,
+    /// How many calls it says that it runs now.
+    pub in_flight: Slots,
+    /// Whether it drains.
+    pub is_draining: bool,
+    /// The service.
+    pub service: id::Service,
+    /// How many calls it runs at once.
+    pub slots: Slots,
+}
+
+/// What is to be done after a change.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Effect {
+    /// Refuse the calls that wait for the endpoint.
+    Refuse(id::Endpoint),
+    /// Tell the control duty.
+    Tell(Local),
+}
+
+/// Says that an id was used before and is gone.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Gone;
+
+/// The backend servers of a host.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    backends: BTreeMap<id::Endpoint, Backend>,
+    gone: VecDeque<id::Endpoint>,
+}
+
+/// One backend server.
+#[derive(Clone, Debug)]
+struct Backend {
+    said: Announcement,
+    state: State,
+    renewed: Moment,
+}
+
+impl Registry {
+    /// Takes in what a backend server says of itself. Another endpoint at the same address is gone.
+    ///
+    /// # Errors
+    ///
+    /// [`Gone`] when its id was used before and is gone.
+    pub fn announce(&mut self, now: Moment, said: &Announcement) -> Result<Vec<Effect>, Gone> {
+        if self.gone.contains(&said.endpoint) {
+            return Err(Gone);
+        }
+        let mut effects = self.end_others(now, said);
+        let backend = self
+            .backends
+            .entry(said.endpoint.clone())
+            .or_insert_with(|| Backend {
+                said: said.clone(),
+                state: chart().initial(),
+                renewed: now,
+            });
+        let is_resized = backend.said.slots != said.slots;
+        backend.said = said.clone();
+        let event = if said.is_draining {
+            Event::Draining
+        } else {
+            Event::Ready
+        };
+        let before = effects.len();
+        backend.step(now, event, &mut effects);
+        if is_resized && effects.len() == before {
+            effects.push(Effect::Tell(backend.local()));
+        }
+        Ok(effects)
+    }
+
+    /// Ends an endpoint; `None` when it is not known.
+    pub fn end(&mut self, now: Moment, endpoint: &id::Endpoint) -> Option<Vec<Effect>> {
+        self.backends
+            .contains_key(endpoint)
+            .then(|| self.apply(now, endpoint, Event::End))
+    }
+
+    /// Ends those that were silent for longer than `renewal`.
+    pub fn expire(&mut self, now: Moment, renewal: Span) -> Vec<Effect> {
+        let silent: Vec<_> = self
+            .backends
+            .iter()
+            .filter(|(_, backend)| now.since(backend.renewed) > renewal)
+            .map(|(endpoint, _)| endpoint.clone())
+            .collect();
+        silent
+            .iter()
+            .flat_map(|endpoint| self.apply(now, endpoint, Event::Silence))
+            .collect()
+    }
+
+    /// Lets all drain, since the node stops.
+    pub fn stop(&mut self, now: Moment) -> Vec<Effect> {
+        let all: Vec<_> = self.backends.keys().cloned().collect();
+        all.iter()
+            .flat_map(|endpoint| self.apply(now, endpoint, Event::Stop))
+            .collect()
+    }
+
+    /// Returns where an endpoint stands and what it said last.
+    pub fn get(&self, endpoint: &id::Endpoint) -> Option<(State, &Announcement)> {
+        let backend = self.backends.get(endpoint)?;
+        Some((backend.state, &backend.said))
+    }
+
+    /// Returns the ids of those that are not gone.
+    pub fn endpoints(&self) -> impl Iterator<Item = &id::Endpoint> {
+        self.backends.keys()
+    }
+
+    fn end_others(&mut self, now: Moment, said: &Announcement) -> Vec<Effect> {
+        let others: Vec<_> = self
+            .backends
+            .iter()
+            .filter(|(endpoint, other)| {
+                **endpoint != said.endpoint && other.said.address == said.address
+            })
+            .map(|(endpoint, _)| endpoint.clone())
+            .collect();
+        others
+            .iter()
+            .flat_map(|endpoint| self.apply(now, endpoint, Event::End))
+            .collect()
+    }
+
+    fn apply(&mut self, now: Moment, endpoint: &id::Endpoint, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let Some(backend) = self.backends.get_mut(endpoint) else {
+            return effects;
+        };
+        backend.step(now, event, &mut effects);
+        if backend.state == State::Gone {
+            self.bury(endpoint);
+        }
+        effects
+    }
+
+    fn bury(&mut self, endpoint: &id::Endpoint) {
+        self.backends.remove(endpoint);
+        self.gone.push_back(endpoint.clone());
+        if self.gone.len() > GONE_MAX {
+            self.gone.pop_front();
+        }
+    }
+}
+
+impl Backend {
+    fn step(&mut self, now: Moment, event: Event, effects: &mut Vec<Effect>) {
+        let step = chart().step(self.state, event, |guard| match guard {});
+        self.state = step.to;
+        for action in step.actions {
+            match action {
+                Action::Renew => self.renewed = now,
+                Action::Refuse => effects.push(Effect::Refuse(self.said.endpoint.clone())),
+                Action::Tell => effects.push(Effect::Tell(self.local())),
+            }
+        }
+    }
+
+    fn local(&self) -> Local {
+        Local {
+            endpoint: self.said.endpoint.clone(),
+            service: self.said.service.clone(),
+            slots: self.said.slots,
+            state: match self.state {
+                State::Announced | State::Ready => Told::Ready,
+                State::Draining => Told::Draining,
+                State::Gone => Told::Gone,
+            },
+        }
+    }
+}
