Carry paths, digests and roll calls over the links

Ruled out: a kind of traffic for each message; paths and roll calls are one, the shape of the tree. Change: codec and counts follow the messages. Conclusion: the workspace compiles whole again.

--- a/crates/cicadagw-link/src/codec.rs
+++ b/crates/cicadagw-link/src/codec.rs
@@ -48,16 +48,18 @@
 /// Writes a message to a child.
 pub fn encode_down(message: &Down) -> Box<RawValue> {
     match message {
-        Down::Delta(_) | Down::Endpoints(_) | Down::Whole(_) => pack_large(message),
-        Down::Beat(_) | Down::Members(_) => plain(message),
+        Down::Delta(_) | Down::Digests(_) | Down::Endpoints(_) | Down::Path(_) | Down::Whole(_) => {
+            pack_large(message)
+        }
+        Down::Beat(_) | Down::RollCall => plain(message),
     }
 }
 
 /// Writes a message to a parent.
 pub fn encode_up(message: &Up) -> Box<RawValue> {
     match message {
-        Up::Endpoints(_) => pack_large(message),
-        Up::Members(_) | Up::Report(_) | Up::WantWhole => plain(message),
+        Up::Endpoints(_) | Up::Present(_) => pack_large(message),
+        Up::Report(_) | Up::WantWhole => plain(message),
     }
 }
 
--- a/crates/cicadagw-link/src/traffic.rs
+++ b/crates/cicadagw-link/src/traffic.rs
@@ -15,10 +15,10 @@
     Configuration,
     /// News of endpoints.
     Endpoints,
-    /// Members of a failure domain.
-    Members,
     /// Signs of life of a child.
     Reports,
+    /// The shape of the tree: paths and roll calls.
+    Tree,
 }
 
 impl Kind {
@@ -27,8 +27,8 @@
         Self::Beats,
         Self::Configuration,
         Self::Endpoints,
-        Self::Members,
         Self::Reports,
+        Self::Tree,
     ];
 
     /// Returns the name, for metrics.
@@ -37,8 +37,8 @@
             Self::Beats => "beats",
             Self::Configuration => "configuration",
             Self::Endpoints => "endpoints",
-            Self::Members => "members",
             Self::Reports => "reports",
+            Self::Tree => "tree",
         }
     }
 }
@@ -48,8 +48,8 @@
         match message {
             Down::Beat(_) => Self::Beats,
             Down::Delta(_) | Down::Whole(_) => Self::Configuration,
-            Down::Endpoints(_) => Self::Endpoints,
-            Down::Members(_) => Self::Members,
+            Down::Digests(_) | Down::Endpoints(_) => Self::Endpoints,
+            Down::Path(_) | Down::RollCall => Self::Tree,
         }
     }
 }
@@ -59,7 +59,7 @@
         match message {
             Up::Report(_) => Self::Reports,
             Up::Endpoints(_) => Self::Endpoints,
-            Up::Members(_) => Self::Members,
+            Up::Present(_) => Self::Tree,
             Up::WantWhole => Self::Configuration,
         }
     }
