Serve health, dump, metrics and log level on the admin duty

Cause: an operator could see nothing of a running node.

Ruled out: a synchronous counter of the metrics library at every call, since it takes a lock for each set of labels; instruments that read the meter on demand cost nothing between two readings. A readiness flag beside the meter: it could contradict the version held, so readiness follows from the meter.

Change: cicadagw_admin::run serves /live, /ready, /dump, /metrics and PUT /log-level until it is cancelled. The token is compared by digest in constant time. Secrets are taken out of a dump as a last step.

Conclusion: the control duty answers Request::Dump; the rest needs the meter alone.

--- /dev/null
+++ b/crates/cicadagw-admin/src/latency.rs
@@ -0,0 +1,70 @@
+//! The histogram of added times, as Prometheus takes it.
+//!
+//! The metrics library has no histogram that is read on demand, so this one goes to the registry
+//! directly.
+
+use std::collections::HashMap;
+
+use cicadagw_meter::{BOUNDS_MICROS, Meter};
+use prometheus::core::{Collector, Desc};
+use prometheus::proto::{Bucket, Histogram, Metric, MetricFamily, MetricType};
+
+/// The name of the histogram.
+const NAME: &str = "cicadagw_call_added_latency_seconds";
+
+/// What the histogram shows.
+const HELP: &str = "Time that this node added to calls";
+
+/// Microseconds in a second.
+const MICROS: f64 = 1e6;
+
+/// Reads the added times of a meter.
+pub(crate) struct LatencyCollector {
+    desc: Desc,
+    meter: Meter,
+}
+
+impl LatencyCollector {
+    pub(crate) fn new(meter: Meter) -> Result<Self, prometheus::Error> {
+        let desc = Desc::new(NAME.into(), HELP.into(), Vec::new(), HashMap::default())?;
+        Ok(Self { desc, meter })
+    }
+}
+
+impl Collector for LatencyCollector {
+    fn desc(&self) -> Vec<&Desc> {
+        vec![&self.desc]
+    }
+
+    fn collect(&self) -> Vec<MetricFamily> {
+        let mut metric = Metric::default();
+        metric.set_histogram(histogram(&self.meter));
+        let mut family = MetricFamily::default();
+        family.set_name(NAME.into());
+        family.set_help(HELP.into());
+        family.set_field_type(MetricType::HISTOGRAM);
+        family.set_metric(vec![metric]);
+        vec![family]
+    }
+}
+
+fn histogram(meter: &Meter) -> Histogram {
+    let latency = meter.latency();
+    let mut cumulative = 0;
+    let buckets = BOUNDS_MICROS
+        .iter()
+        .zip(&latency.buckets)
+        .map(|(bound, count)| {
+            cumulative += count;
+            let mut bucket = Bucket::default();
+            bucket.set_upper_bound(*bound as f64 / MICROS);
+            bucket.set_cumulative_count(cumulative);
+            bucket
+        })
+        .collect();
+    let mut histogram = Histogram::default();
+    histogram.set_bucket(buckets);
+    histogram.set_sample_count(latency.count());
+    histogram.set_sample_sum(latency.sum_micros as f64 / MICROS);
+    histogram
+}
--- a/crates/cicadagw-admin/src/lib.rs
+++ b/crates/cicadagw-admin/src/lib.rs
@@ -1,1 +1,20 @@
 //! The admin duty: health, dump and metrics of a node.
+//!
+//! The pages are described in `docs/OBSERVABILITY.md`.
+
+mod dump;
+mod guard;
+mod health;
+mod latency;
+mod level;
+mod metrics;
+mod problem;
+mod redact;
+mod request;
+mod run;
+mod setup;
+
+pub use redact::redact;
+pub use request::Request;
+pub use run::run;
+pub use setup::Setup;
--- /dev/null
+++ b/crates/cicadagw-admin/src/run.rs
@@ -0,0 +1,87 @@
+//! The duty itself.
+
+use std::io;
+use std::time::Duration;
+
+use actix_web::middleware::from_fn;
+use actix_web::rt::System;
+use actix_web::web::{self, Data, ServiceConfig};
+use actix_web::{App, HttpServer};
+
+use crate::guard::Guard;
+use crate::metrics::Metrics;
+use crate::{Setup, dump, guard, health, level, metrics, problem};
+
+/// How long a request may take to arrive.
+const REQUEST_WAIT: Duration = Duration::from_secs(5);
+
+/// How many connections the pages take at once.
+const CONNECTIONS_MAX: usize = 64;
+
+/// How long requests in flight may take to end, in seconds.
+const STOP_WAIT_SECONDS: u64 = 1;
+
+/// Serves the admin pages on the calling thread until the duty is cancelled.
+///
+/// # Errors
+///
+/// When the server cannot be started, or fails.
+pub fn run(setup: Setup) -> io::Result<()> {
+    System::new().block_on(serve(setup))
+}
+
+async fn serve(setup: Setup) -> io::Result<()> {
+    let Setup {
+        cancel,
+        control,
+        listener,
+        meter,
+        node,
+        set_level,
+        token,
+    } = setup;
+    let metrics = Data::new(Metrics::new(&meter).map_err(io::Error::other)?);
+    let guard = Data::new(Guard::new(token.as_deref()));
+    let dump = Data::new(dump::State {
+        control,
+        meter: meter.clone(),
+        node,
+    });
+    let meter = Data::new(meter);
+    let set_level = Data::new(level::Setter(set_level));
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(dump.clone())
+            .app_data(guard.clone())
+            .app_data(meter.clone())
+            .app_data(metrics.clone())
+            .app_data(set_level.clone())
+            .wrap(from_fn(guard::check))
+            .configure(pages)
+            .default_service(web::to(problem::no_page))
+    })
+    .client_request_timeout(REQUEST_WAIT)
+    .disable_signals()
+    .listen(listener)?
+    .max_connections(CONNECTIONS_MAX)
+    .shutdown_timeout(STOP_WAIT_SECONDS)
+    .workers(1)
+    .run();
+    let handle = server.handle();
+    actix_web::rt::spawn(async move {
+        cancel.cancelled().await;
+        handle.stop(true).await;
+    });
+    server.await
+}
+
+/// Lists the pages.
+fn pages(config: &mut ServiceConfig) {
+    let page = |path| web::resource(path).default_service(web::to(problem::wrong_method));
+    config
+        .service(page("/dump").route(web::get().to(dump::page)))
+        .service(page("/live").route(web::get().to(health::live)))
+        .service(page("/log-level").route(web::put().to(level::page)))
+        .service(page("/metrics").route(web::get().to(metrics::page)))
+        .service(page("/ready").route(web::get().to(health::ready)));
+}
--- /dev/null
+++ b/crates/cicadagw-admin/tests/pages.rs
@@ -0,0 +1,235 @@
+//! The pages of a node answer what they should, over HTTP.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use actix_web::http::StatusCode;
+use awc::Client;
+use cicadagw_admin::{Request, Setup, redact, run};
+use cicadagw_meter::{Kind, Meter, Operation, Outcome, Reach, Success};
+use cicadagw_ring::{Receiver, channel};
+use cicadagw_settings::Level;
+use cicadagw_unit::Version;
+use cicadagw_unit::size::Bytes;
+use serde_json::{Value, json};
+use tokio_util::sync::CancellationToken;
+
+/// The duty on a thread of its own, with what a test needs to reach it.
+struct Duty {
+    address: SocketAddr,
+    cancel: CancellationToken,
+    control: Receiver<Request>,
+    meter: Meter,
+    thread: JoinHandle<std::io::Result<()>>,
+}
+
+/// What a page answered.
+struct Answer {
+    status: StatusCode,
+    text: String,
+}
+
+impl Answer {
+    fn json(&self) -> Value {
+        serde_json::from_str(&self.text).unwrap()
+    }
+}
+
+fn start(token: Option<&str>) -> Duty {
+    start_with(token, |_| {})
+}
+
+fn start_with(token: Option<&str>, set_level: fn(Level)) -> Duty {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let cancel = CancellationToken::new();
+    let meter = Meter::default();
+    let (sender, control) = channel("admin-control", 4);
+    meter.add_ring(sender.gauge().clone());
+    let setup = Setup::builder()
+        .cancel(cancel.clone())
+        .control(sender)
+        .listener(listener)
+        .meter(meter.clone())
+        .node("kochi-a-1".parse().unwrap())
+        .set_level(set_level)
+        .maybe_token(token.map(Into::into))
+        .build();
+    Duty {
+        address,
+        cancel,
+        control,
+        meter,
+        thread: std::thread::spawn(|| run(setup)),
+    }
+}
+
+impl Duty {
+    async fn get(&self, path: &str, token: Option<&str>) -> Answer {
+        let mut request = Client::default().get(self.url(path));
+        if let Some(token) = token {
+            request = request.bearer_auth(token);
+        }
+        read(request.send().await.unwrap()).await
+    }
+
+    async fn put(&self, path: &str, body: &'static str) -> Answer {
+        let request = Client::default().put(self.url(path));
+        read(request.send_body(body).await.unwrap()).await
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address)
+    }
+
+    fn stop(self) {
+        self.cancel.cancel();
+        self.thread.join().unwrap().unwrap();
+    }
+}
+
+async fn read<S>(mut response: awc::ClientResponse<S>) -> Answer
+where
+    S: futures_util::Stream<Item = Result<actix_web::web::Bytes, awc::error::PayloadError>> + Unpin,
+{
+    let body = response.body().await.unwrap();
+    Answer {
+        status: response.status(),
+        text: String::from_utf8(body.to_vec()).unwrap(),
+    }
+}
+
+#[actix_web::test]
+async fn a_node_is_live_before_it_is_ready() {
+    let duty = start(None);
+
+    let live = duty.get("/live", None).await;
+    let empty = duty.get("/ready", None).await;
+    duty.meter.hold(Version::new(3));
+    let ready = duty.get("/ready", None).await;
+
+    assert_eq!(live.status, StatusCode::OK);
+    assert_eq!(empty.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(empty.json()["reason"], "no whole version is held yet");
+    assert_eq!(ready.status, StatusCode::OK);
+    assert_eq!(ready.json()["version"], 3);
+    duty.stop();
+}
+
+#[actix_web::test]
+async fn a_dump_joins_control_and_meter_without_secrets() {
+    let duty = start(None);
+    let control = json!({"secrets": {"till": {"header": "x-key", "value": "sesame"}}, "held": 3});
+    let answer_one = async {
+        let Some(Request::Dump(reply)) = duty.control.recv().await else {
+            panic!("the duty is gone");
+        };
+        reply.send(control).unwrap();
+    };
+
+    let (dump, ()) = tokio::join!(duty.get("/dump", None), answer_one);
+
+    let dump = dump.json();
+    assert_eq!(dump["node"], "kochi-a-1");
+    assert_eq!(dump["control"]["held"], 3);
+    assert_eq!(dump["control"]["secrets"]["till"]["value"], "[redacted]");
+    assert_eq!(dump["meter"]["rings"][0]["name"], "admin-control");
+    duty.stop();
+}
+
+#[actix_web::test]
+async fn a_dump_says_so_when_control_drops_the_request() {
+    let duty = start(None);
+    let drop_one = async { drop(duty.control.recv().await) };
+
+    let (dump, ()) = tokio::join!(duty.get("/dump", None), drop_one);
+
+    assert_eq!(dump.status, StatusCode::GATEWAY_TIMEOUT);
+    assert_eq!(dump.json()["error"], "the control duty does not answer");
+    duty.stop();
+}
+
+#[actix_web::test]
+async fn metrics_show_what_was_counted() {
+    let duty = start(None);
+    duty.meter.hold(Version::new(3));
+    duty.meter.sent(Kind::Delta, Reach::Across, Bytes::new(700));
+    duty.meter
+        .platform_called(Operation::Watch, Success::Failed);
+    duty.meter.call_ended(Outcome::NotRun);
+    duty.meter.added(Duration::from_micros(250));
+
+    let metrics = duty.get("/metrics", None).await;
+
+    insta::assert_snapshot!(metrics.text);
+    duty.stop();
+}
+
+#[actix_web::test]
+async fn the_log_level_is_changed() {
+    static SEVERITY: AtomicUsize = AtomicUsize::new(0);
+    let duty = start_with(None, |level| {
+        SEVERITY.store(level as usize, Ordering::SeqCst);
+    });
+
+    let changed = duty.put("/log-level", r#"{"level": "debug"}"#).await;
+
+    assert_eq!(changed.status, StatusCode::OK);
+    assert_eq!(SEVERITY.load(Ordering::SeqCst), Level::Debug as usize);
+    duty.stop();
+}
+
+#[actix_web::test]
+async fn a_bad_log_level_is_refused() {
+    let duty = start_with(None, |_| panic!("the level must not change"));
+
+    let refused = duty.put("/log-level", r#"{"level": "loud"}"#).await;
+
+    assert_eq!(refused.status, StatusCode::BAD_REQUEST);
+    insta::assert_snapshot!(refused.text);
+    duty.stop();
+}
+
+#[actix_web::test]
+async fn a_request_needs_the_token() {
+    let duty = start(Some("sesame"));
+
+    let without = duty.get("/live", None).await;
+    let wrong = duty.get("/live", Some("sesam")).await;
+    let right = duty.get("/live", Some("sesame")).await;
+
+    assert_eq!(without.status, StatusCode::UNAUTHORIZED);
+    assert_eq!(wrong.status, StatusCode::UNAUTHORIZED);
+    assert_eq!(wrong.json()["error"], "the token is missing or wrong");
+    assert_eq!(right.status, StatusCode::OK);
+    duty.stop();
+}
+
+#[actix_web::test]
+async fn pages_and_methods_that_are_not_there_are_named() {
+    let duty = start(None);
+
+    let page = duty.get("/metric", None).await;
+    let method = duty.put("/live", "").await;
+
+    assert_eq!(page.status, StatusCode::NOT_FOUND);
+    assert_eq!(page.json()["error"], "there is no page /metric");
+    assert_eq!(method.status, StatusCode::METHOD_NOT_ALLOWED);
+    assert_eq!(method.json()["error"], "the page does not take PUT");
+    duty.stop();
+}
+
+#[test]
+fn secrets_are_redacted_wherever_they_stand() {
+    let mut dump = json!({
+        "settings": {"admin_token": "sesame", "node": "kochi-a-1"},
+        "parts": [{"secrets": [{"header": "x-key", "value": "sesame"}, "sesame"]}],
+    });
+
+    redact(&mut dump);
+
+    assert!(!dump.to_string().contains("sesame"));
+    assert_eq!(dump["settings"]["node"], "kochi-a-1");
+}
--- a/crates/cicadagw-settings/src/load.rs
+++ b/crates/cicadagw-settings/src/load.rs
@@ -9,7 +9,7 @@
 use cicadagw_unit::size::{Hops, Slots};
 use smallvec::SmallVec;
 
-use crate::{Budget, Level, Settings, Timing};
+use crate::{Budget, Settings, Timing};
 
 /// Reads settings from `text`, which came from `source`.
 ///
@@ -46,7 +46,7 @@
     let rack = need(table, "rack");
     let region = need(table, "region");
     let budget = table.get("budget").and_then(|value| budget(&value));
-    let level = table.get("log").and_then(|value| level(&value));
+    let level = table.get("log").and_then(|value| value.parsed());
     let seeds = table.get("seeds").and_then(|value| addresses(&value));
     let timing = table.get("timing").and_then(|value| timing(&value));
     Some(Settings {
@@ -120,19 +120,3 @@
     }
     Some(timing)
 }
-
-fn level(value: &Reader<'_, '_>) -> Option<Level> {
-    match value.text()? {
-        "error" => Some(Level::Error),
-        "warn" => Some(Level::Warn),
-        "info" => Some(Level::Info),
-        "debug" => Some(Level::Debug),
-        other => {
-            value.report_with_help(
-                format!("`{other}` is not known"),
-                "known here: error, warn, info, debug",
-            );
-            None
-        }
-    }
-}
--- a/crates/cicadagw-settings/src/settings.rs
+++ b/crates/cicadagw-settings/src/settings.rs
@@ -9,6 +9,8 @@
 use compact_str::CompactString;
 use smallvec::SmallVec;
 
+use crate::Level;
+
 /// The settings of a node.
 #[derive(Builder, Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
@@ -76,21 +78,6 @@
     pub status: Span,
 }
 
-/// How severe a log record is.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Level {
-    /// The process cannot do its work.
-    Error,
-    /// Something failed and is tried again.
-    Warn,
-    /// A state changed.
-    #[default]
-    Info,
-    /// Everything that helps to find a fault.
-    Debug,
-}
-
 impl Default for Budget {
     fn default() -> Self {
         Self {
