Accept changes by one conditional update of the head

Cause: nothing could put a configuration, a preset or a rollback in force.

Ruled out: removing every part that no head names, since another operator's parts stand there before its head names them; only what left the history is removed, and put back when it is named again meanwhile. Trying again after a lost answer without a look at the head, since a change could be told as refused that took effect.

Conclusion: a change takes effect once at most, and the operator is told the truth for races, lost answers and outages of a store in memory.

--- /dev/null
+++ b/crates/cicadagw-accept/tests/accept/change.rs
@@ -0,0 +1,314 @@
+//! A change takes effect whole and once at most, and its operator is told the truth.
+
+use cicadagw_accept::{Intent, Outcome, Refusal, load, run};
+use cicadagw_config::head::HISTORY_LEN;
+use cicadagw_config::{Config, Delta, part};
+use cicadagw_platform::{Key, Store};
+use cicadagw_unit::Version;
+
+use crate::fixture::{apply, config, in_force, preset, request, rollback, store_with, times};
+use crate::store::{Fake, Fault};
+
+/// The version that an accepted change got.
+fn version(outcome: &Outcome) -> Option<u64> {
+    match outcome {
+        Outcome::Accepted(entry) => Some(entry.stamp.version.get()),
+        _ => None,
+    }
+}
+
+/// Operator and version of the change that came first.
+fn winner(outcome: &Outcome) -> Option<(String, u64)> {
+    match outcome {
+        Outcome::Conflict(Some(entry)) => {
+            Some((entry.operator.to_string(), entry.stamp.version.get()))
+        }
+        _ => None,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_first_change_gets_version_one_and_the_ordinary_preset() {
+    let store = Fake::default();
+
+    let outcome = run(&store, apply("one", "asha", "shop")).await;
+
+    assert_eq!(version(&outcome), Some(1));
+    assert_eq!(in_force(&store).await.preset.as_str(), "ordinary");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_accepted_content_can_be_read_whole_and_by_its_delta() {
+    let store = store_with(&["shop"]).await;
+    let first = load(&store, &in_force(&store).await).await.unwrap();
+
+    run(&store, apply("two", "asha", "store")).await;
+
+    let entry = in_force(&store).await;
+    let second = load(&store, &entry).await.unwrap();
+    let key = Key::part(entry.delta.unwrap());
+    let bytes = store.get(&key).await.unwrap().unwrap().value.to_vec();
+    let delta: Delta = part::unpack(&[bytes]).unwrap();
+    assert_eq!(second.config, config("store"));
+    assert_eq!(delta.apply(&first), Ok(second));
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_loser_of_a_race_learns_who_won() {
+    let store = store_with(&["shop"]).await;
+    let other = apply("theirs", "beena", "theirs");
+    store.fail("put head", Fault::Overtaken(vec![other]));
+
+    let outcome = run(&store, apply("mine", "asha", "mine")).await;
+
+    assert_eq!(winner(&outcome), Some(("beena".to_owned(), 2)));
+    assert_eq!(times(&store, "mine").await, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_race_for_the_same_preset_has_one_winner() {
+    let store = store_with(&["shop"]).await;
+    let other = preset("theirs", "beena", "peak");
+    store.fail("put head", Fault::Overtaken(vec![other]));
+
+    let outcome = run(&store, preset("mine", "asha", "peak")).await;
+
+    assert_eq!(winner(&outcome), Some(("beena".to_owned(), 2)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_race_for_the_first_head_has_one_winner() {
+    let store = Fake::default();
+    let other = apply("theirs", "beena", "theirs");
+    store.fail("put head", Fault::Overtaken(vec![other]));
+
+    let outcome = run(&store, apply("mine", "asha", "mine")).await;
+
+    assert_eq!(winner(&outcome), Some(("beena".to_owned(), 1)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_made_from_an_older_version_is_a_conflict() {
+    let store = store_with(&["shop", "store"]).await;
+    let mut late = apply("late", "beena", "late");
+    late.base = Some(Version::new(1));
+
+    let outcome = run(&store, late).await;
+
+    assert_eq!(winner(&outcome), Some(("asha".to_owned(), 2)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_lost_after_the_effect_is_no_second_change() {
+    let store = store_with(&["shop"]).await;
+    store.fail("put head", Fault::LostAfter);
+
+    let outcome = run(&store, apply("two", "asha", "store")).await;
+
+    assert_eq!(version(&outcome), Some(2));
+    assert_eq!(times(&store, "two").await, 1);
+    assert_eq!(in_force(&store).await.stamp.version, Version::new(2));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_lost_before_the_effect_is_tried_again() {
+    let store = store_with(&["shop"]).await;
+    store.fail("put head", Fault::LostBefore);
+
+    let outcome = run(&store, apply("two", "asha", "store")).await;
+
+    assert_eq!(version(&outcome), Some(2));
+    assert_eq!(times(&store, "two").await, 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_lost_before_another_change_is_told_as_accepted() {
+    let store = store_with(&["shop"]).await;
+    let other = apply("theirs", "beena", "theirs");
+    store.fail("put head", Fault::LostThenOvertaken(vec![other]));
+
+    let outcome = run(&store, apply("mine", "asha", "mine")).await;
+
+    assert_eq!(version(&outcome), Some(2));
+    assert_eq!(in_force(&store).await.operator.as_str(), "beena");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_that_the_history_lost_is_told_as_unknown() {
+    let store = store_with(&["shop"]).await;
+    let others = (0..40)
+        .map(|index| apply(&format!("theirs-{index}"), "beena", &format!("t{index}")))
+        .collect();
+    store.fail("put head", Fault::LostThenOvertaken(others));
+
+    let outcome = run(&store, apply("mine", "asha", "mine")).await;
+
+    assert!(matches!(outcome, Outcome::Unknown(_)), "{outcome:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_outage_after_a_lost_answer_is_told_as_unknown() {
+    let store = store_with(&["shop"]).await;
+    store.fail("put head", Fault::OutageAfter);
+
+    let outcome = run(&store, apply("two", "asha", "store")).await;
+
+    assert!(matches!(outcome, Outcome::Unknown(_)), "{outcome:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_outage_before_the_update_changes_nothing() {
+    for call in ["get head", "get part", "put part", "put head"] {
+        let store = store_with(&["shop"]).await;
+        let before = in_force(&store).await;
+        store.fail(call, Fault::Unavailable);
+
+        let outcome = run(&store, apply("two", "asha", "store")).await;
+
+        assert!(
+            matches!(outcome, Outcome::Unavailable(_)),
+            "{call}: {outcome:?}"
+        );
+        assert_eq!(in_force(&store).await, before);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_known_change_answers_with_the_version_it_got() {
+    let store = store_with(&["shop", "store"]).await;
+
+    let outcome = run(&store, apply("first-0", "asha", "shop")).await;
+
+    let Outcome::Known(entry) = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!(entry.stamp.version, Version::new(1));
+    assert_eq!(in_force(&store).await.stamp.version, Version::new(2));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_id_cannot_be_used_for_something_else() {
+    let store = store_with(&["shop"]).await;
+
+    let outcome = run(&store, apply("first-0", "asha", "store")).await;
+
+    let reused = Refusal::Reused(Version::new(1));
+    assert_eq!(outcome, Outcome::Refused(reused));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_rollback_rises() {
+    let store = store_with(&["shop", "store"]).await;
+    run(&store, preset("peak", "asha", "peak")).await;
+
+    let outcome = run(&store, rollback("back", "asha", 1)).await;
+
+    let entry = in_force(&store).await;
+    assert_eq!(version(&outcome), Some(4));
+    assert_eq!(entry.preset.as_str(), "ordinary");
+    assert_eq!(load(&store, &entry).await.unwrap().config, config("shop"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_is_wrong_changes_nothing() {
+    let mut faulty = config("store");
+    faulty.clusters.clear();
+    let mut hidden = config("store");
+    let secret = r#"{ "header": "x-key", "value": "[redacted]" }"#;
+    let secret = serde_json::from_str(secret).unwrap();
+    hidden.secrets.insert("key".parse().unwrap(), secret);
+    let mut unset = config("store");
+    unset.presets.remove(&"ordinary".parse().unwrap());
+    let replace = |config: Config| Intent::Apply {
+        config: Box::new(config),
+        preset: None,
+    };
+    let requests = [
+        request("faulty", "asha", replace(faulty)),
+        request("hidden", "asha", replace(hidden)),
+        request("unset", "asha", replace(unset)),
+        preset("preset", "asha", "gone"),
+        rollback("back", "asha", 9),
+    ];
+    let store = store_with(&["shop"]).await;
+    let before = (store.keys(), in_force(&store).await);
+    let mut refusals = Vec::new();
+
+    for request in requests {
+        match run(&store, request).await {
+            Outcome::Refused(refusal) => refusals.push(refusal.to_string()),
+            outcome => panic!("{outcome:?}"),
+        }
+    }
+
+    insta::assert_snapshot!(refusals.join("\n"));
+    assert_eq!((store.keys(), in_force(&store).await), before);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_empty_platform_has_nothing_to_change() {
+    let store = Fake::default();
+
+    let outcome = run(&store, preset("peak", "asha", "peak")).await;
+
+    assert_eq!(outcome, Outcome::Refused(Refusal::Empty));
+    assert_eq!(store.keys(), []);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_trial_writes_nothing() {
+    let store = store_with(&["shop"]).await;
+    let before = store.keys();
+    let mut trial = apply("two", "asha", "store");
+    trial.trial = true;
+
+    let outcome = run(&store, trial).await;
+
+    assert!(matches!(outcome, Outcome::Trial(_)), "{outcome:?}");
+    assert_eq!(store.keys(), before);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_missing_part_is_mended_by_a_whole_configuration() {
+    let store = store_with(&["shop"]).await;
+    store.remove(&Key::part(in_force(&store).await.parts[0]));
+
+    let switched = run(&store, preset("peak", "asha", "peak")).await;
+    let applied = run(&store, apply("two", "asha", "store")).await;
+
+    assert!(matches!(switched, Outcome::Refused(Refusal::Unreadable(_))));
+    assert_eq!(version(&applied), Some(2));
+    assert_eq!(in_force(&store).await.delta, None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn parts_that_the_history_no_longer_names_are_removed() {
+    let paths: Vec<String> = (0..HISTORY_LEN + 5)
+        .map(|index| format!("p{index}"))
+        .collect();
+    let paths: Vec<&str> = paths.iter().map(String::as_str).collect();
+
+    let store = store_with(&paths).await;
+
+    // One whole and one delta for each change of the history, and the head.
+    assert_eq!(store.keys().len(), 2 * HISTORY_LEN + 1);
+    let found = cicadagw_accept::head(&store).await.unwrap().unwrap();
+    for entry in &found.head.history {
+        load(&store, entry).await.unwrap();
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_old_content_applied_while_its_parts_are_removed_stays_whole() {
+    let paths: Vec<String> = (0..HISTORY_LEN).map(|index| format!("p{index}")).collect();
+    let paths: Vec<&str> = paths.iter().map(String::as_str).collect();
+    let store = store_with(&paths).await;
+    let again = apply("again", "beena", "p0");
+    store.fail("delete part", Fault::Overtaken(vec![again]));
+
+    run(&store, apply("more", "asha", "more")).await;
+
+    let entry = in_force(&store).await;
+    assert_eq!(entry.operator.as_str(), "beena");
+    assert_eq!(load(&store, &entry).await.unwrap().config, config("p0"));
+}
--- /dev/null
+++ b/crates/cicadagw-accept/tests/accept/main.rs
@@ -0,0 +1,6 @@
+//! A change takes effect whole and once at most, and its operator is told the truth.
+
+mod change;
+mod fixture;
+mod session;
+mod store;
