Join the duties into a node

Cause: the duties stand apart. Ruled out: one actix arbiter pool, since a thread of its own for each duty shows in the process list and in a dump. Change: sockets are bound before anything starts, rings with named capacities join the duties, calls end before control does.

--- a/crates/cicadagw-control/src/core.rs
+++ b/crates/cicadagw-control/src/core.rs
@@ -8,8 +8,8 @@
 use cicadagw_finding::Findings;
 use cicadagw_platform::Key;
 use cicadagw_settings::Settings;
-use cicadagw_unit::id;
 use cicadagw_unit::time::{Moment, Span};
+use cicadagw_unit::{Version, id};
 use cicadagw_view::{Endpoints, View};
 use cicadagw_wire::down::Path;
 use cicadagw_wire::link::{self, Command, Session};
@@ -110,6 +110,17 @@
         self.holder.held().map(|held| held.stamp)
     }
 
+    /// Returns the newest version heard of.
+    pub fn highest_seen(&self) -> Version {
+        self.holder.highest_seen()
+    }
+
+    /// Returns how many endpoints are in `state`.
+    pub fn endpoints_in(&self, state: State) -> u64 {
+        let records = self.registry.table().records();
+        records.filter(|record| record.state == state).count() as u64
+    }
+
     /// Returns the state of the control.
     pub fn dump(&self) -> Dump {
         Dump {
@@ -448,7 +459,7 @@
         }
     }
 
-    fn refuse(&mut self, version: cicadagw_unit::Version, reason: String) {
+    fn refuse(&mut self, version: Version, reason: String) {
         self.effects
             .push(Effect::Note(Note::Refused(version, reason.clone())));
         self.holder.refuse(version, reason);
--- /dev/null
+++ b/crates/cicadagw-node/src/node.rs
@@ -0,0 +1,101 @@
+//! A node from its start to its end.
+
+use std::sync::Arc;
+
+use cicadagw_call::choice::Place;
+use cicadagw_control::Core;
+use cicadagw_meter::Meter;
+use cicadagw_ring::channel;
+use cicadagw_settings::Settings;
+use cicadagw_view::Shared;
+use tokio_util::sync::CancellationToken;
+
+use crate::duty::Duty;
+use crate::rings::Rings;
+use crate::sockets::Sockets;
+use crate::{Error, control, platform};
+
+/// Requests of the admin duty that wait. When full, the admin duty refuses.
+const REQUESTS_MAX: usize = 8;
+
+/// Runs a node until `stop` is cancelled, and then lets it leave gracefully.
+///
+/// # Errors
+///
+/// When an address cannot be listened on, a chart is wrong, or a duty fails.
+pub fn run(settings: &Settings, stop: &CancellationToken) -> Result<(), Error> {
+    let sockets = Sockets::bind(settings)?;
+    let seed = rand::random();
+    let core = Core::new(settings, seed).map_err(Error::Charts)?;
+    let meter = Meter::default();
+    let rings = Rings::new(&meter);
+    let view = Shared::default();
+    let (ask, requests) = channel("admin-requests", REQUESTS_MAX);
+    // Calls end first; what they need from the other duties is there until they have.
+    let cancel = CancellationToken::new();
+
+    let control = control::Setup {
+        cancel: cancel.clone(),
+        core,
+        meter: meter.clone(),
+        requests,
+        rings: rings.control,
+        view: view.clone(),
+    };
+    let links = cicadagw_link::Setup::builder()
+        .listener(sockets.link)
+        .commands(rings.links.commands)
+        .events(rings.links.events)
+        .cancel(cancel.clone())
+        .build();
+    let admin = cicadagw_admin::Setup::builder()
+        .cancel(cancel.clone())
+        .control(ask)
+        .listener(sockets.admin)
+        .meter(meter.clone())
+        .node(settings.node.clone())
+        .set_level(cicadagw_log::set_level)
+        .maybe_token(settings.admin_token.clone())
+        .build();
+    let stats = Arc::new(cicadagw_proxy::Stats::default());
+    let calls = cicadagw_proxy::Setup::builder()
+        .announce(sockets.announce)
+        .budget(settings.budget.clone())
+        .calls(sockets.calls)
+        .control(rings.locals)
+        .place(Place {
+            domain: settings.domain.clone(),
+            region: settings.region.clone(),
+        })
+        .seed(seed)
+        .stats(stats)
+        .timing(settings.timing.clone())
+        .token(stop.clone())
+        .view(view)
+        .build();
+    let platform_settings = settings.clone();
+    let platform_cancel = cancel.clone();
+    let platform_rings = rings.platform;
+    let platform_meter = meter.clone();
+
+    let others = [
+        Duty::start_system("control", || control::run(control))?,
+        Duty::start_system("links", || cicadagw_link::run(links))?,
+        Duty::start_system("platform", || {
+            platform::run(
+                platform_settings,
+                platform_rings,
+                platform_meter,
+                platform_cancel,
+            )
+        })?,
+        Duty::start("admin", || cicadagw_admin::run(admin))?,
+    ];
+    let calls = Duty::start("calls", || cicadagw_proxy::run(calls))?;
+    log::info!(node = settings.node.as_str(); "the node runs");
+    let ended = calls.join();
+    cancel.cancel();
+    let outcomes: Vec<_> = others.into_iter().map(Duty::join).collect();
+    log::info!("the node has ended");
+    outcomes.into_iter().chain([ended]).collect()
+}
--- /dev/null
+++ b/crates/cicadagw-node/src/platform.rs
@@ -0,0 +1,74 @@
+//! The platform duty: makes the calls that the control duty wants.
+
+use std::io;
+use std::rc::Rc;
+
+use cicadagw_control::platform::{Answer, Call, Reply, Request};
+use cicadagw_meter::{Meter, Operation, Success};
+use cicadagw_platform::http::Client;
+use cicadagw_platform::{Error, Store};
+use cicadagw_settings::Settings;
+use cicadagw_unit::time::Span;
+use tokio_util::sync::CancellationToken;
+
+use crate::rings;
+
+/// How long the platform may take to answer.
+const ANSWER_MAX: Span = Span::seconds(2);
+
+/// Makes calls until `cancel` is cancelled; they are made side by side.
+pub(crate) async fn run(
+    settings: Settings,
+    rings: rings::Platform,
+    meter: Meter,
+    cancel: CancellationToken,
+) -> io::Result<()> {
+    let client = Client::builder()
+        .addresses(&settings.platform)
+        .agent(settings.node.as_str())
+        .answer(ANSWER_MAX)
+        .build();
+    let client = Rc::new(client);
+    loop {
+        let call = tokio::select! {
+            () = cancel.cancelled() => return Ok(()),
+            call = rings.calls.recv() => call,
+        };
+        let Some(call) = call else { return Ok(()) };
+        let client = Rc::clone(&client);
+        let replies = rings.replies.clone();
+        let meter = meter.clone();
+        actix::spawn(async move {
+            let reply = make(&*client, call, &meter).await;
+            // Without the control duty nobody needs the reply.
+            let _ = replies.send(reply).await;
+        });
+    }
+}
+
+async fn make(store: &impl Store, call: Call, meter: &Meter) -> Reply {
+    let (operation, outcome) = match call.request {
+        Request::Get(key) => (Operation::Get, store.get(&key).await.map(Answer::Object)),
+        Request::Put {
+            key,
+            value,
+            condition,
+        } => {
+            let written = store.put(&key, value.into(), condition).await;
+            (Operation::Put, written.map(Answer::Written))
+        }
+        Request::Watch { key, after, wait } => {
+            let changed = store.watch(&key, after, wait).await;
+            (Operation::Watch, changed.map(Answer::Object))
+        }
+    };
+    let success = match outcome {
+        Ok(_) | Err(Error::Conflict) => Success::Answered,
+        Err(_) => Success::Failed,
+    };
+    meter.platform_called(operation, success);
+    Reply {
+        purpose: call.purpose,
+        outcome,
+    }
+}
--- /dev/null
+++ b/crates/cicadagw-node/src/sockets.rs
@@ -0,0 +1,44 @@
+//! The sockets of a node, bound before anything else so that a port in use is found at the start.
+
+use std::net::{SocketAddr, TcpListener};
+
+use cicadagw_settings::Settings;
+
+use crate::Error;
+
+/// The listening sockets of a node.
+pub(crate) struct Sockets {
+    pub(crate) admin: TcpListener,
+    pub(crate) announce: TcpListener,
+    pub(crate) calls: TcpListener,
+    pub(crate) link: TcpListener,
+}
+
+impl Sockets {
+    /// Binds every socket that `settings` name.
+    ///
+    /// # Errors
+    ///
+    /// Every address that cannot be bound, together.
+    pub(crate) fn bind(settings: &Settings) -> Result<Self, Error> {
+        let mut failures = Vec::new();
+        let mut bind = |key: &'static str, address: SocketAddr| {
+            TcpListener::bind(address)
+                .map_err(|error| failures.push((key, address, error)))
+                .ok()
+        };
+        let admin = bind("admin", settings.admin);
+        let announce = bind("announce", settings.announce);
+        let calls = bind("calls", settings.calls);
+        let link = bind("link", settings.link);
+        match (admin, announce, calls, link) {
+            (Some(admin), Some(announce), Some(calls), Some(link)) => Ok(Self {
+                admin,
+                announce,
+                calls,
+                link,
+            }),
+            _ => Err(Error::Sockets(failures)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cicadagw/src/commands/mod.rs
@@ -0,0 +1,10 @@
+//! The commands.
+
+mod check;
+mod error;
+mod read;
+mod run;
+
+pub(crate) use check::check;
+pub(crate) use error::Error;
+pub(crate) use run::run;
--- /dev/null
+++ b/crates/cicadagw/src/commands/read.rs
@@ -0,0 +1,15 @@
+//! Reading of the settings file.
+
+use std::fs;
+use std::path::Path;
+
+use cicadagw_settings::{Settings, load};
+
+use super::Error;
+
+/// Reads and checks the settings at `path`.
+pub(super) fn read(path: &Path) -> Result<Settings, Error> {
+    let text = fs::read_to_string(path).map_err(|error| Error::Read(path.to_owned(), error))?;
+    load(&path.display().to_string(), &text)
+        .map_err(|findings| Error::Findings(path.to_owned(), findings))
+}
--- a/crates/cicadagw/src/main.rs
+++ b/crates/cicadagw/src/main.rs
@@ -1,3 +1,15 @@
 //! The node: proxy and control in one process, one for each backend server host.
 
-fn main() {}
+mod commands;
+mod flags;
+
+use flags::{Cicadagw, CicadagwCmd};
+
+fn main() -> miette::Result<()> {
+    match Cicadagw::from_env_or_exit().subcommand {
+        CicadagwCmd::Check(check) => commands::check(&check.settings)?,
+        CicadagwCmd::Run(run) => commands::run(&run.settings)?,
+        CicadagwCmd::Version(_) => anstream::println!("cicadagw {}", env!("CARGO_PKG_VERSION")),
+    }
+    Ok(())
+}
