Carry calls from the caller's node to the backend server and back

Cause: the whole path of a call was missing. Ruled out: the client's own reading of answers as it stands. It takes the end of a connection in the middle of a chunked answer for the answer's end (found by reading its payload stream), so a cut would pass for a whole answer. Change: cicadagw-proxy serves calls and announcements on one thread: route, choice, the node of the endpoint, admission, the backend server, and back, with bodies passed through both ways. Conclusion: the thin path stands.

--- a/crates/cicadagw-call/src/admission.rs
+++ b/crates/cicadagw-call/src/admission.rs
@@ -15,6 +15,7 @@
     Debug,
     Default,
     Eq,
+    Hash,
     Ord,
     PartialEq,
     PartialOrd,
--- a/crates/cicadagw-call/src/attempt.rs
+++ b/crates/cicadagw-call/src/attempt.rs
@@ -39,8 +39,8 @@
         Leaving = "leaving",
         /// The target refused since it has too many calls.
         Shed = "shed",
-        /// The target refused since the time was over.
-        Expired = "expired",
+        /// The target refused for a reason that holds everywhere.
+        Refused = "refused",
         /// The attempt failed after the request had begun to go out.
         Lost = "lost",
         /// The time for the call is over.
--- a/crates/cicadagw-call/src/choice.rs
+++ b/crates/cicadagw-call/src/choice.rs
@@ -28,13 +28,15 @@
 const EJECTION_GROWTH_MAX: u64 = 6;
 
 /// How many tiers of distance there are.
-const TIERS: usize = 3;
+const TIERS: usize = 4;
 
 /// Where a node stands.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Place {
     /// The failure domain.
     pub domain: id::Domain,
+    /// The node itself.
+    pub node: id::Node,
     /// The region.
     pub region: id::Region,
 }
@@ -273,14 +275,16 @@
     member
 }
 
-/// Returns the tier of an endpoint: own failure domain, own region, elsewhere.
+/// Returns the tier of an endpoint: own host, own failure domain, own region, elsewhere.
 fn distance(record: &Record, here: &Place) -> usize {
-    if record.domain == here.domain {
+    if record.node == here.node {
         0
-    } else if record.region == here.region {
+    } else if record.domain == here.domain {
         1
-    } else {
+    } else if record.region == here.region {
         2
+    } else {
+        3
     }
 }
 
--- a/crates/cicadagw-call/src/outcome.rs
+++ b/crates/cicadagw-call/src/outcome.rs
@@ -5,6 +5,8 @@
 use cicadagw_chart::{Name, names};
 use cicadagw_unit::Error;
 
+use crate::attempt::Event;
+
 names! {
     /// How a call ended.
     pub enum Outcome {
@@ -36,6 +38,8 @@
         HopLimit = "hop-limit",
         /// The connection failed after the request had begun to go out.
         Lost = "lost",
+        /// The node holds no configuration yet.
+        NoConfiguration = "no-configuration",
         /// No endpoint of the service takes work.
         NoEndpoint = "no-endpoint",
         /// No route is for the call.
@@ -48,10 +52,23 @@
 }
 
 impl Reason {
-    /// Tells whether a refusal for this reason says that the endpoint does not take calls at all,
-    /// rather than that it has too many.
-    pub const fn is_leaving(self) -> bool {
-        matches!(self, Self::Draining | Self::Gone | Self::Unreachable)
+    /// Returns what a refusal for this reason means for the call's attempts.
+    pub const fn refusal(self) -> Event {
+        match self {
+            Self::Draining
+            | Self::Gone
+            | Self::Lost
+            | Self::NoConfiguration
+            | Self::NoEndpoint
+            | Self::NoRoute
+            | Self::Unreachable => Event::Leaving,
+            Self::Shed => Event::Shed,
+            Self::BadRequest
+            | Self::BodyLimit
+            | Self::Deadline
+            | Self::HeaderLimit
+            | Self::HopLimit => Event::Refused,
+        }
     }
 }
 
--- /dev/null
+++ b/crates/cicadagw-proxy/src/gate.rs
@@ -0,0 +1,195 @@
+//! The way in to one backend server of this host.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use actix_web::http::uri::Authority;
+use awc::Client;
+use cicadagw_call::admission::{Limit, Release, Ticket, Verdict};
+use cicadagw_call::life::Announcement;
+use cicadagw_call::{Admission, Load, Reason};
+use cicadagw_unit::size::Slots;
+use cicadagw_unit::time::Moment;
+use tokio::sync::oneshot;
+use tokio::time::timeout_at;
+
+use crate::clock::Clock;
+use crate::dial;
+
+/// The way in to one backend server: its admission, the calls that wait, and its connections.
+pub(crate) struct Gate {
+    admission: RefCell<Admission>,
+    waiting: RefCell<HashMap<Ticket, oneshot::Sender<Grant>>>,
+    clock: Clock,
+    pub(crate) client: Client,
+    pub(crate) authority: Authority,
+    address: SocketAddr,
+    connections: Slots,
+}
+
+/// What a waiting call is told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Grant {
+    Run,
+    Refused(Reason),
+}
+
+impl Gate {
+    pub(crate) fn new(clock: Clock, said: &Announcement) -> Rc<Self> {
+        let authority = said.address.to_string();
+        Rc::new(Self {
+            admission: RefCell::new(Admission::new(slots(said))),
+            waiting: RefCell::default(),
+            clock,
+            client: dial::client(said.connections),
+            authority: authority.parse().expect("an address is an authority"),
+            address: said.address,
+            connections: said.connections,
+        })
+    }
+
+    /// Takes in a renewed announcement; tells whether this gate still fits it.
+    pub(crate) fn renew(&self, said: &Announcement) -> bool {
+        self.admission.borrow_mut().resize(slots(said));
+        self.address == said.address && self.connections == said.connections
+    }
+
+    /// Returns how busy the backend server is.
+    pub(crate) fn load(&self) -> Load {
+        self.admission.borrow().load()
+    }
+
+    /// Waits for a place until `deadline`.
+    pub(crate) async fn enter(
+        self: &Rc<Self>,
+        deadline: Moment,
+        limit: Limit,
+    ) -> Result<Slot, Reason> {
+        let now = self.clock.now();
+        let (ticket, verdict) = self.admission.borrow_mut().offer(now, deadline, limit);
+        match verdict {
+            Verdict::Run => Ok(Slot::new(self)),
+            Verdict::Shed => Err(Reason::Shed),
+            Verdict::Late => Err(Reason::Deadline),
+            Verdict::Wait { shed } => {
+                if let Some(shed) = shed {
+                    self.tell(shed, Grant::Refused(Reason::Shed));
+                }
+                self.wait(deadline, ticket).await
+            }
+        }
+    }
+
+    /// Refuses all calls that wait.
+    pub(crate) fn close(&self) {
+        let refused = self.admission.borrow_mut().close();
+        for ticket in refused {
+            self.tell(ticket, Grant::Refused(Reason::Draining));
+        }
+    }
+
+    async fn wait(self: &Rc<Self>, deadline: Moment, ticket: Ticket) -> Result<Slot, Reason> {
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.borrow_mut().insert(ticket, sender);
+        let mut place = Place {
+            gate: self,
+            deadline,
+            ticket,
+            receiver,
+        };
+        let until = self.clock.instant(deadline);
+        match timeout_at(until, &mut place.receiver).await {
+            Ok(Ok(Grant::Run)) => Ok(Slot::new(self)),
+            Ok(Ok(Grant::Refused(reason))) => Err(reason),
+            Ok(Err(_)) => Err(Reason::Draining),
+            Err(_) => Err(Reason::Deadline),
+        }
+    }
+
+    fn tell(&self, ticket: Ticket, grant: Grant) {
+        if let Some(sender) = self.waiting.borrow_mut().remove(&ticket)
+            && sender.send(grant).is_err()
+        {
+            log::error!(ticket:?; "a waiting call went away without giving up its place");
+        }
+    }
+
+    fn pass_on(&self, release: Release) {
+        for ticket in release.late {
+            self.tell(ticket, Grant::Refused(Reason::Deadline));
+        }
+        for ticket in release.run {
+            self.tell(ticket, Grant::Run);
+        }
+    }
+
+    fn abandon(&self) {
+        let release = self.admission.borrow_mut().abandon(self.clock.now());
+        self.pass_on(release);
+    }
+}
+
+/// A place in the queue; given up when the call goes away.
+struct Place<'g> {
+    gate: &'g Rc<Gate>,
+    deadline: Moment,
+    ticket: Ticket,
+    receiver: oneshot::Receiver<Grant>,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.gate.waiting.borrow_mut().remove(&self.ticket);
+        let did_wait = self
+            .gate
+            .admission
+            .borrow_mut()
+            .cancel(self.deadline, self.ticket);
+        // A grant that nobody took is a slot that nobody else would give back.
+        if !did_wait && self.receiver.try_recv() == Ok(Grant::Run) {
+            self.gate.abandon();
+        }
+    }
+}
+
+/// A place at a backend server; given back when the call is over.
+pub(crate) struct Slot {
+    gate: Rc<Gate>,
+    started: Moment,
+    is_finished: bool,
+}
+
+impl Slot {
+    fn new(gate: &Rc<Gate>) -> Self {
+        Self {
+            gate: gate.clone(),
+            started: gate.clock.now(),
+            is_finished: false,
+        }
+    }
+
+    /// Gives the place back after a whole answer.
+    pub(crate) fn finish(mut self) {
+        self.is_finished = true;
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            self.gate.abandon();
+            return;
+        }
+        let now = self.gate.clock.now();
+        let spent = now.since(self.started);
+        let release = self.gate.admission.borrow_mut().finish(now, spent);
+        self.gate.pass_on(release);
+    }
+}
+
+/// Returns how many calls a backend server can run, each over a connection of its own.
+fn slots(said: &Announcement) -> Slots {
+    said.slots.min(said.connections)
+}
--- /dev/null
+++ b/crates/cicadagw-proxy/src/setup.rs
@@ -0,0 +1,71 @@
+//! What the calls duty is given.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+
+use bon::Builder;
+use cicadagw_call::choice::Place;
+use cicadagw_endpoint::Local;
+use cicadagw_ring::Sender;
+use cicadagw_settings::{Budget, Timing};
+use cicadagw_unit::size::Bytes;
+use cicadagw_unit::time::Span;
+use cicadagw_view::Shared;
+use tokio_util::sync::CancellationToken;
+
+use crate::Stats;
+
+/// What the calls duty is given.
+#[derive(Builder)]
+pub struct Setup {
+    /// Where backend servers of this host announce themselves, bound.
+    pub announce: TcpListener,
+    /// Limits from the settings.
+    #[builder(default)]
+    pub budget: Budget,
+    /// Where calls are taken, bound.
+    pub calls: TcpListener,
+    /// Where backend servers' starts, drains and ends are told.
+    pub control: Sender<Local>,
+    /// What a call may bring along.
+    #[builder(default)]
+    pub limits: Limits,
+    /// How long a stopping node still refuses calls in words before it closes its listeners, so
+    /// that the news of its stop gets around.
+    #[builder(default = Span::seconds(2))]
+    pub linger: Span,
+    /// Where the node stands.
+    pub place: Place,
+    /// What the random choices begin with.
+    pub seed: u64,
+    /// What is counted, for dumps and metrics.
+    pub stats: Arc<Stats>,
+    /// Periods and waits from the settings.
+    #[builder(default)]
+    pub timing: Timing,
+    /// Stops the duty.
+    pub token: CancellationToken,
+    /// What calls are decided by.
+    pub view: Shared,
+}
+
+/// What a call may bring along.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// The largest request body.
+    pub body: Bytes,
+    /// The largest sum of request headers.
+    pub headers: Bytes,
+    /// How much of a request body is held back for another attempt.
+    pub replay: Bytes,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body: Bytes::new(1 << 30),
+            headers: Bytes::new(32 << 10),
+            replay: Bytes::new(64 << 10),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cicadagw-proxy/src/upkeep.rs
@@ -0,0 +1,54 @@
+//! What the duty does from time to time, and how it ends.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until, timeout_at};
+use tokio_util::sync::CancellationToken;
+
+use crate::node::Node;
+
+/// How often backend servers are looked over and news is sent again.
+const PERIOD: Duration = Duration::from_millis(250);
+
+/// How long the last news may take to be sent.
+const LAST_NEWS: Duration = Duration::from_secs(1);
+
+/// Looks after the node until `token` is cancelled, then lets it drain and cancels `drained`.
+pub(crate) async fn run(node: Rc<Node>, token: CancellationToken, drained: CancellationToken) {
+    let mut ticks = interval(PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = token.cancelled() => break,
+            _ = ticks.tick() => tend(&node),
+        }
+    }
+    drain(&node).await;
+    drained.cancel();
+}
+
+fn tend(node: &Node) {
+    node.expire();
+    node.flush();
+    node.publish();
+}
+
+async fn drain(node: &Node) {
+    let begin = Instant::now();
+    log::info!("the calls duty drains");
+    node.stop();
+    node.publish();
+    sleep_until(begin + node.linger.into()).await;
+    let limit = begin + node.timing.drain.into();
+    if timeout_at(limit, node.idle()).await.is_err() {
+        log::warn!("calls are still under way after the time for draining");
+    }
+    node.end_all();
+    let last = Instant::now() + LAST_NEWS;
+    let mut ticks = interval(PERIOD);
+    while !node.flush() && Instant::now() < last {
+        ticks.tick().await;
+    }
+    node.publish();
+}
