Test the path of a call over real connections

Cause: the thin path had only been compiled. Ruled out: awc as the tests' caller, since it takes cut answers for whole ones; the caller and the backend server of the tests speak plain TCP. Change: nodes on threads of their own, a counting backend server and a caller as fixtures; six tests of the path. Conclusion: a call goes over two nodes, or one, with whole bodies of 4 MiB both ways.

--- /dev/null
+++ b/crates/cicadagw-proxy/tests/path.rs
@@ -0,0 +1,103 @@
+//! The whole path of a call: from the caller by two nodes, or one, to the backend server and back.
+
+mod support;
+
+use support::backend::{Backend, Conduct};
+use support::caller::{call, get, post};
+use support::mesh::Mesh;
+
+#[tokio::test]
+async fn a_call_goes_over_two_nodes_and_back() {
+    let mut mesh = Mesh::new();
+    let (near, far) = (mesh.node("near"), mesh.node("far"));
+    let mut backend = Backend::start(Conduct::Echo).await;
+    mesh.announce(&far, "orders-1", &backend).await;
+
+    let answer = post("/orders/7?full=1", "crock").send(near.calls).await;
+
+    let received = backend.received().await;
+    assert_eq!((answer.status, answer.text()), (200, "crock"));
+    assert_eq!(answer.outcome(), "answered");
+    assert_eq!(received.path, "/orders/7?full=1");
+    assert_eq!(received.headers["host"], "shop.test");
+    assert_eq!(received.headers["x-cicadagw-hops"], "2");
+}
+
+#[tokio::test]
+async fn a_call_to_a_node_of_the_service_goes_over_this_one_alone() {
+    let mut mesh = Mesh::new();
+    let node = mesh.node("only");
+    let mut backend = Backend::start(Conduct::Chunked).await;
+    mesh.announce(&node, "orders-1", &backend).await;
+
+    let answer = post("/orders", "crock").send(node.calls).await;
+
+    assert_eq!((answer.status, answer.text()), (200, "crock"));
+    assert_eq!(backend.received().await.headers["x-cicadagw-hops"], "1");
+}
+
+#[tokio::test]
+async fn large_bodies_pass_through_both_ways() {
+    let mut mesh = Mesh::new();
+    let (near, far) = (mesh.node("near"), mesh.node("far"));
+    let backend = Backend::start(Conduct::Echo).await;
+    mesh.announce(&far, "orders-1", &backend).await;
+    let deed: String = "deed".repeat(1 << 20);
+
+    let answer = post("/orders", &deed).send(near.calls).await;
+
+    assert_eq!(answer.status, 200);
+    assert!(answer.text() == deed);
+}
+
+#[tokio::test]
+async fn a_secret_goes_to_the_backend_server_and_hop_by_hop_headers_do_not() {
+    let mut mesh = Mesh::new();
+    let (near, far) = (mesh.node("near"), mesh.node("far"));
+    let mut backend = Backend::start(Conduct::Echo).await;
+    mesh.announce(&far, "orders-1", &backend).await;
+
+    let answer = get("/orders")
+        .header("connection", "x-hop")
+        .header("x-hop", "1")
+        .header("x-key", "forged")
+        .send(near.calls)
+        .await;
+
+    let headers = backend.received().await.headers;
+    assert_eq!(headers["x-key"], "open-sesame");
+    assert!(!headers.contains_key("x-hop"));
+    assert!(!format!("{:?}", answer.headers).contains("open-sesame"));
+    assert!(!answer.headers.contains_key("x-cicadagw-load"));
+}
+
+#[tokio::test]
+async fn the_head_of_an_answer_keeps_its_length() {
+    let mut mesh = Mesh::new();
+    let node = mesh.node("only");
+    let backend = Backend::start(Conduct::CutLength).await;
+    mesh.announce(&node, "orders-1", &backend).await;
+
+    let answer = call("HEAD", "/orders").send(node.calls).await;
+
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.headers["content-length"], "10");
+}
+
+#[tokio::test]
+async fn a_bad_announcement_is_answered_with_all_findings() {
+    let mesh = Mesh::new();
+    let node = mesh.node("only");
+    let said = r#"{"endpoint":"Orders 1","service":"orders","address":"here","slots":0}"#;
+
+    let answer = post("/announce", said).send(node.announce).await;
+
+    assert_eq!(answer.status, 400);
+    for wanted in ["Orders 1", "socket address", "`0`", "connections", "state"] {
+        assert!(
+            answer.text().contains(wanted),
+            "{wanted}: {}",
+            answer.text()
+        );
+    }
+}
--- /dev/null
+++ b/crates/cicadagw-proxy/tests/support/backend.rs
@@ -0,0 +1,225 @@
+//! A backend server that counts how often each request runs.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc};
+
+/// What a backend server does with a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Conduct {
+    /// Answers with the request's body.
+    Echo,
+    /// Answers once it is let.
+    Hold,
+    /// Answers the first request, and closes the connection after it has read the second one.
+    CloseSecond,
+    /// Reads the request and closes the connection.
+    Close,
+    /// Answers less than the length that it says.
+    CutLength,
+    /// Ends a chunked answer between two chunks.
+    CutChunked,
+    /// Answers without a length and closes.
+    NoLength,
+    /// Answers in chunks.
+    Chunked,
+}
+
+/// A request as the backend server got it.
+#[derive(Clone, Debug, Default)]
+pub struct Received {
+    pub method: String,
+    pub path: String,
+    pub headers: HashMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+pub struct Backend {
+    pub address: SocketAddr,
+    runs: Arc<Mutex<HashMap<String, usize>>>,
+    leave: Arc<Semaphore>,
+    received: mpsc::UnboundedReceiver<Received>,
+    closed: mpsc::UnboundedReceiver<()>,
+}
+
+#[derive(Clone)]
+struct Server {
+    conduct: Conduct,
+    runs: Arc<Mutex<HashMap<String, usize>>>,
+    leave: Arc<Semaphore>,
+    received: mpsc::UnboundedSender<Received>,
+    closed: mpsc::UnboundedSender<()>,
+}
+
+impl Backend {
+    pub async fn start(conduct: Conduct) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (sender, received) = mpsc::unbounded_channel();
+        let (closer, closed) = mpsc::unbounded_channel();
+        let server = Server {
+            conduct,
+            runs: Arc::default(),
+            leave: Arc::new(Semaphore::new(0)),
+            received: sender,
+            closed: closer,
+        };
+        let backend = Self {
+            address,
+            runs: server.runs.clone(),
+            leave: server.leave.clone(),
+            received,
+            closed,
+        };
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(server.clone().serve(stream));
+            }
+        });
+        backend
+    }
+
+    /// Returns how often the request `id` ran.
+    pub fn runs(&self, id: &str) -> usize {
+        self.runs.lock().unwrap().get(id).copied().unwrap_or(0)
+    }
+
+    /// Waits for the next request.
+    pub async fn received(&mut self) -> Received {
+        self.received.recv().await.unwrap()
+    }
+
+    /// Waits until a held request's connection is closed by its other end.
+    pub async fn closed(&mut self) {
+        self.closed.recv().await.unwrap();
+    }
+
+    /// Lets one held request be answered.
+    pub fn let_one(&self) {
+        self.leave.add_permits(1);
+    }
+}
+
+impl Server {
+    async fn serve(self, stream: TcpStream) {
+        let mut stream = BufReader::new(stream);
+        let mut count = 0;
+        while let Some(request) = read(&mut stream).await {
+            count += 1;
+            let id = request.headers.get("x-id").cloned().unwrap_or_default();
+            *self.runs.lock().unwrap().entry(id).or_default() += 1;
+            let body = request.body.clone();
+            self.received.send(request).unwrap();
+            let Some(answer) = self.answer(&mut stream, count, body).await else {
+                return;
+            };
+            if stream.write_all(&answer).await.is_err() || !self.keeps_open() {
+                return;
+            }
+        }
+    }
+
+    fn keeps_open(&self) -> bool {
+        matches!(
+            self.conduct,
+            Conduct::Echo | Conduct::Hold | Conduct::Chunked | Conduct::CloseSecond
+        )
+    }
+
+    async fn answer(
+        &self,
+        stream: &mut BufReader<TcpStream>,
+        count: usize,
+        body: Vec<u8>,
+    ) -> Option<Vec<u8>> {
+        match self.conduct {
+            Conduct::Close => return None,
+            Conduct::CloseSecond if count > 1 => return None,
+            Conduct::Hold => {
+                tokio::select! {
+                    permit = self.leave.acquire() => permit.unwrap().forget(),
+                    _ = stream.fill_buf() => {
+                        self.closed.send(()).unwrap();
+                        return None;
+                    }
+                }
+            }
+            _ => {}
+        }
+        let head = match self.conduct {
+            Conduct::CutLength => format!("content-length: {}\r\n", body.len() + 10),
+            Conduct::CutChunked | Conduct::Chunked => "transfer-encoding: chunked\r\n".to_owned(),
+            Conduct::NoLength => String::new(),
+            _ => format!("content-length: {}\r\n", body.len()),
+        };
+        let mut answer = format!("HTTP/1.1 200 OK\r\n{head}\r\n").into_bytes();
+        match self.conduct {
+            Conduct::CutChunked | Conduct::Chunked => {
+                answer.extend(format!("{:x}\r\n", body.len()).into_bytes());
+                answer.extend(body);
+                answer.extend(b"\r\n");
+                if self.conduct == Conduct::Chunked {
+                    answer.extend(b"0\r\n\r\n");
+                }
+            }
+            _ => answer.extend(body),
+        }
+        Some(answer)
+    }
+}
+
+/// Reads one request with its body; `None` at the end of the connection.
+async fn read(stream: &mut BufReader<TcpStream>) -> Option<Received> {
+    let mut request = Received::default();
+    let line = line(stream).await?;
+    let mut words = line.split(' ');
+    request.method = words.next()?.to_owned();
+    request.path = words.next()?.to_owned();
+    request.headers = headers(stream).await?;
+    request.body = body(stream, &request.headers).await?;
+    Some(request)
+}
+
+pub async fn line(stream: &mut BufReader<TcpStream>) -> Option<String> {
+    let mut line = String::new();
+    let count = stream.read_line(&mut line).await.ok()?;
+    (count > 0).then(|| line.trim_end().to_owned())
+}
+
+pub async fn headers(stream: &mut BufReader<TcpStream>) -> Option<HashMap<String, String>> {
+    let mut headers = HashMap::new();
+    loop {
+        let line = line(stream).await?;
+        let Some((name, value)) = line.split_once(": ") else {
+            return Some(headers);
+        };
+        headers.insert(name.to_ascii_lowercase(), value.to_owned());
+    }
+}
+
+/// Reads a whole body; `None` when it is cut.
+pub async fn body(
+    stream: &mut BufReader<TcpStream>,
+    headers: &HashMap<String, String>,
+) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    if let Some(length) = headers.get("content-length") {
+        body.resize(length.parse().unwrap(), 0);
+        stream.read_exact(&mut body).await.ok()?;
+    } else if headers.contains_key("transfer-encoding") {
+        loop {
+            let size = usize::from_str_radix(&line(stream).await?, 16).ok()?;
+            let mut chunk = vec![0; size + 2];
+            stream.read_exact(&mut chunk).await.ok()?;
+            body.extend(&chunk[..size]);
+            if size == 0 {
+                return Some(body);
+            }
+        }
+    }
+    Some(body)
+}
--- /dev/null
+++ b/crates/cicadagw-proxy/tests/support/caller.rs
@@ -0,0 +1,106 @@
+//! A caller that tells whole answers from cut ones.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+
+use super::backend::{body, headers, line};
+
+/// An answer as the caller got it.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: HashMap<String, String>,
+    /// `None` when it was cut.
+    pub body: Option<Vec<u8>>,
+}
+
+impl Answer {
+    pub fn outcome(&self) -> &str {
+        &self.headers["x-cicadagw-outcome"]
+    }
+
+    pub fn reason(&self) -> &str {
+        &self.headers["x-cicadagw-reason"]
+    }
+
+    pub fn text(&self) -> &str {
+        std::str::from_utf8(self.body.as_ref().unwrap()).unwrap()
+    }
+}
+
+/// A call that is not sent yet.
+#[derive(Clone, Debug)]
+pub struct Call {
+    head: String,
+    body: Vec<u8>,
+}
+
+pub fn get(path: &str) -> Call {
+    call("GET", path)
+}
+
+pub fn post(path: &str, body: &str) -> Call {
+    call("POST", path)
+        .header("content-length", &body.len().to_string())
+        .raw_body(body.as_bytes())
+}
+
+pub fn call(method: &str, path: &str) -> Call {
+    Call {
+        head: format!("{method} {path} HTTP/1.1\r\nhost: shop.test\r\n"),
+        body: Vec::new(),
+    }
+}
+
+impl Call {
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        self.head += &format!("{name}: {value}\r\n");
+        self
+    }
+
+    pub fn id(self, id: &str) -> Self {
+        self.header("x-id", id)
+    }
+
+    pub fn raw_body(mut self, body: &[u8]) -> Self {
+        self.body = body.to_vec();
+        self
+    }
+
+    /// Sends the call over a connection of its own and returns the connection.
+    pub async fn begin(self, address: SocketAddr) -> BufReader<TcpStream> {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream
+            .write_all(format!("{}\r\n", self.head).as_bytes())
+            .await
+            .unwrap();
+        stream.write_all(&self.body).await.unwrap();
+        BufReader::new(stream)
+    }
+
+    /// Sends the call and awaits the answer.
+    pub async fn send(self, address: SocketAddr) -> Answer {
+        let is_head = self.head.starts_with("HEAD");
+        let mut stream = self.begin(address).await;
+        answer(&mut stream, is_head).await
+    }
+}
+
+pub async fn answer(stream: &mut BufReader<TcpStream>, is_head: bool) -> Answer {
+    let status = line(stream).await.expect("an answer");
+    let status = status.split(' ').nth(1).unwrap().parse().unwrap();
+    let headers = headers(stream).await.unwrap();
+    let body = if is_head {
+        Some(Vec::new())
+    } else {
+        body(stream, &headers).await
+    };
+    Answer {
+        status,
+        headers,
+        body,
+    }
+}
--- /dev/null
+++ b/crates/cicadagw-proxy/tests/support/mesh.rs
@@ -0,0 +1,194 @@
+//! Nodes that share one view.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use cicadagw_call::choice::Place;
+use cicadagw_config::{Snapshot, load};
+use cicadagw_endpoint::{Local, Record, State};
+use cicadagw_proxy::{Limits, Setup, Stats, run};
+use cicadagw_ring::{Receiver, channel};
+use cicadagw_settings::{Budget, Timing};
+use cicadagw_unit::size::{Bytes, Hops};
+use cicadagw_unit::time::Span;
+use cicadagw_unit::{Sequence, Version, id};
+use cicadagw_view::{Shared, View};
+use tokio_util::sync::CancellationToken;
+
+use super::backend::Backend;
+use super::caller::{Answer, call};
+
+/// What the tests' calls go by.
+pub const CONFIG: &str = r#"{
+  "routes": {
+    "orders": { "prefix": "/orders", "cluster": "orders", "policy": "plain" },
+    "narrow": { "prefix": "/narrow", "cluster": "orders", "policy": "narrow" },
+  },
+  "clusters": { "orders": { "service": "orders", "secret": "key" } },
+  "secrets": { "key": { "header": "x-key", "value": "open-sesame" } },
+  "policies": {
+    "plain": { "timeout": "30000ms" },
+    "narrow": { "timeout": "30000ms", "concurrency": "1", "queue": "1" },
+  },
+  "presets": { "ordinary": {} },
+}"#;
+
+/// Nodes that share one view, and the endpoints that were told of.
+pub struct Mesh {
+    pub view: Shared,
+    records: BTreeMap<id::Endpoint, Record>,
+    snapshot: Arc<Snapshot>,
+}
+
+/// One node.
+pub struct Node {
+    pub calls: SocketAddr,
+    pub announce: SocketAddr,
+    pub stats: Arc<Stats>,
+    name: id::Node,
+    control: Receiver<Local>,
+    token: CancellationToken,
+    thread: JoinHandle<std::io::Result<()>>,
+}
+
+impl Mesh {
+    pub fn new() -> Self {
+        let mesh = Self {
+            view: Shared::default(),
+            records: BTreeMap::new(),
+            snapshot: snapshot(1, CONFIG),
+        };
+        mesh.publish();
+        mesh
+    }
+
+    /// Puts another configuration in force.
+    pub fn configure(&mut self, version: u64, text: &str) {
+        self.snapshot = snapshot(version, text);
+        self.publish();
+    }
+
+    /// Starts a node.
+    pub fn node(&self, name: &str) -> Node {
+        let calls = TcpListener::bind("127.0.0.1:0").unwrap();
+        let announce = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (sender, control) = channel("control", 16);
+        let token = CancellationToken::new();
+        let stats = Arc::<Stats>::default();
+        let name: id::Node = name.parse().unwrap();
+        let addresses = (calls.local_addr().unwrap(), announce.local_addr().unwrap());
+        let setup = Setup::builder()
+            .announce(announce)
+            .budget(Budget {
+                hops: Hops::new(8),
+                ..Budget::default()
+            })
+            .calls(calls)
+            .control(sender)
+            .limits(Limits {
+                body: Bytes::new(64 << 20),
+                ..Limits::default()
+            })
+            .linger(Span::new(0))
+            .place(Place {
+                domain: "kochi-a".parse().unwrap(),
+                node: name.clone(),
+                region: "kochi".parse().unwrap(),
+            })
+            .seed(7)
+            .stats(stats.clone())
+            .timing(Timing {
+                renewal: Span::seconds(600),
+                ..Timing::default()
+            })
+            .token(token.clone())
+            .view(self.view.clone())
+            .build();
+        Node {
+            calls: addresses.0,
+            announce: addresses.1,
+            stats,
+            name,
+            control,
+            token,
+            thread: std::thread::spawn(|| run(setup)),
+        }
+    }
+
+    /// Announces `backend` at `node`, and spreads the news.
+    pub async fn announce(&mut self, node: &Node, endpoint: &str, backend: &Backend) {
+        let answer = node.announce(endpoint, backend.address, "ready").await;
+        assert_eq!(answer.status, 200);
+        self.hear(node).await;
+    }
+
+    /// Waits for news of `node` and spreads it.
+    pub async fn hear(&mut self, node: &Node) -> Local {
+        let news = node.control.recv().await.unwrap();
+        self.records.insert(
+            news.endpoint.clone(),
+            Record {
+                address: node.calls,
+                domain: "kochi-a".parse().unwrap(),
+                endpoint: news.endpoint.clone(),
+                node: node.name.clone(),
+                region: "kochi".parse().unwrap(),
+                sequence: Sequence::new(1),
+                service: news.service.clone(),
+                slots: news.slots,
+                state: news.state,
+            },
+        );
+        self.publish();
+        news
+    }
+
+    fn publish(&self) {
+        let mut endpoints = cicadagw_view::Endpoints::new();
+        for record in self.records.values() {
+            if record.state == State::Ready {
+                let list = endpoints.entry(record.service.clone()).or_default();
+                list.push(record.clone());
+            }
+        }
+        self.view.publish(View {
+            snapshot: Some(self.snapshot.clone()),
+            endpoints: Arc::new(endpoints),
+        });
+    }
+}
+
+impl Node {
+    /// Announces an endpoint of the service `orders`.
+    pub async fn announce(&self, endpoint: &str, address: SocketAddr, state: &str) -> Answer {
+        let said = format!(
+            r#"{{"endpoint":"{endpoint}","service":"orders","address":"{address}","slots":2,"connections":100,"state":"{state}","load":{{"in_flight":0}}}}"#
+        );
+        call("POST", "/announce")
+            .header("content-length", &said.len().to_string())
+            .raw_body(said.as_bytes())
+            .send(self.announce)
+            .await
+    }
+
+    /// Tells the node to stop.
+    pub fn stop(&self) {
+        self.token.cancel();
+    }
+
+    /// Waits until the node has stopped.
+    pub async fn stopped(self) {
+        let thread = self.thread;
+        tokio::task::spawn_blocking(|| thread.join().unwrap().unwrap())
+            .await
+            .unwrap();
+    }
+}
+
+fn snapshot(version: u64, text: &str) -> Arc<Snapshot> {
+    let config = load("orders.jsonc", text).unwrap();
+    let preset = "ordinary".parse().unwrap();
+    Arc::new(Snapshot::new(Version::new(version), preset, config))
+}
--- /dev/null
+++ b/crates/cicadagw-proxy/tests/support/mod.rs
@@ -0,0 +1,7 @@
+//! Fixtures: nodes on threads of their own, and a backend server and a caller that speak plain TCP.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+pub mod backend;
+pub mod caller;
+pub mod mesh;
