--- /dev/null
+++ b/crates/cicadagw-dev/src/caller/verdict.rs
@@ -0,0 +1,64 @@
+//! How a call ended, as its caller sees it.
+
+use awc::http::StatusCode;
+use awc::http::header::{CONTENT_LENGTH, HeaderMap};
+
+use crate::backend::Answer;
+
+/// The header by which a node says how a call ended.
+pub const OUTCOME: &str = "x-cicadagw-outcome";
+
+/// How a call ended.
+#[derive(
+    Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum Verdict {
+    /// The whole answer to this call came.
+    Answered,
+    /// The answer is shorter than it says.
+    Cut,
+    /// No answer came.
+    Lost,
+    /// The answer is another call's.
+    Mixed,
+    /// The node says that the request did not run.
+    NotRun,
+    /// The answer has an error status and names no outcome.
+    Refused,
+    /// The node says that the request may or may not have run.
+    Unknown,
+}
+
+impl Verdict {
+    /// Judges the answer to `request`, which was to have at least `least` bytes.
+    pub(crate) fn of(
+        request: &str,
+        least: usize,
+        status: StatusCode,
+        headers: &HeaderMap,
+        body: &[u8],
+    ) -> Self {
+        match text(headers, OUTCOME) {
+            Some("not-run") => return Self::NotRun,
+            Some("unknown") => return Self::Unknown,
+            _ => {}
+        }
+        if !status.is_success() {
+            return Self::Refused;
+        }
+        let declared = text(headers, CONTENT_LENGTH.as_str()).and_then(|text| text.parse().ok());
+        if body.len() < least || declared.is_some_and(|declared: usize| declared != body.len()) {
+            return Self::Cut;
+        }
+        match Answer::of_body(body) {
+            Some(answer) if answer.request == request => Self::Answered,
+            Some(_) => Self::Mixed,
+            None => Self::Cut,
+        }
+    }
+}
+
+fn text<'h>(headers: &'h HeaderMap, name: &str) -> Option<&'h str> {
+    headers.get(name)?.to_str().ok()
+}
--- a/crates/cicadagw-dev/src/lib.rs
+++ b/crates/cicadagw-dev/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod backend;
 pub mod caller;
 mod connection;
+pub mod http;
 pub mod platform;
 pub mod process;
