Give operators their command line

Cause: a change could be accepted only by code; nobody could put one in force, look at it or follow it from a shell.

Ruled out: printing configurations as their types serialise, since what `get` prints could not be applied again; a config in declared form returns by the reader.

Errors are miette diagnostics and say what to do next.

--- /dev/null
+++ b/crates/cicadactl/src/admin.rs
@@ -0,0 +1,135 @@
+//! Commands that ask a node's admin pages.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use awc::http::StatusCode;
+use awc::http::header::AUTHORIZATION;
+use serde_json::{Value, json};
+
+use crate::table::table;
+use crate::{Answer, Exit, Failure};
+
+/// How long a node may take to answer.
+const ANSWER: Duration = Duration::from_secs(5);
+
+/// The longest dump that is read, in bytes.
+const DUMP_MAX: usize = 64 << 20;
+
+/// A node's admin pages.
+#[derive(Clone, Debug)]
+pub struct Admin {
+    /// Where they are served.
+    pub address: SocketAddr,
+    /// What a request must present, where the pages are not on a loopback address.
+    pub token: Option<String>,
+}
+
+impl Admin {
+    /// Shows everything that the node tells of itself.
+    ///
+    /// # Errors
+    ///
+    /// When the node does not answer.
+    pub async fn dump(&self) -> Result<Answer, Failure> {
+        let dump = self.read().await?;
+        Ok(Answer {
+            text: format!("{dump:#}"),
+            json: dump,
+        })
+    }
+
+    /// Shows the nodes of the failure domain.
+    ///
+    /// # Errors
+    ///
+    /// When the node does not answer.
+    pub async fn nodes(&self) -> Result<Answer, Failure> {
+        let dump = self.read().await?;
+        let nodes = dump.get("members").cloned().unwrap_or_else(|| json!([]));
+        let rows: Vec<[String; 3]> = list(&nodes)
+            .map(|node| ["node", "rack", "link"].map(|name| cell(node, name)))
+            .collect();
+        Ok(Answer {
+            text: table(["NODE", "RACK", "LINK"], &rows),
+            json: nodes,
+        })
+    }
+
+    /// Shows the endpoints that the node knows.
+    ///
+    /// # Errors
+    ///
+    /// When the node does not answer.
+    pub async fn endpoints(&self) -> Result<Answer, Failure> {
+        let dump = self.read().await?;
+        let endpoints = dump.get("endpoints").cloned().unwrap_or_else(|| json!([]));
+        let names = [
+            "service", "endpoint", "state", "node", "domain", "address", "slots",
+        ];
+        let rows: Vec<[String; 7]> = list(&endpoints)
+            .map(|endpoint| names.map(|name| cell(endpoint, name)))
+            .collect();
+        let heads = [
+            "SERVICE", "ENDPOINT", "STATE", "NODE", "DOMAIN", "ADDRESS", "SLOTS",
+        ];
+        Ok(Answer {
+            text: table(heads, &rows),
+            json: endpoints,
+        })
+    }
+
+    async fn read(&self) -> Result<Value, Failure> {
+        let url = format!("http://{}/dump", self.address);
+        let mut request = awc::Client::default().get(url).timeout(ANSWER);
+        if let Some(token) = &self.token {
+            request = request.insert_header((AUTHORIZATION, format!("Bearer {token}")));
+        }
+        let mut response = request
+            .send()
+            .await
+            .map_err(|error| self.unavailable(&error.to_string()))?;
+        match response.status() {
+            StatusCode::OK => {}
+            StatusCode::UNAUTHORIZED | StatusCode::FORBIDDEN => {
+                return Err(Failure::new(
+                    Exit::Refused,
+                    format!("{} wants a token", self.address),
+                    "give the admin_token of the node's settings with --token",
+                ));
+            }
+            status => return Err(self.unavailable(&status.to_string())),
+        }
+        let body = response
+            .body()
+            .limit(DUMP_MAX)
+            .await
+            .map_err(|error| self.unavailable(&error.to_string()))?;
+        serde_json::from_slice(&body).map_err(|error| self.unavailable(&error.to_string()))
+    }
+
+    fn unavailable(&self, reason: &str) -> Failure {
+        Failure::new(
+            Exit::Unavailable,
+            format!("the node at {} does not answer: {reason}", self.address),
+            "give the `admin` address of the node's settings, and see that the node runs",
+        )
+    }
+}
+
+/// Returns the entries of a list, also where it is nested in tables by name.
+fn list(value: &Value) -> Box<dyn Iterator<Item = &Value> + '_> {
+    match value {
+        Value::Array(entries) => Box::new(entries.iter()),
+        Value::Object(entries) => Box::new(entries.values().flat_map(list)),
+        _ => Box::new(std::iter::empty()),
+    }
+}
+
+fn cell(entry: &Value, name: &str) -> String {
+    match entry.get(name) {
+        Some(Value::String(text)) => text.clone(),
+        Some(value) => value.to_string(),
+        None => "-".to_owned(),
+    }
+}
--- a/crates/cicadactl/src/main.rs
+++ b/crates/cicadactl/src/main.rs
@@ -1,3 +1,173 @@
 //! The operator's command line.
 
-fn main() {}
+mod flags;
+
+use std::process::ExitCode;
+
+use cicadactl::admin::Admin;
+use cicadactl::follow::Follower;
+use cicadactl::{Answer, Exit, Failure, change, file, show};
+use cicadagw_accept::{Intent, Request};
+use cicadagw_platform::http::Client;
+use cicadagw_unit::id;
+use cicadagw_unit::time::Span;
+use miette::Diagnostic;
+
+use flags::{Cicadactl, CicadactlCmd, PresetCmd, Status};
+
+/// How long `status --wait` waits where nothing else is said.
+const WAIT: Span = Span::seconds(10);
+
+fn main() -> ExitCode {
+    let flags = match Cicadactl::from_env() {
+        Ok(flags) => flags,
+        Err(error) => error.exit(),
+    };
+    let exit = match actix::System::new().block_on(perform(&flags)) {
+        Ok(answer) => {
+            print(&answer, flags.json);
+            Exit::Ok
+        }
+        Err(failure) => {
+            let exit = failure.exit;
+            report(&failure, flags.json);
+            exit
+        }
+    };
+    ExitCode::from(exit.code())
+}
+
+async fn perform(flags: &Cicadactl) -> Result<Answer, Failure> {
+    match &flags.subcommand {
+        CicadactlCmd::Check(check) => file::check(&check.file),
+        CicadactlCmd::Apply(apply) => {
+            let intent = Intent::Apply {
+                config: Box::new(file::read(&apply.file)?),
+                preset: apply.preset.clone(),
+            };
+            let mut request = request(flags, intent, apply.change.clone())?;
+            request.base = apply.base;
+            request.trial = apply.dry_run;
+            change::apply(&platform(flags)?, request).await
+        }
+        CicadactlCmd::Diff(diff) => show::difference(&platform(flags)?, &diff.file).await,
+        CicadactlCmd::Get(get) => show::config(&platform(flags)?, get.reveal).await,
+        CicadactlCmd::Preset(preset) => match &preset.subcommand {
+            PresetCmd::List(_) => show::presets(&platform(flags)?).await,
+            PresetCmd::Use(chosen) => {
+                let intent = Intent::Preset(chosen.name.clone());
+                let request = request(flags, intent, chosen.change.clone())?;
+                change::switch(&platform(flags)?, request).await
+            }
+        },
+        CicadactlCmd::History(_) => show::history(&platform(flags)?).await,
+        CicadactlCmd::Rollback(rollback) => {
+            let intent = Intent::Rollback(rollback.version);
+            let request = request(flags, intent, rollback.change.clone())?;
+            change::switch(&platform(flags)?, request).await
+        }
+        CicadactlCmd::Status(status) => follow(flags, status).await,
+        CicadactlCmd::Dump(dump) => admin(dump.address, dump.token.as_ref()).dump().await,
+        CicadactlCmd::Nodes(nodes) => admin(nodes.address, nodes.token.as_ref()).nodes().await,
+        CicadactlCmd::Endpoints(endpoints) => {
+            admin(endpoints.address, endpoints.token.as_ref())
+                .endpoints()
+                .await
+        }
+    }
+}
+
+async fn follow(flags: &Cicadactl, status: &Status) -> Result<Answer, Failure> {
+    if status.timeout.is_some() && status.wait.is_none() {
+        return Err(usage(
+            "--timeout is for --wait",
+            "give --wait VERSION as well",
+        ));
+    }
+    let store = platform(flags)?;
+    let mut follower = Follower::new(&store);
+    match (status.wait, status.watch) {
+        (Some(version), false) => {
+            let timeout = status.timeout.unwrap_or(WAIT);
+            let progress = |line: &str| anstream::eprintln!("{line}");
+            follower.wait(version, timeout, progress).await
+        }
+        (None, true) => follower.watch(|answer| print(answer, flags.json)).await,
+        (None, false) => follower.once().await,
+        (Some(_), true) => Err(usage(
+            "--watch and --wait exclude each other",
+            "give one of them",
+        )),
+    }
+}
+
+fn platform(flags: &Cicadactl) -> Result<Client, Failure> {
+    if flags.platform.is_empty() {
+        let help = "say where the platform answers, such as --platform 127.0.0.1:7000";
+        return Err(usage("--platform is missing", help));
+    }
+    Ok(Client::builder()
+        .addresses(&flags.platform)
+        .agent("cicadactl")
+        .build())
+}
+
+/// Returns a request; its change id is told before anything is sent, in case of an interruption.
+fn request(
+    flags: &Cicadactl,
+    intent: Intent,
+    change: Option<id::Change>,
+) -> Result<Request, Failure> {
+    let help = "say who makes the change, such as --operator asha";
+    let operator = flags
+        .operator
+        .clone()
+        .ok_or_else(|| usage("--operator is missing", help))?;
+    let change = change.unwrap_or_else(|| {
+        let change = change::fresh_id();
+        anstream::eprintln!("change {change}");
+        change
+    });
+    Ok(Request {
+        base: None,
+        change,
+        intent,
+        operator,
+        trial: false,
+    })
+}
+
+fn admin(address: std::net::SocketAddr, token: Option<&String>) -> Admin {
+    Admin {
+        address,
+        token: token.cloned(),
+    }
+}
+
+fn usage(message: &str, help: &str) -> Failure {
+    Failure::new(Exit::Usage, message, help)
+}
+
+fn print(answer: &Answer, json: bool) {
+    if json {
+        anstream::println!("{}", answer.json);
+    } else {
+        anstream::println!("{}", answer.text);
+    }
+}
+
+fn report(failure: &Failure, json: bool) {
+    if json {
+        anstream::println!("{}", failure.json());
+    } else {
+        anstream::eprintln!("{}", render(failure));
+    }
+}
+
+/// Writes what happened and what to do next.
+fn render(diagnostic: &dyn Diagnostic) -> String {
+    match diagnostic.help() {
+        Some(help) => format!("error: {diagnostic}\nhelp: {help}"),
+        None => format!("error: {diagnostic}"),
+    }
+}
--- /dev/null
+++ b/crates/cicadactl/src/show.rs
@@ -0,0 +1,155 @@
+//! Commands that show what is in force.
+
+use std::path::Path;
+
+use cicadagw_accept::diff::{self, Difference, Kind};
+use cicadagw_accept::{Found, head, load};
+use cicadagw_config::{Config, Snapshot, declared};
+use cicadagw_platform::Store;
+use serde_json::{Value, json};
+
+use crate::table::table;
+use crate::{Answer, Exit, Failure, file};
+
+/// Shows the configuration in force, in the form in which it is declared.
+///
+/// # Errors
+///
+/// When there is none, or it cannot be read.
+pub async fn config<S: Store>(store: &S, reveal: bool) -> Result<Answer, Failure> {
+    let snapshot = snapshot(store).await?;
+    let config = if reveal {
+        declared(&snapshot.config)
+    } else {
+        diff::redacted(&snapshot.config)
+    };
+    Ok(Answer {
+        text: format!("{config:#}"),
+        json: json!({
+            "version": snapshot.stamp.version,
+            "digest": snapshot.stamp.digest,
+            "preset": snapshot.preset,
+            "config": config,
+        }),
+    })
+}
+
+/// Shows what the configuration in `path` would change.
+///
+/// # Errors
+///
+/// When the file has findings, or what is in force cannot be read.
+pub async fn difference<S: Store>(store: &S, path: &Path) -> Result<Answer, Failure> {
+    let config = file::read(path)?;
+    let in_force = match head(store).await? {
+        Some(found) => load(store, found.head.newest()).await?.config,
+        None => Config::default(),
+    };
+    let list = diff::configs(&in_force, &config);
+    let text = if list.is_empty() {
+        "no difference".to_owned()
+    } else {
+        differences(&list)
+    };
+    Ok(Answer {
+        json: json!(list),
+        text,
+    })
+}
+
+/// Shows the declared presets and the one in force.
+///
+/// # Errors
+///
+/// When there is no configuration, or it cannot be read.
+pub async fn presets<S: Store>(store: &S) -> Result<Answer, Failure> {
+    let snapshot = snapshot(store).await?;
+    let names: Vec<_> = snapshot.config.presets.keys().collect();
+    let lines: Vec<String> = names
+        .iter()
+        .map(|name| {
+            let mark = if **name == snapshot.preset { '*' } else { ' ' };
+            format!("{mark} {name}")
+        })
+        .collect();
+    Ok(Answer {
+        json: json!({ "in_force": snapshot.preset, "declared": names }),
+        text: lines.join("\n"),
+    })
+}
+
+/// Shows the accepted changes, newest first.
+///
+/// # Errors
+///
+/// When the platform cannot be used.
+pub async fn history<S: Store>(store: &S) -> Result<Answer, Failure> {
+    let history = found(store).await?.head.history;
+    let rows: Vec<[String; 5]> = history
+        .iter()
+        .map(|entry| {
+            [
+                entry.stamp.version.to_string(),
+                entry.preset.to_string(),
+                entry.operator.to_string(),
+                entry.change.to_string(),
+                entry.stamp.digest.to_string(),
+            ]
+        })
+        .collect();
+    Ok(Answer {
+        json: json!(history),
+        text: table(["VERSION", "PRESET", "OPERATOR", "CHANGE", "DIGEST"], &rows),
+    })
+}
+
+/// Writes differences, one object or field a line.
+pub(crate) fn differences(list: &[Difference]) -> String {
+    let mut lines = Vec::new();
+    for difference in list {
+        let mark = match difference.kind {
+            Kind::Added => '+',
+            Kind::Changed => '~',
+            Kind::Removed => '-',
+        };
+        lines.push(format!("{mark} {}", difference.object));
+        if difference.kind == Kind::Removed {
+            continue;
+        }
+        for field in &difference.fields {
+            lines.push(match (&field.from, &field.to) {
+                (None, Some(to)) => format!("    {}: {}", field.name, plain(to)),
+                (Some(from), None) => format!("    {}: {} -> none", field.name, plain(from)),
+                (from, to) => {
+                    let [from, to] =
+                        [from, to].map(|side| side.as_ref().map_or_else(String::new, plain));
+                    format!("    {}: {from} -> {to}", field.name)
+                }
+            });
+        }
+    }
+    lines.join("\n")
+}
+
+/// Writes a value without the quotes of a text.
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
+
+async fn found<S: Store>(store: &S) -> Result<Found, Failure> {
+    head(store).await?.ok_or_else(|| {
+        Failure::new(
+            Exit::Refused,
+            "no configuration was applied yet",
+            "put one in force with `cicadactl apply FILE`",
+        )
+    })
+}
+
+async fn snapshot<S: Store>(store: &S) -> Result<Snapshot, Failure> {
+    let found = found(store).await?;
+    Ok(load(store, found.head.newest()).await?)
+}
--- a/crates/cicadagw-accept/src/diff.rs
+++ b/crates/cicadagw-accept/src/diff.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use cicadagw_config::{Config, Snapshot};
+use cicadagw_config::{Config, Snapshot, declared};
 use serde_json::{Map, Value};
 
 /// What a secret shows in place of its value.
@@ -78,7 +78,7 @@
     differences
 }
 
-/// Returns `config` as JSON without the values of secrets.
+/// Returns `config` as it would be declared, without the values of secrets.
 pub fn redacted(config: &Config) -> Value {
     let mut tree = tree(config);
     if let Some(secrets) = tree.get_mut("secrets").and_then(Value::as_object_mut) {
@@ -90,8 +90,8 @@
 }
 
 fn tree(config: &Config) -> Map<String, Value> {
-    match serde_json::to_value(config) {
-        Ok(Value::Object(tree)) => tree,
+    match declared(config) {
+        Value::Object(tree) => tree,
         _ => unreachable!("a configuration is a table in JSON"),
     }
 }
--- /dev/null
+++ b/crates/cicadagw-config/src/declared.rs
@@ -0,0 +1,79 @@
+//! Writing of a configuration in the form in which it is declared.
+
+use std::collections::BTreeMap;
+use std::fmt::Display;
+
+use serde_json::{Map, Value, json};
+
+use crate::{Cluster, Config, Policy, Preset, policy};
+
+/// Returns `config` as it would be declared; [`crate::load`] reads it back.
+///
+/// The values of secrets are in it.
+pub fn declared(config: &Config) -> Value {
+    json!({
+        "clusters": objects(&config.clusters, cluster),
+        "policies": objects(&config.policies, policy),
+        "presets": objects(&config.presets, preset),
+        "routes": config.routes,
+        "secrets": config.secrets,
+    })
+}
+
+fn objects<K: Display, V>(objects: &BTreeMap<K, V>, write: fn(&V) -> Value) -> Value {
+    let entries = objects
+        .iter()
+        .map(|(name, object)| (name.to_string(), write(object)));
+    Value::Object(entries.collect())
+}
+
+fn cluster(cluster: &Cluster) -> Value {
+    let mut fields = Map::new();
+    set(
+        &mut fields,
+        "panic_threshold",
+        Some(cluster.panic_threshold),
+    );
+    set(&mut fields, "secret", cluster.secret.as_ref());
+    set(&mut fields, "service", Some(&cluster.service));
+    Value::Object(fields)
+}
+
+fn policy(policy: &Policy) -> Value {
+    let mut fields = change_fields(&policy::Change {
+        attempts: Some(policy.attempts),
+        concurrency: Some(policy.concurrency),
+        queue: Some(policy.queue),
+        retry_budget: Some(policy.retry_budget),
+        timeout: Some(policy.timeout),
+    });
+    fields.insert("idempotency".to_owned(), json!(policy.idempotency));
+    Value::Object(fields)
+}
+
+fn preset(preset: &Preset) -> Value {
+    if preset.policies.is_empty() {
+        return json!({});
+    }
+    let change = |change: &policy::Change| Value::Object(change_fields(change));
+    json!({ "policies": objects(&preset.policies, change) })
+}
+
+fn change_fields(change: &policy::Change) -> Map<String, Value> {
+    let mut fields = Map::new();
+    if let Some(attempts) = change.attempts {
+        fields.insert("attempts".to_owned(), json!(attempts));
+    }
+    set(&mut fields, "concurrency", change.concurrency);
+    set(&mut fields, "queue", change.queue);
+    set(&mut fields, "retry_budget", change.retry_budget);
+    set(&mut fields, "timeout", change.timeout);
+    fields
+}
+
+/// Sets a field whose value is a text with its unit.
+fn set(fields: &mut Map<String, Value>, name: &str, value: Option<impl Display>) {
+    if let Some(value) = value {
+        fields.insert(name.to_owned(), Value::from(value.to_string()));
+    }
+}
--- a/crates/cicadagw-config/src/lib.rs
+++ b/crates/cicadagw-config/src/lib.rs
@@ -4,6 +4,7 @@
 mod check;
 mod cluster;
 mod config;
+mod declared;
 pub mod delta;
 pub mod head;
 mod load;
@@ -17,6 +18,7 @@
 pub use check::{Fault, check};
 pub use cluster::Cluster;
 pub use config::Config;
+pub use declared::declared;
 pub use delta::Delta;
 pub use head::Head;
 pub use load::load;
