Show control's fields at the top of a dump

Cause: the command line reads endpoints and members at the top of a dump, while the admin duty put them one table lower.

Ruled out: a second form of the page for scripts.

Change: the fields that the control duty tells stand beside meter and node.

Conclusion: cicadactl endpoints reads the page as it is.

--- a/crates/cicadagw-admin/src/dump.rs
+++ b/crates/cicadagw-admin/src/dump.rs
@@ -7,7 +7,7 @@
 use cicadagw_meter::{Meter, Reading};
 use cicadagw_ring::Sender;
 use cicadagw_unit::id;
-use serde_json::Value;
+use serde_json::{Map, Value};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
@@ -24,10 +24,14 @@
     pub(crate) node: id::Node,
 }
 
-/// The body of `/dump`.
+/// The name under which a dump of control stands that is no table.
+const CONTROL: &str = "control";
+
+/// The body of `/dump`: what the control duty tells, joined with what the meter shows.
 #[derive(serde::Serialize)]
 struct Dump<'s> {
-    control: Value,
+    #[serde(flatten)]
+    control: Map<String, Value>,
     meter: Reading,
     node: &'s id::Node,
 }
@@ -44,6 +48,10 @@
         .map_err(|_| Problem::Busy)?
         .map_err(|_| Problem::Busy)?;
     redact(&mut control);
+    let control = match control {
+        Value::Object(fields) => fields,
+        other => Map::from_iter([(CONTROL.to_owned(), other)]),
+    };
     Ok(HttpResponse::Ok().json(Dump {
         control,
         meter: state.meter.read(),
--- a/crates/cicadagw-admin/tests/pages.rs
+++ b/crates/cicadagw-admin/tests/pages.rs
@@ -133,8 +133,8 @@
 
     let dump = dump.json();
     assert_eq!(dump["node"], "kochi-a-1");
-    assert_eq!(dump["control"]["held"], 3);
-    assert_eq!(dump["control"]["secrets"]["till"]["value"], "[redacted]");
+    assert_eq!(dump["held"], 3);
+    assert_eq!(dump["secrets"]["till"]["value"], "[redacted]");
     assert_eq!(dump["meter"]["rings"][0]["name"], "admin-control");
     duty.stop();
 }
