Show findings with the lines that they stand in

Cause: both programs printed findings without the text they are about.

Change: cicadagw-report renders findings and their text with miette.

--- /dev/null
+++ b/crates/cicadagw-report/src/diagnostic.rs
@@ -0,0 +1,92 @@
+//! Findings in the form that the report library takes.
+
+use std::fmt;
+
+use cicadagw_finding::{Finding, Findings};
+use miette::{Diagnostic, LabeledSpan, NamedSource, SourceCode};
+
+use crate::span::span;
+
+/// All findings of one text.
+#[derive(Debug)]
+pub(crate) struct Report {
+    source: String,
+    entries: Vec<Entry>,
+}
+
+/// One finding with the text that it stands in.
+#[derive(Debug)]
+struct Entry {
+    finding: Finding,
+    label: LabeledSpan,
+    text: NamedSource<String>,
+}
+
+impl Report {
+    pub(crate) fn new(findings: &Findings, text: &str) -> Self {
+        let entries: Vec<Entry> = findings
+            .as_slice()
+            .iter()
+            .map(|finding| Entry::new(finding, text))
+            .collect();
+        let source = entries
+            .first()
+            .map(|entry| entry.finding.place.source.to_string());
+        Self {
+            source: source.unwrap_or_default(),
+            entries,
+        }
+    }
+}
+
+impl Entry {
+    fn new(finding: &Finding, text: &str) -> Self {
+        let place = &finding.place;
+        Self {
+            finding: finding.clone(),
+            label: LabeledSpan::new_with_span(Some("here".to_owned()), span(text, place)),
+            text: NamedSource::new(&place.source, text.to_owned()),
+        }
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.entries.len() {
+            1 => write!(f, "1 finding in {}", self.source),
+            count => write!(f, "{count} findings in {}", self.source),
+        }
+    }
+}
+
+impl fmt::Display for Entry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.finding.place, self.finding.message)
+    }
+}
+
+impl std::error::Error for Report {}
+
+impl std::error::Error for Entry {}
+
+impl Diagnostic for Report {
+    fn related<'a>(&'a self) -> Option<Box<dyn Iterator<Item = &'a dyn Diagnostic> + 'a>> {
+        let entries = self.entries.iter().map(|entry| entry as &dyn Diagnostic);
+        Some(Box::new(entries))
+    }
+}
+
+impl Diagnostic for Entry {
+    fn help<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        let help = self.finding.help.as_ref()?;
+        Some(Box::new(help))
+    }
+
+    fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
+        Some(Box::new(std::iter::once(self.label.clone())))
+    }
+
+    fn source_code(&self) -> Option<&dyn SourceCode> {
+        Some(&self.text)
+    }
+}
