--- a/crates/cicadagw-admin/tests/pages.rs
+++ b/crates/cicadagw-admin/tests/pages.rs
@@ -133,8 +133,8 @@
 
     let dump = dump.json();
     assert_eq!(dump["node"], "kochi-a-1");
-    assert_eq!(dump["control"]["held"], 3);
-    assert_eq!(dump["control"]["secrets"]["till"]["value"], "[redacted]");
+    assert_eq!(dump["held"], 3);
+    assert_eq!(dump["secrets"]["till"]["value"], "[redacted]");
     assert_eq!(dump["meter"]["rings"][0]["name"], "admin-control");
     duty.stop();
 }
@@ -167,6 +167,26 @@
     duty.stop();
 }
 
+#[actix_web::test]
+async fn every_metric_is_on_the_page() {
+    let page = include_str!("../../../docs/OBSERVABILITY.md");
+    let duty = start(None);
+
+    let metrics = duty.get("/metrics", None).await;
+
+    let types = metrics
+        .text
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE "));
+    let names: Vec<_> = types.filter_map(|line| line.split(' ').next()).collect();
+    let documented = page.lines().filter(|line| line.starts_with("| `cicadagw_"));
+    assert_eq!(names.len(), documented.count());
+    for name in names {
+        assert!(page.contains(&format!("| `{name}` |")), "{name}");
+    }
+    duty.stop();
+}
+
 #[actix_web::test]
 async fn the_log_level_is_changed() {
     static SEVERITY: AtomicUsize = AtomicUsize::new(0);
