--- a/crates/cicadagw-node/src/node.rs
+++ b/crates/cicadagw-node/src/node.rs
@@ -65,6 +65,7 @@
         .control(rings.locals)
         .place(Place {
             domain: settings.domain.clone(),
+            node: settings.node.clone(),
             region: settings.region.clone(),
         })
         .seed(seed)
