--- a/crates/cicadagw-dev/src/process/mod.rs
+++ b/crates/cicadagw-dev/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod listening;
+mod meters;
 mod operator;
 mod place;
 mod program;
@@ -11,6 +12,7 @@
 
 pub use fleet::{Fleet, Node};
 pub use listening::listening;
+pub use meters::Meters;
 pub use operator::Operator;
 pub use place::Place;
 pub use program::{Program, Programs};
