Write a part again when its answer was lost; list nodes from a dump

Cause: a lost answer of a part ended the acceptance, though writing a part again changes nothing; and `nodes` read a field that dumps do not have.

Change: the chart tries the parts again; `nodes` shows the node itself and those whose endpoints it knows.

--- a/crates/cicadactl/src/admin.rs
+++ b/crates/cicadactl/src/admin.rs
@@ -1,11 +1,12 @@
 //! Commands that ask a node's admin pages.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use awc::http::StatusCode;
 use awc::http::header::AUTHORIZATION;
-use serde_json::{Value, json};
+use serde_json::{Map, Value, json};
 
 use crate::table::table;
 use crate::{Answer, Exit, Failure};
@@ -39,20 +40,27 @@
         })
     }
 
-    /// Shows the nodes of the failure domain.
+    /// Shows the nodes that the node knows of: itself, and those whose endpoints it knows.
     ///
     /// # Errors
     ///
     /// When the node does not answer.
     pub async fn nodes(&self) -> Result<Answer, Failure> {
         let dump = self.read().await?;
-        let nodes = dump.get("members").cloned().unwrap_or_else(|| json!([]));
-        let rows: Vec<[String; 3]> = list(&nodes)
-            .map(|node| ["node", "rack", "link"].map(|name| cell(node, name)))
+        let mut nodes: BTreeMap<String, Value> = entries(&dump["endpoints"])
+            .filter(|record| record["state"] != "gone")
+            .map(|record| (cell(record, "node"), node(record, record)))
+            .collect();
+        let identity = &dump["identity"];
+        let member = &identity["member"];
+        nodes.insert(cell(member, "node"), node(identity, member));
+        let rows: Vec<[String; 5]> = nodes
+            .values()
+            .map(|node| NODE.map(|name| cell(node, name)))
             .collect();
         Ok(Answer {
-            text: table(["NODE", "RACK", "LINK"], &rows),
-            json: nodes,
+            text: table(["NODE", "DOMAIN", "RACK", "REGION", "LINK"], &rows),
+            json: nodes.into_values().collect(),
         })
     }
 
@@ -63,11 +71,12 @@
     /// When the node does not answer.
     pub async fn endpoints(&self) -> Result<Answer, Failure> {
         let dump = self.read().await?;
-        let endpoints = dump.get("endpoints").cloned().unwrap_or_else(|| json!([]));
+        let endpoints: Vec<&Value> = entries(&dump["endpoints"]).collect();
         let names = [
             "service", "endpoint", "state", "node", "domain", "address", "slots",
         ];
-        let rows: Vec<[String; 7]> = list(&endpoints)
+        let rows: Vec<[String; 7]> = endpoints
+            .iter()
             .map(|endpoint| names.map(|name| cell(endpoint, name)))
             .collect();
         let heads = [
@@ -75,7 +84,7 @@
         ];
         Ok(Answer {
             text: table(heads, &rows),
-            json: endpoints,
+            json: json!(endpoints),
         })
     }
 
@@ -117,19 +126,29 @@
     }
 }
 
-/// Returns the entries of a list, also where it is nested in tables by name.
-fn list(value: &Value) -> Box<dyn Iterator<Item = &Value> + '_> {
-    match value {
-        Value::Array(entries) => Box::new(entries.iter()),
-        Value::Object(entries) => Box::new(entries.values().flat_map(list)),
-        _ => Box::new(std::iter::empty()),
-    }
+/// What is shown of a node.
+const NODE: [&str; 5] = ["node", "domain", "rack", "region", "link"];
+
+/// Returns a node that stands at `place` and is reached as `member` says.
+fn node(place: &Value, member: &Value) -> Value {
+    json!({
+        "node": member["node"],
+        "domain": place["domain"],
+        "rack": member["rack"],
+        "region": place["region"],
+        "link": member["link"],
+    })
+}
+
+/// Returns the values of a table.
+fn entries(value: &Value) -> impl Iterator<Item = &Value> {
+    value.as_object().into_iter().flat_map(Map::values)
 }
 
 fn cell(entry: &Value, name: &str) -> String {
     match entry.get(name) {
         Some(Value::String(text)) => text.clone(),
+        Some(Value::Null) | None => "-".to_owned(),
         Some(value) => value.to_string(),
-        None => "-".to_owned(),
     }
 }
--- a/crates/cicadactl/src/flags.rs
+++ b/crates/cicadactl/src/flags.rs
@@ -92,7 +92,7 @@
             /// The admin_token of the node's settings.
             optional --token token: String
         }
-        /// List the nodes of a failure domain, as one of them knows them.
+        /// List the nodes that a node knows of.
         cmd nodes {
             /// The admin address of a node.
             required address: SocketAddr
--- a/crates/cicadagw-accept/src/chart.rs
+++ b/crates/cicadagw-accept/src/chart.rs
@@ -48,7 +48,7 @@
         Written = "written",
         /// The update of the head took effect.
         Moved = "moved",
-        /// The answer to the update was lost.
+        /// The answer to a write was lost.
         Lost = "lost",
         /// The head was not as the update wanted it.
         Conflict = "conflict",
--- a/crates/cicadagw-accept/src/run.rs
+++ b/crates/cicadagw-accept/src/run.rs
@@ -46,7 +46,7 @@
         },
         Effect::WriteParts(parts) => match tidy::write(store, &parts).await {
             Ok(()) => Next::Event(Event::Written),
-            // A part whose answer was lost changes nothing: no head names it.
+            Err(Error::Unknown(reason)) => Next::Event(Event::Lost(reason)),
             Err(error) => unavailable(&error),
         },
         Effect::MoveHead { head, condition } => move_head(store, &head, condition).await,
--- a/crates/cicadagw-accept/src/session.rs
+++ b/crates/cicadagw-accept/src/session.rs
@@ -29,7 +29,7 @@
     Written,
     /// The update of the head took effect.
     Moved,
-    /// The answer to the update of the head was lost.
+    /// The answer to a write was lost.
     Lost(String),
     /// The head was not as the update wanted it.
     Conflict,
--- a/crates/cicadagw-accept/tests/accept/change.rs
+++ b/crates/cicadagw-accept/tests/accept/change.rs
@@ -121,6 +121,20 @@
     assert_eq!(times(&store, "two").await, 1);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_part_whose_answer_is_lost_is_written_again() {
+    for fault in [Fault::LostAfter, Fault::LostBefore] {
+        let store = store_with(&["shop"]).await;
+        store.fail("put part", fault);
+
+        let outcome = run(&store, apply("two", "asha", "store")).await;
+
+        assert_eq!(version(&outcome), Some(2));
+        let entry = in_force(&store).await;
+        assert_eq!(load(&store, &entry).await.unwrap().config, config("store"));
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_answer_lost_before_another_change_is_told_as_accepted() {
     let store = store_with(&["shop"]).await;
