Draw findings into their text

Cause: the plain form repeats three lines of prose for each finding.

Change: cicadagw-report draws without colours; Report is a diagnostic of its own that a program can return as its error.

Conclusion: the drawn form stays.

--- a/crates/cicadagw-report/src/lib.rs
+++ b/crates/cicadagw-report/src/lib.rs
@@ -2,9 +2,10 @@
 //!
 //! Findings go through the system as data; this is the edge where they become text.
 
-mod diagnostic;
 mod mask;
 mod render;
+mod report;
 mod span;
 
 pub use render::render;
+pub use report::Report;
--- a/crates/cicadagw-report/src/render.rs
+++ b/crates/cicadagw-report/src/render.rs
@@ -1,18 +1,19 @@
 //! Rendering.
 
 use cicadagw_finding::Findings;
-use miette::NarratableReportHandler;
+use miette::{GraphicalReportHandler, GraphicalTheme};
 
-use crate::diagnostic::Report;
-use crate::mask::mask;
+use crate::Report;
 
-/// Returns `findings`, which were made in `text`, as a report for people.
-///
-/// The lines are shown without the values of secrets.
+/// How many characters a line of a report has at the most, but for those that show a text.
+const WIDTH: usize = 100;
+
+/// Returns `findings`, which were made in `text`, as a report for people, without colours.
 pub fn render(findings: &Findings, text: &str) -> String {
-    let mut report = String::new();
-    NarratableReportHandler::new()
-        .render_report(&mut report, &Report::new(findings, &mask(text)))
+    let mut rendered = String::new();
+    GraphicalReportHandler::new_themed(GraphicalTheme::unicode_nocolor())
+        .with_width(WIDTH)
+        .render_report(&mut rendered, &Report::new(findings, text))
         .expect("a text can be written to");
-    report
+    rendered
 }
--- a/crates/cicadagw-report/src/diagnostic.rs
+++ b/crates/cicadagw-report/src/report.rs
@@ -5,11 +5,14 @@
 use cicadagw_finding::{Finding, Findings};
 use miette::{Diagnostic, LabeledSpan, NamedSource, SourceCode};
 
+use crate::mask::mask;
 use crate::span::span;
 
 /// All findings of one text.
+///
+/// The lines are shown without the values of secrets.
 #[derive(Debug)]
-pub(crate) struct Report {
+pub struct Report {
     source: String,
     entries: Vec<Entry>,
 }
@@ -23,7 +26,9 @@
 }
 
 impl Report {
-    pub(crate) fn new(findings: &Findings, text: &str) -> Self {
+    /// Creates a report on `findings`, which were made in `text`.
+    pub fn new(findings: &Findings, text: &str) -> Self {
+        let text = &mask(text);
         let entries: Vec<Entry> = findings
             .as_slice()
             .iter()
@@ -61,7 +66,7 @@
 
 impl fmt::Display for Entry {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.finding.place, self.finding.message)
+        f.write_str(&self.finding.message)
     }
 }
 
