Show wrong settings with their lines in cicadagw

Cause: check and run listed findings without the text.

Change: the error of a command holds a report, which the program's report library draws; the values of secrets are masked.

Conclusion: one call at the edge; findings stay data before it.

--- a/crates/cicadagw-report/src/report.rs
+++ b/crates/cicadagw-report/src/report.rs
@@ -8,6 +8,9 @@
 use crate::mask::mask;
 use crate::span::span;
 
+/// What to do next.
+const HELP: &str = "mend these places and check again; nothing was changed";
+
 /// All findings of one text.
 ///
 /// The lines are shown without the values of secrets.
@@ -75,6 +78,10 @@
 impl std::error::Error for Entry {}
 
 impl Diagnostic for Report {
+    fn help<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        Some(Box::new(HELP))
+    }
+
     fn related<'a>(&'a self) -> Option<Box<dyn Iterator<Item = &'a dyn Diagnostic> + 'a>> {
         let entries = self.entries.iter().map(|entry| entry as &dyn Diagnostic);
         Some(Box::new(entries))
--- a/crates/cicadagw/src/commands/error.rs
+++ b/crates/cicadagw/src/commands/error.rs
@@ -3,14 +3,14 @@
 use std::io;
 use std::path::PathBuf;
 
-use cicadagw_finding::Findings;
+use cicadagw_report::Report;
 use miette::Diagnostic;
 
 /// Says why a command failed.
 #[derive(Debug, Diagnostic)]
 pub(crate) enum Error {
-    #[diagnostic(help("mend these places, and look at docs/SETTINGS.md for every key"))]
-    Findings(PathBuf, Findings),
+    #[diagnostic(transparent)]
+    Findings(Report),
     #[diagnostic(help(
         "a port in use belongs to another process; a node that cannot start changes nothing"
     ))]
@@ -24,10 +24,7 @@
 impl std::fmt::Display for Error {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            Self::Findings(path, findings) => {
-                let count = findings.as_slice().len();
-                write!(f, "{count} findings in {}:\n{findings}", path.display())
-            }
+            Self::Findings(report) => write!(f, "{report}"),
             Self::Node(error) => write!(f, "{error}"),
             Self::Read(path, error) => write!(f, "cannot read {}: {error}", path.display()),
             Self::Runtime(error) => write!(f, "the process cannot work: {error}"),
--- a/crates/cicadagw/src/commands/read.rs
+++ b/crates/cicadagw/src/commands/read.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::path::Path;
 
+use cicadagw_report::Report;
 use cicadagw_settings::{Settings, load};
 
 use super::Error;
@@ -11,5 +12,5 @@
 pub(super) fn read(path: &Path) -> Result<Settings, Error> {
     let text = fs::read_to_string(path).map_err(|error| Error::Read(path.to_owned(), error))?;
     load(&path.display().to_string(), &text)
-        .map_err(|findings| Error::Findings(path.to_owned(), findings))
+        .map_err(|findings| Error::Findings(Report::new(&findings, &text)))
 }
