--- a/crates/cicadagw-report/src/diagnostic.rs
+++ b/crates/cicadagw-report/src/report.rs
@@ -5,11 +5,17 @@
 use cicadagw_finding::{Finding, Findings};
 use miette::{Diagnostic, LabeledSpan, NamedSource, SourceCode};
 
+use crate::mask::mask;
 use crate::span::span;
 
+/// What to do next.
+const HELP: &str = "mend these places and check again; nothing was changed";
+
 /// All findings of one text.
+///
+/// The lines are shown without the values of secrets.
 #[derive(Debug)]
-pub(crate) struct Report {
+pub struct Report {
     source: String,
     entries: Vec<Entry>,
 }
@@ -23,7 +29,9 @@
 }
 
 impl Report {
-    pub(crate) fn new(findings: &Findings, text: &str) -> Self {
+    /// Creates a report on `findings`, which were made in `text`.
+    pub fn new(findings: &Findings, text: &str) -> Self {
+        let text = &mask(text);
         let entries: Vec<Entry> = findings
             .as_slice()
             .iter()
@@ -61,7 +69,7 @@
 
 impl fmt::Display for Entry {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.finding.place, self.finding.message)
+        f.write_str(&self.finding.message)
     }
 }
 
@@ -70,6 +78,10 @@
 impl std::error::Error for Entry {}
 
 impl Diagnostic for Report {
+    fn help<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        Some(Box::new(HELP))
+    }
+
     fn related<'a>(&'a self) -> Option<Box<dyn Iterator<Item = &'a dyn Diagnostic> + 'a>> {
         let entries = self.entries.iter().map(|entry| entry as &dyn Diagnostic);
         Some(Box::new(entries))
