Bound the memory that unpacking takes

The size limit of an unpacked content was checked after all of it had been unpacked, so a small corrupt or hostile piece could still fill the memory. Now reading stops one byte after the limit.

--- a/crates/cicadagw-config/src/part.rs
+++ b/crates/cicadagw-config/src/part.rs
@@ -1,5 +1,7 @@
 //! Parts: immutable contents, named by their digest, that fit into one value of the platform.
 
+use std::io::Read;
+
 use cicadagw_unit::Digest;
 use cicadagw_unit::size::Bytes;
 use serde::Serialize;
@@ -75,9 +77,13 @@
 ///
 /// When the bytes are not what [`compress`] makes of a `T`.
 pub fn decompress<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
-    let limit = usize::try_from(CONTENT_MAX.get()).unwrap_or(usize::MAX);
-    let json = zstd::stream::decode_all(bytes).map_err(Error::Compression)?;
-    if json.len() > limit {
+    let decoder = zstd::stream::Decoder::new(bytes).map_err(Error::Compression)?;
+    let limit = CONTENT_MAX.get();
+    let mut json = Vec::new();
+    // One byte more than allowed shows that there is more, without unpacking all of it.
+    let size = decoder.take(limit + 1).read_to_end(&mut json);
+    let size = size.map_err(Error::Compression)?;
+    if u64::try_from(size).unwrap_or(u64::MAX) > limit {
         let error = std::io::Error::other("the content is too large");
         return Err(Error::Compression(error));
     }
