--- a/crates/cicadagw-link/src/child.rs
+++ b/crates/cicadagw-link/src/child.rs
@@ -47,9 +47,8 @@
     end: &End,
 ) -> String {
     let join = join(links, address, hello, end);
-    let joined = match tokio::time::timeout(links.limits.dial.into(), join).await {
-        Ok(joined) => joined,
-        Err(_) => return format!("no answer from {address} in time"),
+    let Ok(joined) = tokio::time::timeout(links.limits.dial.into(), join).await else {
+        return format!("no answer from {address} in time");
     };
     let (client, mut downs) = match joined {
         Ok(joined) => joined,
--- a/crates/cicadagw-link/src/links.rs
+++ b/crates/cicadagw-link/src/links.rs
@@ -7,7 +7,7 @@
 use cicadagw_wire::link::{Event, Session};
 use cicadagw_wire::{Refusal, Up};
 use serde_json::value::RawValue;
-use tokio::sync::oneshot;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
 use tokio_util::sync::CancellationToken;
 
 use crate::{Limits, Traffic};
@@ -22,10 +22,11 @@
 pub(crate) enum Peer {
     /// Connected, and did not ask yet.
     Stranger,
-    /// Asked to join; the answer is taken out when it is given.
+    /// Asked to join; the answer is taken out when it is given. It sends one message at a time.
     Child {
         answer: Option<oneshot::Sender<Answer>>,
         ring: Sender<Encoded>,
+        turn: Arc<Semaphore>,
     },
     /// Asked to join and was refused.
     Refused,
@@ -150,8 +151,11 @@
         if !matches!(link.peer, Peer::Stranger) {
             return None;
         }
-        let answer = Some(answer);
-        link.peer = Peer::Child { answer, ring };
+        link.peer = Peer::Child {
+            answer: Some(answer),
+            ring,
+            turn: Arc::new(Semaphore::new(1)),
+        };
         Some(link.end.clone())
     }
 
@@ -174,14 +178,31 @@
         let _gone = sender.send(given);
     }
 
-    /// Returns what ends the link of a child that was accepted.
-    pub(crate) fn joined(&self, session: Session) -> Option<End> {
+    /// Tells whether a child was accepted.
+    pub(crate) fn has_joined(&self, session: Session) -> bool {
+        let open = self.open();
+        let peer = open.get(&session).map(|link| &link.peer);
+        matches!(peer, Some(Peer::Child { answer: None, .. }))
+    }
+
+    /// Gives a child that was accepted its turn to send, and returns what ends its link.
+    ///
+    /// One that has its turn already does not await its answers, which would take memory without
+    /// bound here, so its link ends.
+    pub(crate) fn take_turn(&self, session: Session) -> Option<(OwnedSemaphorePermit, End)> {
         let open = self.open();
         let link = open.get(&session)?;
-        match link.peer {
-            Peer::Child { answer: None, .. } => Some(link.end.clone()),
-            Peer::Child { .. } | Peer::Parent(_) | Peer::Refused | Peer::Stranger => None,
-        }
+        let Peer::Child {
+            answer: None, turn, ..
+        } = &link.peer
+        else {
+            return None;
+        };
+        let Ok(permit) = Arc::clone(turn).try_acquire_owned() else {
+            link.end.because("the peer does not await its answers");
+            return None;
+        };
+        Some((permit, link.end.clone()))
     }
 }
 
--- a/crates/cicadagw-link/src/parent.rs
+++ b/crates/cicadagw-link/src/parent.rs
@@ -6,10 +6,10 @@
 use cicadagw_wire::link::{Event, Session};
 use cicadagw_wire::{Hello, Refusal, Up};
 use jsonrpsee::server::{
-    BatchRequestConfig, ConnectionId, Extensions, Methods, PendingSubscriptionSink, ServerConfig,
-    SubscriptionSink, serve, stop_channel,
+    BatchRequestConfig, ConnectionId, Extensions, IdProvider, Methods, PendingSubscriptionSink,
+    ServerConfig, SubscriptionSink, serve, stop_channel,
 };
-use jsonrpsee::types::{ErrorObjectOwned, Params};
+use jsonrpsee::types::{ErrorObjectOwned, Params, SubscriptionId};
 use jsonrpsee::{RpcModule, server};
 use serde_json::value::RawValue;
 use tokio::net::{TcpListener, TcpStream};
@@ -24,6 +24,16 @@
 /// How many messages the transport holds for a child, besides the ring.
 const BUFFERED_MAX: u32 = 4;
 
+/// Names the one subscription of a connection, in one byte since every beat carries the name.
+#[derive(Debug)]
+struct OnlyId;
+
+impl IdProvider for OnlyId {
+    fn next_id(&self) -> SubscriptionId<'static> {
+        SubscriptionId::Num(1)
+    }
+}
+
 /// Takes connections until the duty ends.
 pub(crate) async fn take_peers(links: &Links, listener: TcpListener) {
     let methods = Methods::from(module(links));
@@ -71,7 +81,7 @@
             .build(methods, stop);
         tokio::spawn(serve(socket, service));
         let waited = tokio::time::timeout(links.limits.join.into(), end.token.cancelled()).await;
-        if waited.is_err() && links.joined(session).is_none() {
+        if waited.is_err() && !links.has_joined(session) {
             end.because("the peer did not join in time");
         }
         end.token.cancelled().await;
@@ -87,6 +97,7 @@
         .max_response_body_size(size)
         .max_subscriptions_per_connection(1)
         .set_batch_request_config(BatchRequestConfig::Disabled)
+        .set_id_provider(OnlyId)
         .set_message_buffer_capacity(BUFFERED_MAX)
         .build()
 }
@@ -169,9 +180,11 @@
     let joined = extensions
         .get::<ConnectionId>()
         .map(|id| session_of(id.0 as u64))
-        .and_then(|session| Some((session, links.joined(session)?)));
-    let Some((session, end)) = joined else {
-        return Err(method::invalid("the peer has not joined"));
+        .and_then(|session| Some((session, links.take_turn(session)?)));
+    let Some((session, (_turn, end))) = joined else {
+        return Err(method::invalid(
+            "the peer has not joined, or has its turn already",
+        ));
     };
     let message = params
         .one::<Box<RawValue>>()
--- /dev/null
+++ b/crates/cicadagw-link/tests/codec.rs
@@ -0,0 +1,134 @@
+//! Messages come back as they were written, and corrupt ones are refused.
+
+mod fixture;
+
+use cicadagw_config::Delta;
+use cicadagw_link::codec::{PLAIN_MAX, decode, encode_down, encode_up};
+use cicadagw_unit::Version;
+use cicadagw_unit::size::Bytes;
+use cicadagw_wire::{Down, Laggard, Reason, Report, Up};
+use fixture::{beat, member, record, snapshot};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+const LIMIT: Bytes = Bytes::new(4 * 1024 * 1024);
+const TESTS: u64 = 300;
+
+#[derive(Clone, Debug)]
+struct AnyDown(Down);
+
+impl Arbitrary for AnyDown {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let count = u16::arbitrary(g) % 40;
+        Self(match u8::arbitrary(g) % 5 {
+            0 => beat(u64::arbitrary(g)),
+            1 => Down::Endpoints((0..count).map(record).collect()),
+            2 => Down::Members((0..count).map(member).collect()),
+            3 => Down::Whole(Box::new(snapshot(count))),
+            _ => {
+                let (from, to) = (snapshot(u16::arbitrary(g) % 40), snapshot(count));
+                Down::Delta(Box::new(Delta::between(&from, &to)))
+            }
+        })
+    }
+}
+
+#[derive(Clone, Debug)]
+struct AnyUp(Up);
+
+impl Arbitrary for AnyUp {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let count = u16::arbitrary(g) % 40;
+        Self(match u8::arbitrary(g) % 4 {
+            0 => Up::Endpoints((0..count).map(record).collect()),
+            1 => Up::Members((0..count).map(member).collect()),
+            2 => Up::WantWhole,
+            _ => Up::Report(Box::new(Report {
+                lowest: Version::new(u64::arbitrary(g)),
+                count: u32::arbitrary(g),
+                laggards: (0..count % 4).map(|number| laggard(number, g)).collect(),
+            })),
+        })
+    }
+}
+
+fn laggard(number: u16, g: &mut Gen) -> Laggard {
+    Laggard {
+        node: member(number).node,
+        held: Version::new(u64::arbitrary(g)),
+        reason: Reason::Refused(String::arbitrary(g).into()),
+    }
+}
+
+/// Returns a check with a fixed seed, so that every run tries the same.
+fn check() -> QuickCheck {
+    let seed = 20_260;
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, seed))
+        .tests(TESTS)
+}
+
+#[test]
+fn messages_to_children_come_back() {
+    fn comes_back(AnyDown(message): AnyDown) -> bool {
+        let text = encode_down(&message);
+        decode::<Down>(text.get(), LIMIT).is_ok_and(|read| read == message)
+    }
+    check().quickcheck(comes_back as fn(AnyDown) -> bool);
+}
+
+#[test]
+fn messages_to_parents_come_back() {
+    fn comes_back(AnyUp(message): AnyUp) -> bool {
+        let text = encode_up(&message);
+        decode::<Up>(text.get(), LIMIT).is_ok_and(|read| read == message)
+    }
+    check().quickcheck(comes_back as fn(AnyUp) -> bool);
+}
+
+#[test]
+fn a_cut_message_is_refused() {
+    fn is_refused(AnyDown(message): AnyDown, at: usize) -> bool {
+        let text = encode_down(&message);
+        let cut = &text.get()[..at % text.get().len()];
+        decode::<Down>(cut, LIMIT).is_err()
+    }
+    check().quickcheck(is_refused as fn(AnyDown, usize) -> bool);
+}
+
+#[test]
+fn arbitrary_text_is_refused() {
+    #[allow(clippy::needless_pass_by_value, reason = "quickcheck gives values")]
+    fn is_refused(text: String) -> bool {
+        decode::<Down>(&text, LIMIT).is_err()
+            && decode::<Down>(&format!("\"KLUv/{text}\""), LIMIT).is_err()
+    }
+    check().quickcheck(is_refused as fn(String) -> bool);
+}
+
+#[test]
+fn a_message_over_the_limit_is_refused() {
+    let text = encode_down(&beat(1));
+
+    let read = decode::<Down>(text.get(), Bytes::new(16));
+
+    assert!(read.unwrap_err().to_string().contains("more than allowed"));
+}
+
+#[test]
+fn a_beat_is_plain_and_small() {
+    let text = encode_down(&beat(1_234));
+
+    assert!(text.get().starts_with(r#"{"beat":"#));
+    assert!(text.get().len() < 150, "{} bytes", text.get().len());
+}
+
+#[test]
+fn only_large_contents_are_compressed() {
+    let small = encode_down(&Down::Endpoints(vec![record(1)]));
+    let large = encode_down(&Down::Endpoints((0..9).map(record).collect()));
+    let members = encode_down(&Down::Members((0..90).map(member).collect()));
+
+    assert!(small.get().starts_with('{') && small.get().len() as u64 <= PLAIN_MAX.get());
+    assert!(large.get().starts_with('"'));
+    assert!(members.get().starts_with('{'));
+}
