Test the decisions about calls; count concurrency by policy

Cause: the decisions had no tests of their own. Writing them showed two faults. The panic threshold was a rounded share: with one of three healthy and a threshold of 500permille, health was still looked at. And a policy with a small concurrency counted the calls of other policies, so calls of one policy could hold up those of another at the same backend server. Ruled out: rounding the share up, which is as arbitrary for small sets; the comparison is multiplied out instead.

--- a/crates/cicadagw-call/src/admission.rs
+++ b/crates/cicadagw-call/src/admission.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use cicadagw_unit::id;
 use cicadagw_unit::size::Slots;
 use cicadagw_unit::time::{Moment, Span};
 use smallvec::SmallVec;
@@ -25,9 +26,11 @@
 #[serde(transparent)]
 pub struct Ticket(u64);
 
-/// How many calls one backend server may run and have waiting, as the policy of a call says.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// How many calls of a policy one backend server may run and have waiting.
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Limit {
+    /// The policy.
+    pub policy: id::Policy,
     /// How many calls run at once.
     pub concurrency: Slots,
     /// How many calls wait.
@@ -65,6 +68,7 @@
 pub struct Admission {
     slots: Slots,
     running: u32,
+    running_by_policy: BTreeMap<id::Policy, u32>,
     queue: BTreeMap<(Moment, Ticket), Limit>,
     typical: Span,
     last: Ticket,
@@ -79,6 +83,7 @@
         Self {
             slots,
             running: 0,
+            running_by_policy: BTreeMap::new(),
             queue: BTreeMap::new(),
             typical: Span::new(0),
             last: Ticket(0),
@@ -86,8 +91,9 @@
     }
 
     /// Changes how many calls the backend server runs at once.
-    pub const fn resize(&mut self, slots: Slots) {
+    pub fn resize(&mut self, now: Moment, slots: Slots) -> Release {
         self.slots = slots;
+        self.advance(now)
     }
 
     /// Returns how busy the backend server is.
@@ -111,35 +117,20 @@
     pub fn offer(&mut self, now: Moment, deadline: Moment, limit: Limit) -> (Ticket, Verdict) {
         self.last = Ticket(self.last.0 + 1);
         let ticket = self.last;
-        if now >= deadline {
-            return (ticket, Verdict::Late);
-        }
-        if self.queue.is_empty() && self.has_room(limit) {
-            self.running += 1;
-            return (ticket, Verdict::Run);
-        }
-        let ahead = self.queue.range(..(deadline, ticket)).count();
-        if now.after(self.wait(ahead, limit)) >= deadline {
-            return (ticket, Verdict::Shed);
-        }
-        let is_full = self.queue.len() >= limit.queue.get() as usize;
-        let shed = if is_full {
-            match self.queue.last_key_value().map(|(key, _)| *key) {
-                Some(key) if key.0 > deadline && limit.queue.get() > 0 => {
-                    self.queue.remove(&key);
-                    Some(key.1)
-                }
-                _ => return (ticket, Verdict::Shed),
+        let verdict = self.judge(now, (deadline, ticket), &limit);
+        match verdict {
+            Verdict::Run => self.begin(limit.policy),
+            Verdict::Wait { shed } => {
+                self.queue.retain(|key, _| Some(key.1) != shed);
+                self.queue.insert((deadline, ticket), limit);
             }
-        } else {
-            None
-        };
-        self.queue.insert((deadline, ticket), limit);
-        (ticket, Verdict::Wait { shed })
+            Verdict::Shed | Verdict::Late => {}
+        }
+        (ticket, verdict)
     }
 
-    /// Takes note that a running call has ended after `spent`.
-    pub fn finish(&mut self, now: Moment, spent: Span) -> Release {
+    /// Takes note that a running call of `policy` has ended after `spent`.
+    pub fn finish(&mut self, now: Moment, policy: &id::Policy, spent: Span) -> Release {
         let old = self.typical.get();
         let sum = old * (SMOOTHING - 1) + spent.get();
         self.typical = Span::new(if old == 0 {
@@ -147,13 +138,19 @@
         } else {
             sum / SMOOTHING
         });
-        self.abandon(now)
+        self.abandon(now, policy)
     }
 
-    /// Takes note that a running call has ended without an answer, which says nothing of the time
-    /// that calls take.
-    pub fn abandon(&mut self, now: Moment) -> Release {
+    /// Takes note that a running call of `policy` has ended without an answer, which says nothing of
+    /// the time that calls take.
+    pub fn abandon(&mut self, now: Moment, policy: &id::Policy) -> Release {
         self.running = self.running.saturating_sub(1);
+        if let Some(count) = self.running_by_policy.get_mut(policy) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                self.running_by_policy.remove(policy);
+            }
+        }
         self.advance(now)
     }
 
@@ -170,39 +167,64 @@
             .collect()
     }
 
+    fn judge(&self, now: Moment, key: (Moment, Ticket), limit: &Limit) -> Verdict {
+        let deadline = key.0;
+        if now >= deadline {
+            return Verdict::Late;
+        }
+        if self.has_room(limit) {
+            return Verdict::Run;
+        }
+        let ahead = self.queue.range(..key).count();
+        if now.after(self.wait(ahead, limit)) >= deadline {
+            return Verdict::Shed;
+        }
+        let mut rivals = self
+            .queue
+            .iter()
+            .filter(|(_, held)| held.policy == limit.policy);
+        if rivals.clone().count() < limit.queue.get() as usize {
+            return Verdict::Wait { shed: None };
+        }
+        match rivals.next_back() {
+            Some((latest, _)) if *latest > key => Verdict::Wait {
+                shed: Some(latest.1),
+            },
+            _ => Verdict::Shed,
+        }
+    }
+
+    fn begin(&mut self, policy: id::Policy) {
+        self.running += 1;
+        *self.running_by_policy.entry(policy).or_default() += 1;
+    }
+
     /// Starts what may start, earliest deadline first, and refuses what can no longer be in time.
     fn advance(&mut self, now: Moment) -> Release {
         let mut release = Release::default();
-        while let Some(entry) = self.queue.first_entry() {
-            let (deadline, ticket) = *entry.key();
+        for ((deadline, ticket), limit) in std::mem::take(&mut self.queue) {
             if deadline <= now {
-                entry.remove();
                 release.late.push(ticket);
-                continue;
+            } else if self.has_room(&limit) {
+                self.begin(limit.policy);
+                release.run.push(ticket);
+            } else {
+                self.queue.insert((deadline, ticket), limit);
             }
-            let limit = *entry.get();
-            if !self.has_room(limit) {
-                break;
-            }
-            self.queue.pop_first();
-            self.running += 1;
-            release.run.push(ticket);
         }
         release
     }
 
-    fn has_room(&self, limit: Limit) -> bool {
-        self.running < self.room(limit)
-    }
-
-    fn room(&self, limit: Limit) -> u32 {
-        self.slots.get().min(limit.concurrency.get())
+    fn has_room(&self, limit: &Limit) -> bool {
+        let of_policy = self.running_by_policy.get(&limit.policy);
+        self.running < self.slots.get()
+            && of_policy.is_none_or(|count| *count < limit.concurrency.get())
     }
 
     /// Returns how long a call with `ahead` calls before it waits and runs, as far as is known.
-    fn wait(&self, ahead: usize, limit: Limit) -> Span {
-        let room = u64::from(self.room(limit).max(1));
-        let rounds = (ahead as u64 + 1).div_ceil(room);
+    fn wait(&self, ahead: usize, limit: &Limit) -> Span {
+        let room = self.slots.get().min(limit.concurrency.get()).max(1);
+        let rounds = (ahead as u64 + 1).div_ceil(u64::from(room));
         self.typical.times(rounds)
     }
 }
--- a/crates/cicadagw-call/src/attempt.rs
+++ b/crates/cicadagw-call/src/attempt.rs
@@ -132,7 +132,7 @@
         step.actions
     }
 
-    fn holds(&self, guard: Guard, facts: Facts) -> bool {
+    fn holds(self, guard: Guard, facts: Facts) -> bool {
         let again = self.left > 0 && facts.replayable;
         match guard {
             Guard::Again => again,
--- a/crates/cicadagw-call/src/choice.rs
+++ b/crates/cicadagw-call/src/choice.rs
@@ -61,6 +61,9 @@
     is_seeded: bool,
 }
 
+/// The endpoints of one tier that may be chosen.
+type Tier<'m> = SmallVec<[&'m Member; 8]>;
+
 /// One endpoint and what this node saw of it.
 #[derive(Clone, Debug)]
 struct Member {
@@ -117,20 +120,9 @@
         tried: &[id::Endpoint],
         panic_threshold: Permille,
     ) -> Option<&Record> {
-        let panics = self.panics(now, panic_threshold);
-        let usable = |healthy_only: bool| {
-            let tiers = self.tiers.iter().map(move |tier| {
-                tier.iter()
-                    .map(|&index| &self.members[index])
-                    .filter(move |member| !tried.contains(&member.record.endpoint))
-                    .filter(move |member| !healthy_only || member.is_healthy(now))
-                    .collect::<SmallVec<[&Member; 8]>>()
-            });
-            tiers.collect::<SmallVec<[_; TIERS]>>()
-        };
-        let mut tiers = usable(!panics);
-        if tiers.iter().all(|tier| tier.is_empty()) {
-            tiers = usable(false);
+        let mut tiers = self.usable(now, tried, !self.panics(now, panic_threshold));
+        if tiers.iter().all(SmallVec::is_empty) {
+            tiers = self.usable(now, tried, false);
         }
         let spare = tiers.iter().find(|tier| has_spare(tier, now));
         let chosen = match spare {
@@ -200,9 +192,21 @@
         }
     }
 
+    /// Returns the endpoints that may be chosen, nearest tier first.
+    fn usable(&self, now: Moment, tried: &[id::Endpoint], healthy_only: bool) -> [Tier<'_>; TIERS] {
+        self.tiers.each_ref().map(|tier| {
+            tier.iter()
+                .map(|&index| &self.members[index])
+                .filter(|member| !tried.contains(&member.record.endpoint))
+                .filter(|member| !healthy_only || member.is_healthy(now))
+                .collect()
+        })
+    }
+
     fn panics(&self, now: Moment, threshold: Permille) -> bool {
         let healthy = self.members.iter().filter(|member| member.is_healthy(now));
-        (healthy.count() as u64) < threshold.of(self.members.len() as u64)
+        // Multiplied out, since a rounded share of a small set would be too few.
+        healthy.count() * 1_000 < self.members.len() * usize::from(threshold.get())
     }
 
     fn find(&mut self, endpoint: &id::Endpoint) -> Option<&mut Member> {
--- /dev/null
+++ b/crates/cicadagw-call/tests/admission.rs
@@ -0,0 +1,190 @@
+//! No more calls run than there are slots, the earliest deadline goes first, and no place is lost.
+
+use std::collections::BTreeMap;
+
+use cicadagw_call::Admission;
+use cicadagw_call::admission::{Limit, Release, Ticket, Verdict};
+use cicadagw_unit::id;
+use cicadagw_unit::size::Slots;
+use cicadagw_unit::time::{Moment, Span};
+use quickcheck::{Gen, QuickCheck};
+
+/// How large the generated values are, and what their choice begins with.
+const SIZE: usize = 60;
+const SEED: u64 = 7;
+
+const SLOTS: u32 = 2;
+const QUEUE: u32 = 3;
+
+fn limit() -> Limit {
+    Limit {
+        policy: policy("wide"),
+        concurrency: Slots::new(10),
+        queue: Slots::new(QUEUE),
+    }
+}
+
+fn policy(name: &str) -> id::Policy {
+    name.parse().unwrap()
+}
+
+fn admission() -> Admission {
+    Admission::new(Slots::new(SLOTS))
+}
+
+fn at(milliseconds: u64) -> Moment {
+    Moment::new(milliseconds)
+}
+
+/// Fills every slot.
+fn busy() -> Admission {
+    let mut admission = admission();
+    for _ in 0..SLOTS {
+        assert_eq!(admission.offer(at(0), at(900), limit()).1, Verdict::Run);
+    }
+    admission
+}
+
+#[test]
+fn the_earliest_deadline_goes_first() {
+    let mut admission = busy();
+    let (_, later) = admission.offer(at(0), at(800), limit());
+    let (sooner, _) = admission.offer(at(1), at(500), limit());
+
+    let release = admission.abandon(at(2), &policy("wide"));
+
+    assert_eq!(later, Verdict::Wait { shed: None });
+    assert_eq!(release.run.as_slice(), [sooner]);
+}
+
+#[test]
+fn a_call_whose_time_is_over_does_not_start() {
+    let mut admission = busy();
+    let (late, _) = admission.offer(at(0), at(100), limit());
+    let (next, _) = admission.offer(at(0), at(800), limit());
+
+    let release = admission.abandon(at(100), &policy("wide"));
+
+    assert_eq!(release.late.as_slice(), [late]);
+    assert_eq!(release.run.as_slice(), [next]);
+}
+
+#[test]
+fn a_call_that_cannot_be_in_time_does_not_wait() {
+    let mut admission = busy();
+    admission.finish(at(400), &policy("wide"), Span::new(400));
+    admission.offer(at(400), at(9_000), limit());
+
+    let (_, verdict) = admission.offer(at(400), at(500), limit());
+
+    assert_eq!(verdict, Verdict::Shed);
+}
+
+#[test]
+fn a_full_queue_gives_up_the_latest_deadline() {
+    let mut admission = busy();
+    let (latest, _) = admission.offer(at(0), at(900), limit());
+    admission.offer(at(0), at(800), limit());
+    admission.offer(at(0), at(700), limit());
+
+    let (_, sooner) = admission.offer(at(0), at(600), limit());
+    let (_, later) = admission.offer(at(0), at(950), limit());
+
+    assert_eq!(sooner, Verdict::Wait { shed: Some(latest) });
+    assert_eq!(later, Verdict::Shed);
+}
+
+#[test]
+fn a_policy_may_allow_less_than_the_slots() {
+    let mut admission = admission();
+    let narrow = || Limit {
+        policy: policy("narrow"),
+        concurrency: Slots::new(1),
+        queue: Slots::new(0),
+    };
+    let (_, first) = admission.offer(at(0), at(900), narrow());
+
+    let (_, second) = admission.offer(at(0), at(900), narrow());
+    let (_, other) = admission.offer(at(0), at(900), limit());
+
+    assert_eq!((first, second), (Verdict::Run, Verdict::Shed));
+    assert_eq!(other, Verdict::Run);
+}
+
+/// Every call and where it stands.
+#[derive(Default)]
+struct Model {
+    running: Vec<Ticket>,
+    waiting: BTreeMap<Ticket, Moment>,
+}
+
+impl Model {
+    fn take(&mut self, release: Release) {
+        for ticket in release.run {
+            self.waiting.remove(&ticket).expect("it waited");
+            self.running.push(ticket);
+        }
+        for ticket in release.late {
+            self.waiting.remove(&ticket).expect("it waited");
+        }
+    }
+
+    fn arrive(&mut self, admission: &mut Admission, now: Moment, deadline: Moment) {
+        let (ticket, verdict) = admission.offer(now, deadline, limit());
+        match verdict {
+            Verdict::Run => self.running.push(ticket),
+            Verdict::Wait { shed } => {
+                self.waiting.insert(ticket, deadline);
+                if let Some(shed) = shed {
+                    self.waiting.remove(&shed).expect("it waited");
+                }
+            }
+            Verdict::Shed | Verdict::Late => {}
+        }
+    }
+
+    fn cancel(&mut self, admission: &mut Admission) {
+        if let Some((ticket, deadline)) = self.waiting.pop_first() {
+            assert!(admission.cancel(deadline, ticket));
+        }
+    }
+
+    fn agrees(&self, admission: &Admission) -> bool {
+        let load = admission.load().in_flight.get() as usize;
+        let is_idle = self.running.len() < SLOTS as usize && !self.waiting.is_empty();
+        self.running.len() <= SLOTS as usize
+            && self.waiting.len() <= QUEUE as usize
+            && load == self.running.len() + self.waiting.len()
+            && !is_idle
+    }
+}
+
+/// Returns a checker that takes the same way on every run.
+fn seeded() -> QuickCheck {
+    QuickCheck::new().rng(Gen::from_size_and_seed(SIZE, SEED))
+}
+
+#[test]
+fn places_are_neither_lost_nor_given_twice() {
+    fn holds(steps: Vec<(u8, u16)>) -> bool {
+        let mut admission = admission();
+        let mut model = Model::default();
+        let mut now = at(0);
+        steps.into_iter().all(|(kind, number)| {
+            let span = Span::new(u64::from(number % 100));
+            match kind % 4 {
+                0 | 1 => model.arrive(&mut admission, now, now.after(span)),
+                2 if !model.running.is_empty() => {
+                    now = now.after(span);
+                    model.running.pop();
+                    let release = admission.finish(now, &policy("wide"), span);
+                    model.take(release);
+                }
+                _ => model.cancel(&mut admission),
+            }
+            model.agrees(&admission)
+        })
+    }
+
+    seeded().quickcheck(holds as fn(Vec<(u8, u16)>) -> bool);
+}
--- a/crates/cicadagw-proxy/src/dial.rs
+++ b/crates/cicadagw-proxy/src/dial.rs
@@ -23,7 +23,7 @@
 const IDLE_MAX: Duration = Duration::from_secs(4);
 
 /// How long a connection is used at the most.
-const LIFETIME: Duration = Duration::from_secs(600);
+const LIFETIME: Duration = Duration::from_mins(10);
 
 /// Returns a client that holds at most `connections` connections. It follows no redirects, retries
 /// nothing, and leaves bodies as they are.
--- a/crates/cicadagw-proxy/src/gate.rs
+++ b/crates/cicadagw-proxy/src/gate.rs
@@ -10,6 +10,7 @@
 use cicadagw_call::admission::{Limit, Release, Ticket, Verdict};
 use cicadagw_call::life::Announcement;
 use cicadagw_call::{Admission, Load, Reason};
+use cicadagw_unit::id;
 use cicadagw_unit::size::Slots;
 use cicadagw_unit::time::Moment;
 use tokio::sync::oneshot;
@@ -52,7 +53,9 @@
 
     /// Takes in a renewed announcement; tells whether this gate still fits it.
     pub(crate) fn renew(&self, said: &Announcement) -> bool {
-        self.admission.borrow_mut().resize(slots(said));
+        let now = self.clock.now();
+        let release = self.admission.borrow_mut().resize(now, slots(said));
+        self.pass_on(release);
         self.address == said.address && self.connections == said.connections
     }
 
@@ -68,16 +71,17 @@
         limit: Limit,
     ) -> Result<Slot, Reason> {
         let now = self.clock.now();
+        let policy = limit.policy.clone();
         let (ticket, verdict) = self.admission.borrow_mut().offer(now, deadline, limit);
         match verdict {
-            Verdict::Run => Ok(Slot::new(self)),
+            Verdict::Run => Ok(Slot::new(self, policy)),
             Verdict::Shed => Err(Reason::Shed),
             Verdict::Late => Err(Reason::Deadline),
             Verdict::Wait { shed } => {
                 if let Some(shed) = shed {
                     self.tell(shed, Grant::Refused(Reason::Shed));
                 }
-                self.wait(deadline, ticket).await
+                self.wait(deadline, ticket, policy).await
             }
         }
     }
@@ -90,18 +94,24 @@
         }
     }
 
-    async fn wait(self: &Rc<Self>, deadline: Moment, ticket: Ticket) -> Result<Slot, Reason> {
+    async fn wait(
+        self: &Rc<Self>,
+        deadline: Moment,
+        ticket: Ticket,
+        policy: id::Policy,
+    ) -> Result<Slot, Reason> {
         let (sender, receiver) = oneshot::channel();
         self.waiting.borrow_mut().insert(ticket, sender);
         let mut place = Place {
             gate: self,
+            policy: &policy,
             deadline,
             ticket,
             receiver,
         };
         let until = self.clock.instant(deadline);
         match timeout_at(until, &mut place.receiver).await {
-            Ok(Ok(Grant::Run)) => Ok(Slot::new(self)),
+            Ok(Ok(Grant::Run)) => Ok(Slot::new(self, policy.clone())),
             Ok(Ok(Grant::Refused(reason))) => Err(reason),
             Ok(Err(_)) => Err(Reason::Draining),
             Err(_) => Err(Reason::Deadline),
@@ -125,8 +135,9 @@
         }
     }
 
-    fn abandon(&self) {
-        let release = self.admission.borrow_mut().abandon(self.clock.now());
+    fn abandon(&self, policy: &id::Policy) {
+        let now = self.clock.now();
+        let release = self.admission.borrow_mut().abandon(now, policy);
         self.pass_on(release);
     }
 }
@@ -134,6 +145,7 @@
 /// A place in the queue; given up when the call goes away.
 struct Place<'g> {
     gate: &'g Rc<Gate>,
+    policy: &'g id::Policy,
     deadline: Moment,
     ticket: Ticket,
     receiver: oneshot::Receiver<Grant>,
@@ -149,7 +161,7 @@
             .cancel(self.deadline, self.ticket);
         // A grant that nobody took is a slot that nobody else would give back.
         if !did_wait && self.receiver.try_recv() == Ok(Grant::Run) {
-            self.gate.abandon();
+            self.gate.abandon(self.policy);
         }
     }
 }
@@ -157,14 +169,16 @@
 /// A place at a backend server; given back when the call is over.
 pub(crate) struct Slot {
     gate: Rc<Gate>,
+    policy: id::Policy,
     started: Moment,
     is_finished: bool,
 }
 
 impl Slot {
-    fn new(gate: &Rc<Gate>) -> Self {
+    fn new(gate: &Rc<Gate>, policy: id::Policy) -> Self {
         Self {
             gate: gate.clone(),
+            policy,
             started: gate.clock.now(),
             is_finished: false,
         }
@@ -179,12 +193,14 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         if !self.is_finished {
-            self.gate.abandon();
+            self.gate.abandon(&self.policy);
             return;
         }
         let now = self.gate.clock.now();
         let spent = now.since(self.started);
-        let release = self.gate.admission.borrow_mut().finish(now, spent);
+        let mut admission = self.gate.admission.borrow_mut();
+        let release = admission.finish(now, &self.policy, spent);
+        drop(admission);
         self.gate.pass_on(release);
     }
 }
--- a/crates/cicadagw-proxy/src/target.rs
+++ b/crates/cicadagw-proxy/src/target.rs
@@ -50,6 +50,7 @@
     };
     let policy = &errand.target.policy;
     let limit = Limit {
+        policy: errand.target.policy_name.clone(),
         concurrency: policy.concurrency,
         queue: policy.queue,
     };
--- a/crates/cicadagw-proxy/tests/support/backend.rs
+++ b/crates/cicadagw-proxy/tests/support/backend.rs
@@ -60,13 +60,13 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (sender, received) = mpsc::unbounded_channel();
-        let (closer, closed) = mpsc::unbounded_channel();
+        let (on_close, closed) = mpsc::unbounded_channel();
         let server = Server {
             conduct,
             runs: Arc::default(),
             leave: Arc::new(Semaphore::new(0)),
             received: sender,
-            closed: closer,
+            closed: on_close,
         };
         let backend = Self {
             address,
--- a/crates/cicadagw-proxy/tests/support/caller.rs
+++ b/crates/cicadagw-proxy/tests/support/caller.rs
@@ -57,7 +57,9 @@
 
 impl Call {
     pub fn header(mut self, name: &str, value: &str) -> Self {
-        self.head += &format!("{name}: {value}\r\n");
+        for part in [name, ": ", value, "\r\n"] {
+            self.head.push_str(part);
+        }
         self
     }
 
