Keep whole latencies; count requests without an id as themselves

Cause: the first run of the demo gave a p50 of 2 us and two doubled requests. The histogram was told to clamp what it did not yet reach and never grew; and calls without `x-request-id` were all taken for one request.

Ruled out: doubles by the nodes. The two were the demo's own calls without an id, one count for each of two backend servers.

Change: the histogram grows; requests without an id count in the total alone.

Before: both new tests fail. After: 9 tests of the backend server and 6 of the caller pass.

--- a/crates/cicadagw-dev/src/backend/stats.rs
+++ b/crates/cicadagw-dev/src/backend/stats.rs
@@ -30,9 +30,13 @@
 }
 
 impl Executions {
-    /// Counts one execution of `request`, and returns how many there were.
+    /// Counts one execution of `request`, and returns how many there were; a request without an id
+    /// counts in the total alone.
     pub(crate) fn count(&mut self, request: &str) -> u32 {
         self.total += 1;
+        if request.is_empty() {
+            return 1;
+        }
         let count = self.counts.entry(request.into()).or_default();
         *count += 1;
         *count
--- a/crates/cicadagw-dev/src/caller/report.rs
+++ b/crates/cicadagw-dev/src/caller/report.rs
@@ -98,10 +98,10 @@
     }
 
     pub(crate) fn count_done(&mut self, done: Done) {
-        self.lags.saturating_record(micros(done.lag));
+        record(&mut self.lags, done.lag);
         if done.verdict == Verdict::Answered {
             self.answered += 1;
-            self.latencies.saturating_record(micros(done.latency));
+            record(&mut self.latencies, done.latency);
         } else {
             let requests = self.others.entry(done.verdict).or_default();
             requests.push(done.request);
@@ -120,6 +120,10 @@
     }
 }
 
-fn micros(duration: Duration) -> u64 {
-    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+/// Counts `duration`; one that cannot be told in microseconds counts as none.
+fn record(histogram: &mut Histogram<u64>, duration: Duration) {
+    let micros = u64::try_from(duration.as_micros()).unwrap_or_default();
+    histogram
+        .record(micros)
+        .expect("the histogram grows with what it counts");
 }
--- a/crates/cicadagw-dev/tests/backend.rs
+++ b/crates/cicadagw-dev/tests/backend.rs
@@ -108,6 +108,20 @@
     assert_eq!((stats.doubled, stats.executions, stats.requests), (1, 2, 1));
 }
 
+#[actix_web::test]
+async fn requests_without_an_id_are_not_taken_for_one() {
+    let backend = backend();
+    let http = awc::Client::default();
+
+    for _ in 0..2 {
+        let request = http.get(format!("http://{}/", backend.address));
+        request.send().await.unwrap();
+    }
+
+    let stats = backend.stats();
+    assert_eq!((stats.doubled, stats.executions), (0, 2));
+}
+
 #[actix_web::test]
 async fn an_answer_has_the_length_that_was_asked_for() {
     let backend = backend();
--- a/crates/cicadagw-dev/tests/caller.rs
+++ b/crates/cicadagw-dev/tests/caller.rs
@@ -57,6 +57,21 @@
     assert_eq!(backend.stats().requests as u64, CALLS);
 }
 
+#[actix_web::test]
+async fn a_latency_is_no_shorter_than_the_call() {
+    const WORK: u64 = 20;
+    let backend = backend();
+    backend.control(&Change {
+        slow_ms: Some(WORK),
+        ..Change::default()
+    });
+
+    let report = load(backend.address).await;
+
+    assert!(report.latency().p50_us >= WORK * 1_000);
+    assert!(report.latency().p50_us <= report.latency().max_us);
+}
+
 #[actix_web::test]
 async fn an_answer_that_is_cut_is_told() {
     let backend = backend();
