Tell why nodes did not answer a caller

Cause: the demo said how many calls were not run, but not why.

Change: `caller::Report` counts the reasons that nodes give, and the demo prints them when it fails. It also names the first preset, since an apply without one puts the first by name in force.

--- a/crates/cicadagw-dev/examples/demo/steps.rs
+++ b/crates/cicadagw-dev/examples/demo/steps.rs
@@ -44,7 +44,8 @@
     let count = mesh.fleet.nodes.len();
     anstream::println!("started: platform, {count} nodes in 2 regions, 3 backend servers");
 
-    let first = ["apply", &before.to_string_lossy()].map(str::to_owned);
+    let file = before.to_string_lossy();
+    let first = ["apply", &file, "--preset", "ordinary-day"].map(str::to_owned);
     change(&mesh, "applied a configuration", &first)?;
     let preset = ["preset", "use", "peak"].map(str::to_owned);
     change(&mesh, "switched the preset", &preset)?;
@@ -180,9 +181,11 @@
         Verdict::Refused,
         Verdict::Unknown,
     ];
-    let counts: Vec<String> = verdicts
+    let counts = verdicts
         .iter()
-        .map(|verdict| format!("{verdict:?} {}", report.count(*verdict)))
-        .collect();
-    counts.join(", ")
+        .map(|verdict| format!("{verdict:?} {}", report.count(*verdict)));
+    let reasons = report.reasons().iter();
+    let reasons = reasons.map(|(reason, count)| format!("{reason} {count}"));
+    let all: Vec<String> = counts.chain(reasons).collect();
+    all.join(", ")
 }
--- a/crates/cicadagw-dev/src/caller/call.rs
+++ b/crates/cicadagw-dev/src/caller/call.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 
 use super::report::Done;
+use super::verdict::{REASON, text};
 use super::{Load, Verdict};
 use crate::backend::{ANSWER_BYTES, REQUEST_ID};
 
@@ -24,10 +25,12 @@
     let begin = Instant::now();
     let load = &calls.load;
     let request = format_compact!("{}-{number}", calls.prefix);
-    let verdict = send(&calls, address(load, number), &request).await;
+    let ended = send(&calls, address(load, number), &request).await;
+    let (verdict, reason) = ended.unwrap_or((Verdict::Lost, None));
     Done {
         request,
-        verdict: verdict.unwrap_or(Verdict::Lost),
+        verdict,
+        reason,
         latency: begin.elapsed(),
         lag: begin.saturating_duration_since(due),
     }
@@ -40,8 +43,12 @@
     load.addresses[index]
 }
 
-/// Sends one call and judges its answer; `None` when there is none.
-async fn send(calls: &Calls, address: SocketAddr, request: &str) -> Option<Verdict> {
+/// Sends one call and judges its answer; `None` when there is none. A reason is the node's.
+async fn send(
+    calls: &Calls,
+    address: SocketAddr,
+    request: &str,
+) -> Option<(Verdict, Option<CompactString>)> {
     let load = &calls.load;
     let url = format!("http://{address}{}", load.path);
     let mut call = calls
@@ -58,9 +65,10 @@
     let mut response = call.send_body(load.body.clone()).await.ok()?;
     let body = response.body().limit(usize::MAX).await.ok();
     let Some(body) = body else {
-        return Some(Verdict::Cut);
+        return Some((Verdict::Cut, None));
     };
     let (status, headers) = (response.status(), response.headers());
     let least = load.answer_bytes;
-    Some(Verdict::of(request, least, status, headers, &body))
+    let verdict = Verdict::of(request, least, status, headers, &body);
+    Some((verdict, text(headers, REASON).map(Into::into)))
 }
--- a/crates/cicadagw-dev/src/caller/report.rs
+++ b/crates/cicadagw-dev/src/caller/report.rs
@@ -17,6 +17,8 @@
     answered: u64,
     /// The calls that were not answered, by what became of them.
     others: BTreeMap<Verdict, Vec<CompactString>>,
+    /// How often nodes gave each reason.
+    reasons: BTreeMap<CompactString, u64>,
     /// Latencies of answered calls, in microseconds.
     latencies: Histogram<u64>,
     /// By how much calls were sent later than they were due, in microseconds.
@@ -41,6 +43,8 @@
 pub(crate) struct Done {
     pub(crate) request: CompactString,
     pub(crate) verdict: Verdict,
+    /// Why a node did not answer, when it said so.
+    pub(crate) reason: Option<CompactString>,
     pub(crate) latency: Duration,
     pub(crate) lag: Duration,
 }
@@ -51,6 +55,7 @@
         Self {
             answered: 0,
             others: BTreeMap::new(),
+            reasons: BTreeMap::new(),
             latencies: histogram(),
             lags: histogram(),
         }
@@ -77,6 +82,11 @@
         self.others.get(&verdict).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns how often nodes gave each reason for not answering.
+    pub const fn reasons(&self) -> &BTreeMap<CompactString, u64> {
+        &self.reasons
+    }
+
     /// Returns the latency of answered calls, from the sending on.
     pub fn latency(&self) -> Latency {
         Latency::of(&self.latencies)
@@ -93,12 +103,18 @@
         for (verdict, requests) in other.others {
             self.others.entry(verdict).or_default().extend(requests);
         }
+        for (reason, count) in other.reasons {
+            *self.reasons.entry(reason).or_default() += count;
+        }
         self.latencies += other.latencies;
         self.lags += other.lags;
     }
 
     pub(crate) fn count_done(&mut self, done: Done) {
         record(&mut self.lags, done.lag);
+        if let Some(reason) = done.reason {
+            *self.reasons.entry(reason).or_default() += 1;
+        }
         if done.verdict == Verdict::Answered {
             self.answered += 1;
             record(&mut self.latencies, done.latency);
--- a/crates/cicadagw-dev/src/caller/verdict.rs
+++ b/crates/cicadagw-dev/src/caller/verdict.rs
@@ -8,6 +8,9 @@
 /// The header by which a node says how a call ended.
 pub const OUTCOME: &str = "x-cicadagw-outcome";
 
+/// The header by which a node says why a call was not answered.
+pub(crate) const REASON: &str = "x-cicadagw-reason";
+
 /// How a call ended.
 #[derive(
     Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
@@ -59,6 +62,6 @@
     }
 }
 
-fn text<'h>(headers: &'h HeaderMap, name: &str) -> Option<&'h str> {
+pub(crate) fn text<'h>(headers: &'h HeaderMap, name: &str) -> Option<&'h str> {
     headers.get(name)?.to_str().ok()
 }
--- a/crates/cicadagw-dev/tests/caller.rs
+++ b/crates/cicadagw-dev/tests/caller.rs
@@ -127,7 +127,10 @@
 async fn the_outcome_that_a_node_names_is_told() {
     let not_run = server(|| {
         let mut response = HttpResponse::ServiceUnavailable();
-        response.insert_header((OUTCOME, "not-run")).finish()
+        response
+            .insert_header((OUTCOME, "not-run"))
+            .insert_header(("x-cicadagw-reason", "shed"))
+            .finish()
     });
     let unknown = server(|| {
         let mut response = HttpResponse::BadGateway();
@@ -138,5 +141,6 @@
     let of_unknown = load(unknown).await;
 
     assert_eq!(of_not_run.count(Verdict::NotRun), CALLS);
+    assert_eq!(of_not_run.reasons().get("shed"), Some(&CALLS));
     assert_eq!(of_unknown.count(Verdict::Unknown), CALLS);
 }
