--- a/crates/cicadagw-dev/examples/demo/steps.rs
+++ b/crates/cicadagw-dev/examples/demo/steps.rs
@@ -11,7 +11,7 @@
 use cicadagw_unit::{Version, id};
 use tokio::time::{Duration, interval};
 
-use crate::mesh::Mesh;
+use crate::mesh::{Mesh, Sent};
 use crate::traffic::Traffic;
 
 /// The configuration that is applied first.
@@ -90,18 +90,26 @@
         .run(&["status", "--wait", &text, "--timeout", &timeout])?;
     let told = begin.elapsed().as_millis();
     let now = mesh.sent()?;
-    let all = now.all.get().saturating_sub(sent.all.get());
-    let across = now.across.get().saturating_sub(sent.across.get());
+    let control = control(sent, now);
     let calls = mesh.platform_calls()? - calls;
     anstream::println!(
         "{what}: version {version}, preset {}; in force on every node after {converged} ms, \
-         told by status after {told} ms; control {all} B, {across} B of it across regions; \
-         {calls} platform calls",
+         told by status after {told} ms; {control}; {calls} platform calls",
         accepted.preset,
     );
     Ok(())
 }
 
+/// Tells how many bytes the nodes sent to each other between two readings.
+fn control(before: Sent, after: Sent) -> String {
+    if after.all.get() == 0 {
+        return "control bytes are not counted".to_owned();
+    }
+    let all = after.all.get().saturating_sub(before.all.get());
+    let across = after.across.get().saturating_sub(before.across.get());
+    format!("control {all} B, {across} B of it across regions")
+}
+
 /// Waits until every node holds at least `version`.
 async fn in_force(mesh: &Mesh, version: Version) -> io::Result<()> {
     let end = Instant::now() + Duration::from(PATIENCE);
