--- a/crates/cicadagw-dev/tests/caller.rs
+++ b/crates/cicadagw-dev/tests/caller.rs
@@ -57,6 +57,21 @@
     assert_eq!(backend.stats().requests as u64, CALLS);
 }
 
+#[actix_web::test]
+async fn a_latency_is_no_shorter_than_the_call() {
+    const WORK: u64 = 20;
+    let backend = backend();
+    backend.control(&Change {
+        slow_ms: Some(WORK),
+        ..Change::default()
+    });
+
+    let report = load(backend.address).await;
+
+    assert!(report.latency().p50_us >= WORK * 1_000);
+    assert!(report.latency().p50_us <= report.latency().max_us);
+}
+
 #[actix_web::test]
 async fn an_answer_that_is_cut_is_told() {
     let backend = backend();
@@ -112,7 +127,10 @@
 async fn the_outcome_that_a_node_names_is_told() {
     let not_run = server(|| {
         let mut response = HttpResponse::ServiceUnavailable();
-        response.insert_header((OUTCOME, "not-run")).finish()
+        response
+            .insert_header((OUTCOME, "not-run"))
+            .insert_header(("x-cicadagw-reason", "shed"))
+            .finish()
     });
     let unknown = server(|| {
         let mut response = HttpResponse::BadGateway();
@@ -123,5 +141,6 @@
     let of_unknown = load(unknown).await;
 
     assert_eq!(of_not_run.count(Verdict::NotRun), CALLS);
+    assert_eq!(of_not_run.reasons().get("shed"), Some(&CALLS));
     assert_eq!(of_unknown.count(Verdict::Unknown), CALLS);
 }
