Prove what the command line prints, and refuse a change from a gone version

Cause: nothing showed what operators see; and an `apply` that began on an empty platform, or from a version that the platform no longer had, could replace a change that its differences did not show.

Ruled out: comparing versions in the command line, since the head may move between the look and the update; the acceptance compares with the head that it updates.

Change: `apply` names the version that its differences start from, none included; another one is a conflict. Wrong command lines end like every other error.

Conclusion: bad input to every command ends with a clear error and its exit code, and changes nothing.

--- a/crates/cicadactl/src/change.rs
+++ b/crates/cicadactl/src/change.rs
@@ -31,8 +31,8 @@
     };
     let found = cicadagw_accept::head(store).await?;
     let differences = differences(store, found.as_ref(), config, preset.as_ref()).await?;
-    let newest = found.map(|found| found.head.version());
-    request.base = request.base.or(newest);
+    let newest = found.map_or(Version::default(), |found| found.head.version());
+    request.base = request.base.or(Some(newest));
     submit(store, request, differences).await
 }
 
@@ -116,21 +116,21 @@
 }
 
 fn conflict(winner: Option<&Entry>) -> Failure {
-    let other = winner.map_or_else(
-        || "it could not be read".to_owned(),
-        |entry| {
-            let Entry {
-                change, operator, ..
-            } = entry;
-            format!(
-                "version {} by {operator} (change {change})",
-                entry.stamp.version
-            )
-        },
-    );
+    let message = match winner {
+        Some(Entry {
+            change,
+            operator,
+            stamp,
+            ..
+        }) => format!(
+            "another change came first: version {} by {operator} (change {change})",
+            stamp.version
+        ),
+        None => "another version is in force than the one this change starts from".to_owned(),
+    };
     Failure::new(
         Exit::Conflict,
-        format!("another change came first: {other}"),
+        message,
         "nothing of this change took effect; look at the other one with `cicadactl history` and \
          `cicadactl get`, then try again",
     )
--- a/crates/cicadactl/src/follow.rs
+++ b/crates/cicadactl/src/follow.rs
@@ -86,21 +86,18 @@
         let mut last = String::new();
         loop {
             let outcome = self.round(version, deadline, &mut accepted).await;
-            let line = match &outcome {
+            let line = match outcome {
+                Ok(()) if self.fleet.holds(version) => return Ok(self.answer(version)),
+                Ok(()) if self.now() >= deadline => return Err(self.late(version, timeout)),
                 Ok(()) => self.fleet.progress(version),
-                Err(failure) => failure.message.clone(),
+                Err(failure) if failure.exit != Exit::Unavailable => return Err(failure),
+                Err(failure) if self.now() >= deadline => return Err(failure),
+                Err(failure) => failure.message,
             };
             if line != last {
                 progress(&line);
                 last = line;
             }
-            match outcome {
-                Ok(()) if accepted && self.fleet.holds(version) => return Ok(self.answer(version)),
-                Err(failure) if failure.exit != Exit::Unavailable => return Err(failure),
-                Err(failure) if self.now() >= deadline => return Err(failure),
-                Ok(()) if self.now() >= deadline => return Err(self.late(version, timeout)),
-                _ => {}
-            }
         }
     }
 
--- a/crates/cicadactl/src/main.rs
+++ b/crates/cicadactl/src/main.rs
@@ -21,7 +21,12 @@
 fn main() -> ExitCode {
     let flags = match Cicadactl::from_env() {
         Ok(flags) => flags,
-        Err(error) => error.exit(),
+        Err(error) if error.is_help() => error.exit(),
+        Err(error) => {
+            let help = "`cicadactl --help` shows the commands and their flags";
+            report(&usage(&error.to_string(), help), false);
+            return ExitCode::from(Exit::Usage.code());
+        }
     };
     let exit = match actix::System::new().block_on(perform(&flags)) {
         Ok(answer) => {
--- /dev/null
+++ b/crates/cicadactl/tests/command/main.rs
@@ -0,0 +1,5 @@
+//! What every command prints and how it ends, against the stand-in of the platform.
+
+mod refusals;
+mod sessions;
+mod shell;
--- /dev/null
+++ b/crates/cicadactl/tests/command/refusals.rs
@@ -0,0 +1,101 @@
+//! Bad input to every command gets a clear error and changes nothing.
+
+use cicadagw_dev::platform::Change;
+
+use crate::shell::{BROKEN, FAULTY, SHOP, Shell, closed_address};
+
+#[test]
+fn bad_files() {
+    let mut shell = Shell::with_shop();
+
+    for file in [FAULTY, BROKEN, "tests/files/none.jsonc"] {
+        shell.run(&format!("check {file}"));
+        shell.run(&format!("diff {file}"));
+        shell.run(&format!("--operator asha apply {file}"));
+    }
+    shell.run("history");
+
+    insta::assert_snapshot!(shell.session());
+}
+
+#[test]
+fn bad_command_lines() {
+    let mut shell = Shell::with_shop();
+
+    shell.run("");
+    shell.run("aply");
+    shell.run("check");
+    shell.run(&format!("apply {SHOP}"));
+    shell.run(&format!("--operator Asha apply {SHOP}"));
+    shell.run("--operator asha rollback one");
+    shell.run("--operator asha preset use");
+    shell.run("status --wait 1 --timeout 10s");
+    shell.run("status --wait 1 --watch");
+    shell.run("status --timeout 5ms");
+    shell.run("dump kochi-a");
+    shell.run_with(&[], "history", "no address");
+    shell.run("history");
+
+    insta::assert_snapshot!(shell.session());
+}
+
+#[test]
+fn bad_names_and_versions() {
+    let mut shell = Shell::with_shop();
+
+    shell.run("--operator asha preset use gone --change two");
+    shell.run("--operator asha rollback 7 --change two");
+    shell.run(&format!(
+        "--operator asha apply {SHOP} --preset gone --change two"
+    ));
+    shell.run("status --wait 7");
+    shell.run("history");
+
+    insta::assert_snapshot!(shell.session());
+}
+
+#[test]
+fn an_empty_platform() {
+    let mut shell = Shell::new();
+
+    for line in ["get", "history", "preset list", "status", "status --wait 1"] {
+        shell.run(line);
+    }
+    shell.run("--operator asha preset use peak --change one");
+    shell.run("--operator asha rollback 1 --change one");
+
+    insta::assert_snapshot!(shell.session());
+}
+
+#[test]
+fn a_platform_that_is_down() {
+    let mut shell = Shell::with_shop();
+    shell.platform.control(Change {
+        down: Some(true),
+        ..Change::default()
+    });
+
+    for line in ["get", "history", "preset list", "status"] {
+        shell.run(line);
+    }
+    shell.run("status --wait 1 --timeout 0ms");
+    shell.run(&format!("diff {SHOP}"));
+    shell.run(&format!("--operator asha apply {SHOP} --change two"));
+    shell.run("--operator asha preset use peak --change two");
+    shell.run("--operator asha rollback 1 --change two");
+
+    insta::assert_snapshot!(shell.session());
+}
+
+#[test]
+fn nobody_at_the_address() {
+    let mut shell = Shell::new();
+    let address = closed_address().to_string();
+
+    shell.run_with(&["--platform", &address], "history", &address);
+    for command in ["dump", "nodes", "endpoints"] {
+        shell.run_with(&[], &format!("{command} {address}"), &address);
+    }
+
+    insta::assert_snapshot!(shell.session());
+}
--- /dev/null
+++ b/crates/cicadactl/tests/command/sessions.rs
@@ -0,0 +1,159 @@
+//! Whole sessions of operators.
+
+use cicadagw_dev::platform::Change;
+use serde_json::{Value, json};
+
+use crate::shell::{SHOP, STORE, Shell, admin};
+
+/// What a node tells of itself, as far as the commands show it.
+const DUMP: &str = r#"{
+  "endpoints": {
+    "shop-1": {
+      "address": "127.0.0.1:7102", "domain": "kochi-a", "endpoint": "shop-1",
+      "link": "127.0.0.1:7101", "node": "n1", "rack": "r1", "region": "kochi", "sequence": 3,
+      "service": "shop", "slots": 10, "state": "ready"
+    },
+    "shop-2": {
+      "address": "127.0.0.1:7202", "domain": "kochi-b", "endpoint": "shop-2",
+      "link": "127.0.0.1:7201", "node": "n2", "rack": "r2", "region": "kochi", "sequence": 9,
+      "service": "shop", "slots": 10, "state": "gone"
+    }
+  },
+  "identity": {
+    "domain": "kochi-a", "region": "kochi",
+    "member": { "link": "127.0.0.1:7001", "node": "n0", "rack": "r0" }
+  },
+  "node": "n0"
+}"#;
+
+#[test]
+fn an_ordinary_day() {
+    let mut shell = Shell::new();
+
+    shell.run(&format!("check {SHOP}"));
+    shell.run(&format!(
+        "--operator asha apply {SHOP} --dry-run --change one"
+    ));
+    shell.run(&format!("--operator asha apply {SHOP} --change one"));
+    shell.run("get");
+    shell.run("preset list");
+    shell.run(&format!("diff {STORE}"));
+    shell.run(&format!("--operator beena apply {STORE} --change two"));
+    shell.run(&format!("diff {STORE}"));
+    shell.run("--operator beena preset use peak --change three");
+    shell.run("--operator asha rollback 1 --change four");
+    shell.run("history");
+    shell.run("status");
+
+    insta::assert_snapshot!(shell.session());
+}
+
+#[test]
+fn for_scripts() {
+    let mut shell = Shell::with_shop();
+
+    shell.run(&format!("--json check {SHOP}"));
+    shell.run(&format!("--json diff {STORE}"));
+    shell.run("--json --operator asha preset use peak --change two");
+    shell.run("--json preset list");
+    shell.run("--json status");
+    shell.run("--json --operator asha rollback 9 --change three");
+
+    insta::assert_snapshot!(shell.session());
+}
+
+#[test]
+fn the_same_change_again() {
+    let mut shell = Shell::with_shop();
+
+    shell.run(&format!("--operator asha apply {STORE} --change two"));
+    shell.run(&format!("--operator asha apply {STORE} --change two"));
+    shell.run(&format!("--operator asha apply {SHOP} --change two"));
+    shell.run("history");
+
+    insta::assert_snapshot!(shell.session());
+}
+
+#[test]
+fn two_operators_from_one_version() {
+    let mut shell = Shell::with_shop();
+
+    shell.run("--operator beena preset use peak --change theirs");
+    shell.run(&format!(
+        "--operator asha apply {STORE} --change mine --base 1"
+    ));
+    shell.run("history");
+
+    insta::assert_snapshot!(shell.session());
+}
+
+#[test]
+fn a_lost_answer_is_no_second_change() {
+    let mut shell = Shell::with_shop();
+    shell.platform.control(Change {
+        drop_answer_of_next_put: Some(true),
+        ..Change::default()
+    });
+
+    shell.run(&format!("--operator asha apply {STORE} --change two"));
+    shell.run("history");
+
+    insta::assert_snapshot!(shell.session());
+}
+
+/// The status of a failure domain of three nodes.
+fn status(domain: &str, newest: u64, lowest: u64, laggards: &Value) -> Value {
+    json!({
+        "domain": domain,
+        "newest": newest,
+        "report": { "lowest": lowest, "count": 3, "serving": 3, "laggards": laggards },
+        "root": format!("{domain}-1"),
+        "written": 4,
+    })
+}
+
+#[test]
+fn how_the_fleet_stands() {
+    let mut shell = Shell::with_shop();
+    shell.run("--operator asha preset use peak --change two");
+    for domain in ["kochi-a", "kochi-b", "kozhikode-a", "kozhikode-b"] {
+        shell.put(&format!("directory/{domain}"), &json!({}));
+    }
+    let refused = json!([{
+        "node": "kochi-b-2", "held": 1, "reason": { "refused": "its digest is another" },
+    }]);
+    shell.put("status/kochi-a", &status("kochi-a", 2, 2, &json!([])));
+    shell.put("status/kochi-b", &status("kochi-b", 2, 1, &refused));
+    shell.put(
+        "status/kozhikode-a",
+        &status("kozhikode-a", 1, 1, &json!([])),
+    );
+
+    shell.run("status");
+    shell.run("--json status");
+    shell.run("status --wait 2 --timeout 0ms");
+    shell.put("status/kochi-b", &status("kochi-b", 2, 2, &json!([])));
+    shell.put(
+        "status/kozhikode-a",
+        &status("kozhikode-a", 2, 2, &json!([])),
+    );
+    shell.put(
+        "status/kozhikode-b",
+        &status("kozhikode-b", 2, 2, &json!([])),
+    );
+    shell.run("status --wait 2 --timeout 60000ms");
+
+    insta::assert_snapshot!(shell.session());
+}
+
+#[test]
+fn what_a_node_tells() {
+    let mut shell = Shell::new();
+    let address = admin(DUMP).to_string();
+
+    for command in ["nodes", "endpoints", "--json nodes", "dump"] {
+        shell.run_with(&[], &format!("{command} {address}"), &address);
+    }
+
+    insta::assert_snapshot!(shell.session());
+}
--- a/crates/cicadagw-accept/src/session.rs
+++ b/crates/cicadagw-accept/src/session.rs
@@ -153,7 +153,7 @@
             }),
             Guard::Known if self.state == State::Reading => self.known().is_some(),
             Guard::Known => self.known().map(|(entry, _)| entry) == self.entry().as_ref(),
-            Guard::Overtaken => self.winner().is_some(),
+            Guard::Overtaken => self.is_overtaken(),
             Guard::Forgotten => self.doubtful && self.has_moved(),
             Guard::Faulty => matches!(self.candidate, Some(Err(_))),
             Guard::Trial => self.request.trial,
@@ -205,17 +205,26 @@
         head.find(&self.request.change).map(|entry| (entry, head))
     }
 
+    /// Tells whether another change stands where this one was to stand.
+    fn is_overtaken(&self) -> bool {
+        match (self.state, self.request.base) {
+            (State::Reading, Some(base)) => base != self.version(),
+            (State::Reading, None) => false,
+            _ => self.winner().is_some(),
+        }
+    }
+
     /// Returns the change that stands where this one was to stand.
     fn winner(&self) -> Option<&Entry> {
         let head = &self.newest.as_ref()?.head;
-        let base = match (self.state, self.request.base) {
-            (State::Reading, Some(base)) if base != head.version() => base,
-            (State::Reading, _) => return None,
+        let is_first_look = self.state == State::Reading;
+        let base = match self.request.base {
+            Some(base) if is_first_look => base,
             _ => self.version(),
         };
         // Where the history no longer reaches back, the newest change stands for the first one,
         // unless that first one may have been this change.
-        let is_other = !self.doubtful && (self.state == State::Reading || self.has_moved());
+        let is_other = !self.doubtful && (is_first_look || self.has_moved());
         find(head, base.next()).or_else(|| is_other.then(|| head.newest()))
     }
 
--- a/crates/cicadagw-accept/tests/accept/change.rs
+++ b/crates/cicadagw-accept/tests/accept/change.rs
@@ -98,6 +98,18 @@
     assert_eq!(winner(&outcome), Some(("asha".to_owned(), 2)));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_change_made_from_a_version_that_is_gone_is_a_conflict() {
+    let store = Fake::default();
+    let mut late = apply("late", "beena", "late");
+    late.base = Some(Version::new(1));
+
+    let outcome = run(&store, late).await;
+
+    assert_eq!(outcome, Outcome::Conflict(None));
+    assert_eq!(store.keys(), []);
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_answer_lost_after_the_effect_is_no_second_change() {
     let store = store_with(&["shop"]).await;
