--- a/crates/cicadactl/tests/command/main.rs
+++ b/crates/cicadactl/tests/command/main.rs
@@ -1,5 +1,6 @@
 //! What every command prints and how it ends, against the stand-in of the platform.
 
+mod page;
 mod refusals;
 mod sessions;
 mod shell;
--- /dev/null
+++ b/crates/cicadactl/tests/command/page.rs
@@ -0,0 +1,116 @@
+//! The sessions of the page on operations print what the page says.
+//!
+//! With `WRITE_PAGE` in the environment the page is written anew.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::{env, fs};
+
+use serde_json::{Value, json};
+
+use crate::shell::{Shell, admin};
+
+/// The page.
+const PAGE: &str = include_str!("../../../../docs/OPERATIONS.md");
+
+/// The configuration that the page begins with.
+const MESH: &str = include_str!("../../../../examples/kalavara/config.jsonc");
+
+/// What begins a session, and what ends it.
+const FENCES: [&str; 2] = ["```console", "```"];
+
+/// The addresses that the page names.
+const PLATFORM: &str = "127.0.0.1:7000";
+const ADMIN: &str = "127.0.0.1:7003";
+
+/// What the node at [`ADMIN`] tells of itself, as far as the page shows it.
+const DUMP: &str = r#"{
+  "endpoints": {
+    "orders-7f3a": {
+      "address": "127.0.0.1:7102", "domain": "kochi-a", "endpoint": "orders-7f3a",
+      "link": "127.0.0.1:7101", "node": "kochi-a-orders", "rack": "r2", "region": "kochi",
+      "sequence": 3, "service": "orders", "slots": 10, "state": "ready"
+    }
+  },
+  "identity": {
+    "domain": "kochi-a", "region": "kochi",
+    "member": { "link": "127.0.0.1:7001", "node": "kochi-a-catalogue", "rack": "r1" }
+  }
+}"#;
+
+/// The status of a failure domain of three nodes.
+fn status(domain: &str, lowest: u64, laggards: &Value) -> Value {
+    json!({
+        "domain": domain,
+        "newest": 4,
+        "report": { "lowest": lowest, "count": 3, "serving": 3, "laggards": laggards },
+        "root": format!("{domain}-catalogue"),
+        "written": 9,
+    })
+}
+
+/// A platform with the status of two failure domains, one of which lags.
+fn fleet() -> Shell {
+    let shell = Shell::new();
+    let behind = json!([{ "node": "kochi-b-media", "held": 3, "reason": "behind" }]);
+    shell.put("directory/kochi-a", &json!({}));
+    shell.put("directory/kochi-b", &json!({}));
+    shell.put("status/kochi-a", &status("kochi-a", 4, &json!([])));
+    shell.put("status/kochi-b", &status("kochi-b", 3, &behind));
+    shell
+}
+
+/// An empty folder with the configuration.
+fn folder() -> PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("page");
+    fs::create_dir_all(&folder).unwrap();
+    fs::write(folder.join("mesh.jsonc"), MESH).unwrap();
+    folder
+}
+
+/// Runs one line and returns what it prints.
+fn output(folder: &Path, line: &str, platform: SocketAddr, node: SocketAddr) -> String {
+    let program = Path::new(env!("CARGO_BIN_EXE_cicadactl"));
+    let path = env::var("PATH").unwrap();
+    let script = line
+        .replace(PLATFORM, &platform.to_string())
+        .replace(ADMIN, &node.to_string());
+    let output = Command::new("sh")
+        .args(["-c", &format!("exec 2>&1\n{script}")])
+        .current_dir(folder)
+        .env(
+            "PATH",
+            format!("{}:{path}", program.parent().unwrap().display()),
+        )
+        .output()
+        .unwrap();
+    String::from_utf8(output.stdout).unwrap()
+}
+
+#[test]
+fn the_page_shows_what_its_commands_print() {
+    let shell = fleet();
+    let node = admin(DUMP);
+    let folder = folder();
+    let mut in_session = false;
+    let mut written = String::new();
+
+    for line in PAGE.lines() {
+        if FENCES.contains(&line) {
+            in_session = line == FENCES[0];
+        }
+        let is_output = in_session && !line.starts_with('$') && line != FENCES[0];
+        if !is_output {
+            written.extend([line, "\n"]);
+        }
+        if let Some(command) = line.strip_prefix("$ ").filter(|_| in_session) {
+            written.push_str(&output(&folder, command, shell.platform.address, node));
+        }
+    }
+
+    if env::var_os("WRITE_PAGE").is_some() {
+        fs::write("../../docs/OPERATIONS.md", &written).unwrap();
+    }
+    assert_eq!(written, PAGE);
+}
