Show what each duty counts; measure added time

Cause: links and calls came with counters of their own, so the meter's counters of messages and calls would have stood beside them and stayed at zero. Nothing measured the time that a node adds to a call, and a draining node read as ready.

Ruled out: links and calls counting twice; moving their counters into the meter, which would change two crates for the same figures.

Change: the admin duty reads the counts of links and calls as they are; the meter keeps versions, endpoints, platform calls and rings. Readiness follows from the version held and from the token that stops the node. A call keeps the time for which others were waited for, and the rest of its time goes into a histogram.

Conclusion: bytes over the link between regions are not told apart yet.

--- a/crates/cicadagw-admin/src/latency.rs
+++ b/crates/cicadagw-admin/src/latency.rs
@@ -4,8 +4,10 @@
 //! directly.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
-use cicadagw_meter::{BOUNDS_MICROS, Meter};
+use cicadagw_meter::BOUNDS_MICROS;
+use cicadagw_proxy::Stats;
 use prometheus::core::{Collector, Desc};
 use prometheus::proto::{Bucket, Histogram, Metric, MetricFamily, MetricType};
 
@@ -13,21 +15,21 @@
 const NAME: &str = "cicadagw_call_added_latency_seconds";
 
 /// What the histogram shows.
-const HELP: &str = "Time that this node added to calls";
+const HELP: &str = "Time that this node added to answered calls";
 
 /// Microseconds in a second.
 const MICROS: f64 = 1e6;
 
-/// Reads the added times of a meter.
+/// Reads the added times of calls.
 pub(crate) struct LatencyCollector {
     desc: Desc,
-    meter: Meter,
+    calls: Arc<Stats>,
 }
 
 impl LatencyCollector {
-    pub(crate) fn new(meter: Meter) -> Result<Self, prometheus::Error> {
+    pub(crate) fn new(calls: Arc<Stats>) -> Result<Self, prometheus::Error> {
         let desc = Desc::new(NAME.into(), HELP.into(), Vec::new(), HashMap::default())?;
-        Ok(Self { desc, meter })
+        Ok(Self { desc, calls })
     }
 }
 
@@ -38,7 +40,7 @@
 
     fn collect(&self) -> Vec<MetricFamily> {
         let mut metric = Metric::default();
-        metric.set_histogram(histogram(&self.meter));
+        metric.set_histogram(histogram(&self.calls));
         let mut family = MetricFamily::default();
         family.set_name(NAME.into());
         family.set_help(HELP.into());
@@ -48,8 +50,8 @@
     }
 }
 
-fn histogram(meter: &Meter) -> Histogram {
-    let latency = meter.latency();
+fn histogram(calls: &Stats) -> Histogram {
+    let latency = calls.latency();
     let mut cumulative = 0;
     let buckets = BOUNDS_MICROS
         .iter()
--- a/crates/cicadagw-admin/src/lib.rs
+++ b/crates/cicadagw-admin/src/lib.rs
@@ -9,10 +9,12 @@
 mod level;
 mod metrics;
 mod problem;
+mod reading;
 mod redact;
 mod request;
 mod run;
 mod setup;
+mod sources;
 
 pub use redact::redact;
 pub use request::Request;
--- a/crates/cicadagw-admin/src/metrics.rs
+++ b/crates/cicadagw-admin/src/metrics.rs
@@ -3,7 +3,8 @@
 use actix_web::HttpResponse;
 use actix_web::web::Data;
 use cicadagw_endpoint::State;
-use cicadagw_meter::{Kind, Meter, Operation, Outcome, Reach, Success};
+use cicadagw_link::traffic::{Count, Kind, Way};
+use cicadagw_meter::{Operation, Success};
 use cicadagw_ring::Gauge;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{self, AsyncInstrument, MeterProvider};
@@ -12,6 +13,7 @@
 
 use crate::latency::LatencyCollector;
 use crate::problem::Problem;
+use crate::sources::Sources;
 
 /// What the name of every metric begins with.
 const NAMESPACE: &str = "cicadagw";
@@ -19,7 +21,7 @@
 /// The unit of sizes.
 const BYTES: &str = "By";
 
-/// Reads a meter whenever metrics are asked for.
+/// Reads what the duties count whenever metrics are asked for.
 pub(crate) struct Metrics {
     registry: Registry,
     /// Keeps the instruments alive.
@@ -27,10 +29,10 @@
 }
 
 impl Metrics {
-    /// Creates the instruments over `meter`.
-    pub(crate) fn new(meter: &Meter) -> Result<Self, Box<dyn std::error::Error + Send + Sync>> {
+    /// Creates the instruments over `sources`.
+    pub(crate) fn new(sources: &Sources) -> Result<Self, Box<dyn std::error::Error + Send + Sync>> {
         let registry = Registry::new();
-        registry.register(Box::new(LatencyCollector::new(meter.clone())?))?;
+        registry.register(Box::new(LatencyCollector::new(sources.calls.clone())?))?;
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
             .with_namespace(NAMESPACE)
@@ -40,7 +42,7 @@
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let instruments = Instruments {
             factory: provider.meter(NAMESPACE),
-            meter,
+            sources,
         };
         instruments.add_versions();
         instruments.add_messages();
@@ -72,13 +74,13 @@
         .body(text))
 }
 
-/// Something that reads a meter and observes what it shows.
-type Observe = fn(&Meter, &dyn AsyncInstrument<u64>);
+/// Something that reads counts and observes them.
+type Observe = fn(&Sources, &dyn AsyncInstrument<u64>);
 
-/// Makes instruments that read a meter.
-struct Instruments<'m> {
+/// Makes instruments that read what the duties count.
+struct Instruments<'s> {
     factory: metrics::Meter,
-    meter: &'m Meter,
+    sources: &'s Sources,
 }
 
 impl Instruments<'_> {
@@ -89,21 +91,21 @@
         help: &'static str,
         observe: Observe,
     ) {
-        let meter = self.meter.clone();
+        let sources = self.sources.clone();
         self.factory
             .u64_observable_counter(name)
             .with_unit(unit)
             .with_description(help)
-            .with_callback(move |instrument| observe(&meter, instrument))
+            .with_callback(move |instrument| observe(&sources, instrument))
             .build();
     }
 
     fn gauge(&self, name: &'static str, help: &'static str, observe: Observe) {
-        let meter = self.meter.clone();
+        let sources = self.sources.clone();
         self.factory
             .u64_observable_gauge(name)
             .with_description(help)
-            .with_callback(move |instrument| observe(&meter, instrument))
+            .with_callback(move |instrument| observe(&sources, instrument))
             .build();
     }
 
@@ -111,12 +113,12 @@
         self.gauge(
             "version_held",
             "Configuration version held; 0 when there is none yet",
-            |meter, instrument| instrument.observe(meter.held().get(), &[]),
+            |sources, instrument| instrument.observe(sources.meter.held().get(), &[]),
         );
         self.gauge(
             "version_highest_seen",
             "Highest configuration version seen",
-            |meter, instrument| instrument.observe(meter.seen().get(), &[]),
+            |sources, instrument| instrument.observe(sources.meter.seen().get(), &[]),
         );
     }
 
@@ -125,22 +127,36 @@
             "control_sent",
             BYTES,
             "Bytes sent to other nodes",
-            |meter, instrument| {
-                for_messages(|kind, reach, labels| {
-                    instrument.observe(meter.sent_bytes(kind, reach).get(), labels);
-                });
+            |sources, instrument| {
+                for_kinds(sources, instrument, Way::Sent, |count| count.bytes.get());
             },
         );
         self.counter(
             "control_received",
             BYTES,
             "Bytes received from other nodes",
-            |meter, instrument| {
-                for_messages(|kind, reach, labels| {
-                    instrument.observe(meter.received_bytes(kind, reach).get(), labels);
+            |sources, instrument| {
+                for_kinds(sources, instrument, Way::Received, |count| {
+                    count.bytes.get()
                 });
             },
         );
+        self.counter(
+            "control_sent_messages",
+            "",
+            "Messages sent to other nodes",
+            |sources, instrument| {
+                for_kinds(sources, instrument, Way::Sent, |count| count.messages);
+            },
+        );
+        self.counter(
+            "control_received_messages",
+            "",
+            "Messages received from other nodes",
+            |sources, instrument| {
+                for_kinds(sources, instrument, Way::Received, |count| count.messages);
+            },
+        );
     }
 
     fn add_platform(&self) {
@@ -148,14 +164,15 @@
             "platform_calls",
             "",
             "Calls to the platform",
-            |meter, instrument| {
+            |sources, instrument| {
                 for operation in Operation::ALL {
                     for success in Success::ALL {
                         let labels = [
                             KeyValue::new("operation", operation.as_str()),
                             KeyValue::new("outcome", success.as_str()),
                         ];
-                        instrument.observe(meter.platform_calls(*operation, *success), &labels);
+                        instrument
+                            .observe(sources.meter.platform_calls(*operation, *success), &labels);
                     }
                 }
             },
@@ -166,18 +183,18 @@
         self.gauge(
             "ring_capacity",
             "Messages that a ring holds at the most",
-            |meter, instrument| for_rings(meter, instrument, |ring| ring.capacity() as u64),
+            |sources, instrument| for_rings(sources, instrument, |ring| ring.capacity() as u64),
         );
         self.gauge(
             "ring_fill",
             "Messages that wait in a ring",
-            |meter, instrument| for_rings(meter, instrument, Gauge::fill),
+            |sources, instrument| for_rings(sources, instrument, Gauge::fill),
         );
         self.counter(
             "ring_refused",
             "",
             "Messages refused because a ring was full",
-            |meter, instrument| for_rings(meter, instrument, Gauge::refused),
+            |sources, instrument| for_rings(sources, instrument, Gauge::refused),
         );
     }
 
@@ -185,14 +202,14 @@
         self.gauge(
             "endpoints",
             "Endpoints known, by state",
-            |meter, instrument| {
+            |sources, instrument| {
                 for (state, name) in [
                     (State::Ready, "ready"),
                     (State::Draining, "draining"),
                     (State::Gone, "gone"),
                 ] {
                     let labels = [KeyValue::new("state", name)];
-                    instrument.observe(meter.endpoints(state), &labels);
+                    instrument.observe(sources.meter.endpoints(state), &labels);
                 }
             },
         );
@@ -203,41 +220,53 @@
             "calls",
             "",
             "Calls that ended, by outcome",
-            |meter, instrument| {
-                for outcome in Outcome::ALL {
-                    let labels = [KeyValue::new("outcome", outcome.as_str())];
-                    instrument.observe(meter.calls(*outcome), &labels);
+            |sources, instrument| {
+                let counts = sources.calls.counts();
+                for (number, outcome) in [
+                    (counts.answered, "answered"),
+                    (counts.not_run, "not-run"),
+                    (counts.unknown, "unknown"),
+                ] {
+                    instrument.observe(number, &[KeyValue::new("outcome", outcome)]);
                 }
             },
         );
-        self.gauge("calls_in_flight", "Calls in flight", |meter, instrument| {
-            instrument.observe(meter.in_flight(), &[]);
-        });
+        self.counter(
+            "calls_shed",
+            "",
+            "Calls that backend servers of this host had no room for",
+            |sources, instrument| instrument.observe(sources.calls.counts().shed, &[]),
+        );
+        self.gauge(
+            "calls_in_flight",
+            "Calls in flight",
+            |sources, instrument| instrument.observe(sources.calls.counts().in_flight, &[]),
+        );
         self.counter(
             "call_retries",
             "",
             "Attempts after the first",
-            |meter, instrument| instrument.observe(meter.retries(), &[]),
+            |sources, instrument| instrument.observe(sources.calls.counts().retries, &[]),
         );
     }
 }
 
-/// Calls `observe` for each kind and reach of messages.
-fn for_messages(mut observe: impl FnMut(Kind, Reach, &[KeyValue])) {
+/// Observes `value` of each kind of messages that went `way`.
+fn for_kinds(
+    sources: &Sources,
+    instrument: &dyn AsyncInstrument<u64>,
+    way: Way,
+    value: fn(&Count) -> u64,
+) {
     for kind in Kind::ALL {
-        for reach in Reach::ALL {
-            let labels = [
-                KeyValue::new("kind", kind.as_str()),
-                KeyValue::new("reach", reach.as_str()),
-            ];
-            observe(*kind, *reach, &labels);
-        }
+        let count = sources.links.count(way, kind);
+        instrument.observe(value(&count), &[KeyValue::new("kind", kind.as_str())]);
     }
 }
 
 /// Observes `value` of each ring.
-fn for_rings(meter: &Meter, instrument: &dyn AsyncInstrument<u64>, value: fn(&Gauge) -> u64) {
-    for ring in meter.rings() {
+fn for_rings(sources: &Sources, instrument: &dyn AsyncInstrument<u64>, value: fn(&Gauge) -> u64) {
+    for ring in sources.meter.rings() {
         instrument.observe(value(&ring), &[KeyValue::new("ring", ring.name())]);
     }
 }
--- /dev/null
+++ b/crates/cicadagw-admin/src/reading.rs
@@ -0,0 +1,65 @@
+//! What the duties have counted, for dumps.
+
+use std::collections::BTreeMap;
+
+use cicadagw_link::traffic::{Kind, Way};
+use cicadagw_meter::Latency;
+use cicadagw_proxy::stats::{Counts, State};
+use cicadagw_ring::Gauge;
+use cicadagw_unit::size::Bytes;
+
+use crate::sources::Sources;
+
+/// What the duties have counted at one time, each count read on its own.
+#[derive(serde::Serialize)]
+pub(crate) struct Reading {
+    /// How calls ended.
+    calls: Counts,
+    /// The backend servers of the host, and the endpoints that calls go to.
+    calls_state: State,
+    /// The times that this node added to answered calls.
+    latency: Latency,
+    /// Bytes received from other nodes, by kind.
+    received: BTreeMap<&'static str, Bytes>,
+    /// The rings between the duties.
+    rings: Vec<Ring>,
+    /// Bytes sent to other nodes, by kind.
+    sent: BTreeMap<&'static str, Bytes>,
+}
+
+/// What the gauge of a ring showed at one time.
+#[derive(serde::Serialize)]
+struct Ring {
+    capacity: usize,
+    fill: u64,
+    name: &'static str,
+    refused: u64,
+}
+
+impl From<&Gauge> for Ring {
+    fn from(gauge: &Gauge) -> Self {
+        Self {
+            capacity: gauge.capacity(),
+            fill: gauge.fill(),
+            name: gauge.name(),
+            refused: gauge.refused(),
+        }
+    }
+}
+
+impl From<&Sources> for Reading {
+    fn from(sources: &Sources) -> Self {
+        let carried = |way| {
+            let bytes = |kind: &Kind| (kind.as_str(), sources.links.count(way, *kind).bytes);
+            Kind::ALL.iter().map(bytes).collect()
+        };
+        Self {
+            calls: sources.calls.counts(),
+            calls_state: sources.calls.state(),
+            latency: sources.calls.latency(),
+            received: carried(Way::Received),
+            rings: sources.meter.rings().iter().map(Ring::from).collect(),
+            sent: carried(Way::Sent),
+        }
+    }
+}
--- a/crates/cicadagw-admin/src/run.rs
+++ b/crates/cicadagw-admin/src/run.rs
@@ -10,6 +10,7 @@
 
 use crate::guard::Guard;
 use crate::metrics::Metrics;
+use crate::sources::Sources;
 use crate::{Setup, dump, guard, health, level, metrics, problem};
 
 /// How long a request may take to arrive.
@@ -32,30 +33,36 @@
 
 async fn serve(setup: Setup) -> io::Result<()> {
     let Setup {
+        calls,
         cancel,
         control,
+        links,
         listener,
         meter,
         node,
         set_level,
+        stop,
         token,
     } = setup;
-    let metrics = Data::new(Metrics::new(&meter).map_err(io::Error::other)?);
-    let guard = Data::new(Guard::new(token.as_deref()));
-    let dump = Data::new(dump::State {
-        control,
-        meter: meter.clone(),
+    let sources = Sources {
+        calls,
+        links,
+        meter,
         node,
-    });
-    let meter = Data::new(meter);
+        stop,
+    };
+    let metrics = Data::new(Metrics::new(&sources).map_err(io::Error::other)?);
+    let control = Data::new(control);
+    let guard = Data::new(Guard::new(token.as_deref()));
     let set_level = Data::new(level::Setter(set_level));
+    let sources = Data::new(sources);
     let server = HttpServer::new(move || {
         App::new()
-            .app_data(dump.clone())
+            .app_data(control.clone())
             .app_data(guard.clone())
-            .app_data(meter.clone())
             .app_data(metrics.clone())
             .app_data(set_level.clone())
+            .app_data(sources.clone())
             .wrap(from_fn(guard::check))
             .configure(pages)
             .default_service(web::to(problem::no_page))
--- a/crates/cicadagw-admin/tests/pages.rs
+++ b/crates/cicadagw-admin/tests/pages.rs
@@ -1,18 +1,17 @@
 //! The pages of a node answer what they should, over HTTP.
 
 use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::JoinHandle;
-use std::time::Duration;
 
 use actix_web::http::StatusCode;
 use awc::Client;
 use cicadagw_admin::{Request, Setup, redact, run};
-use cicadagw_meter::{Kind, Meter, Operation, Outcome, Reach, Success};
+use cicadagw_meter::{Meter, Operation, Success};
 use cicadagw_ring::{Receiver, channel};
 use cicadagw_settings::Level;
 use cicadagw_unit::Version;
-use cicadagw_unit::size::Bytes;
 use serde_json::{Value, json};
 use tokio_util::sync::CancellationToken;
 
@@ -22,6 +21,7 @@
     cancel: CancellationToken,
     control: Receiver<Request>,
     meter: Meter,
+    stop: CancellationToken,
     thread: JoinHandle<std::io::Result<()>>,
 }
 
@@ -48,7 +48,11 @@
     let meter = Meter::default();
     let (sender, control) = channel("admin-control", 4);
     meter.add_ring(sender.gauge().clone());
+    let stop = CancellationToken::new();
     let setup = Setup::builder()
+        .calls(Arc::default())
+        .links(cicadagw_link::Traffic::default())
+        .stop(stop.clone())
         .cancel(cancel.clone())
         .control(sender)
         .listener(listener)
@@ -62,6 +66,7 @@
         cancel,
         control,
         meter,
+        stop,
         thread: std::thread::spawn(|| run(setup)),
     }
 }
@@ -119,7 +124,20 @@
 }
 
 #[actix_web::test]
-async fn a_dump_joins_control_and_meter_without_secrets() {
+async fn a_node_that_drains_is_not_ready() {
+    let duty = start(None);
+    duty.meter.hold(Version::new(3));
+
+    duty.stop.cancel();
+    let draining = duty.get("/ready", None).await;
+
+    assert_eq!(draining.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(draining.json()["reason"], "the node is draining");
+    duty.stop();
+}
+
+#[actix_web::test]
+async fn a_dump_joins_control_and_counts_without_secrets() {
     let duty = start(None);
     let control = json!({"secrets": {"till": {"header": "x-key", "value": "sesame"}}, "held": 3});
     let answer_one = async {
@@ -135,7 +153,7 @@
     assert_eq!(dump["node"], "kochi-a-1");
     assert_eq!(dump["held"], 3);
     assert_eq!(dump["secrets"]["till"]["value"], "[redacted]");
-    assert_eq!(dump["meter"]["rings"][0]["name"], "admin-control");
+    assert_eq!(dump["counts"]["rings"][0]["name"], "admin-control");
     duty.stop();
 }
 
@@ -155,11 +173,8 @@
 async fn metrics_show_what_was_counted() {
     let duty = start(None);
     duty.meter.hold(Version::new(3));
-    duty.meter.sent(Kind::Delta, Reach::Across, Bytes::new(700));
     duty.meter
         .platform_called(Operation::Watch, Success::Failed);
-    duty.meter.call_ended(Outcome::NotRun);
-    duty.meter.added(Duration::from_micros(250));
 
     let metrics = duty.get("/metrics", None).await;
 
--- a/crates/cicadagw-meter/src/label.rs
+++ b/crates/cicadagw-meter/src/label.rs
@@ -37,44 +37,6 @@
     };
 }
 
-label! {
-    /// The kind of a message between nodes.
-    Kind {
-        /// A sign of life of a parent.
-        Beat = "beat",
-        /// What leads from one snapshot to a newer one.
-        Delta = "delta",
-        /// The digests of the endpoints that a parent knows.
-        Digests = "digests",
-        /// News of endpoints.
-        Endpoints = "endpoints",
-        /// The first message of a link, and its answer.
-        Hello = "hello",
-        /// The nodes from the root down to a parent.
-        Path = "path",
-        /// The nodes that answer a roll call.
-        Present = "present",
-        /// The status of a child and of those below it.
-        Report = "report",
-        /// The wish that every node says that it is there.
-        RollCall = "roll-call",
-        /// The wish for a whole snapshot.
-        WantWhole = "want-whole",
-        /// A whole snapshot.
-        Whole = "whole",
-    }
-}
-
-label! {
-    /// How far a message goes.
-    Reach {
-        /// Both nodes are in one region.
-        Within = "within-region",
-        /// The message crosses the link between regions.
-        Across = "across-regions",
-    }
-}
-
 label! {
     /// A call to the platform.
     Operation {
@@ -100,15 +62,3 @@
         Failed = "failed",
     }
 }
-
-label! {
-    /// How a call of a caller ended.
-    Outcome {
-        /// The whole answer went to the caller.
-        Answered = "answered",
-        /// No byte of the request went to a backend server.
-        NotRun = "not-run",
-        /// The request may have run.
-        Unknown = "unknown",
-    }
-}
--- a/crates/cicadagw-meter/src/latency.rs
+++ b/crates/cicadagw-meter/src/latency.rs
@@ -1,4 +1,4 @@
-//! Histograms of the time that nodes add to calls.
+//! Histograms of times.
 
 use std::time::Duration;
 
@@ -30,20 +30,22 @@
 
 /// A histogram that is written by many threads.
 #[derive(Debug, Default)]
-pub(crate) struct Histogram {
+pub struct Histogram {
     buckets: Counts<BUCKETS>,
     sum_micros: Counts<1>,
 }
 
 impl Histogram {
-    pub(crate) fn record(&self, added: Duration) {
+    /// Counts a time.
+    pub fn record(&self, added: Duration) {
         let micros = u64::try_from(added.as_micros()).unwrap_or(u64::MAX);
         let index = BOUNDS_MICROS.partition_point(|bound| *bound < micros);
         self.buckets.add(index, 1);
         self.sum_micros.add(0, micros);
     }
 
-    pub(crate) fn read(&self) -> Latency {
+    /// Returns the counts, each read on its own.
+    pub fn read(&self) -> Latency {
         Latency {
             buckets: (0..BUCKETS).map(|index| self.buckets.get(index)).collect(),
             sum_micros: self.sum_micros.get(0),
--- a/crates/cicadagw-meter/src/lib.rs
+++ b/crates/cicadagw-meter/src/lib.rs
@@ -4,9 +4,7 @@
 mod label;
 mod latency;
 mod meter;
-mod reading;
 
-pub use label::{Kind, Operation, Outcome, Reach, Success};
-pub use latency::{BOUNDS_MICROS, Latency};
-pub use meter::{InFlight, Meter, Readiness};
-pub use reading::{Reading, Ring};
+pub use label::{Operation, Success};
+pub use latency::{BOUNDS_MICROS, Histogram, Latency};
+pub use meter::Meter;
--- a/crates/cicadagw-meter/tests/meter.rs
+++ b/crates/cicadagw-meter/tests/meter.rs
@@ -2,80 +2,62 @@
 
 use std::time::Duration;
 
-use cicadagw_meter::{BOUNDS_MICROS, Kind, Meter, Outcome, Reach, Readiness};
+use cicadagw_endpoint::State;
+use cicadagw_meter::{BOUNDS_MICROS, Histogram, Meter, Operation, Success};
 use cicadagw_unit::Version;
-use cicadagw_unit::size::Bytes;
 
 #[test]
-fn messages_are_told_apart_by_kind_and_reach() {
+fn platform_calls_are_told_apart_by_operation_and_success() {
     let meter = Meter::default();
 
-    for (index, kind) in (1..).zip(Kind::ALL) {
-        meter.sent(*kind, Reach::Within, Bytes::new(index));
-        meter.sent(*kind, Reach::Across, Bytes::new(100 * index));
+    for (index, operation) in Operation::ALL.iter().enumerate() {
+        for _ in 0..index {
+            meter.platform_called(*operation, Success::Answered);
+        }
+        meter.platform_called(*operation, Success::Failed);
     }
 
-    for (index, kind) in (1..).zip(Kind::ALL) {
-        assert_eq!(meter.sent_bytes(*kind, Reach::Within), Bytes::new(index));
-        assert_eq!(
-            meter.sent_bytes(*kind, Reach::Across),
-            Bytes::new(100 * index)
-        );
+    for (index, operation) in (0..).zip(Operation::ALL) {
+        let answered = meter.platform_calls(*operation, Success::Answered);
+        let failed = meter.platform_calls(*operation, Success::Failed);
+        assert_eq!((answered, failed), (index, 1));
     }
 }
 
 #[test]
-fn a_lower_version_changes_nothing() {
+fn endpoints_are_told_apart_by_state() {
     let meter = Meter::default();
 
-    meter.hold(Version::new(7));
-    meter.hold(Version::new(5));
-    meter.see(Version::new(6));
+    meter.set_endpoints(State::Ready, 7);
+    meter.set_endpoints(State::Draining, 2);
 
-    assert_eq!(
-        (meter.held(), meter.seen()),
-        (Version::new(7), Version::new(7))
-    );
+    let states = [State::Ready, State::Draining, State::Gone];
+    assert_eq!(states.map(|state| meter.endpoints(state)), [7, 2, 0]);
 }
 
 #[test]
-fn a_node_is_ready_from_its_first_version_until_it_drains() {
+fn a_lower_version_changes_nothing() {
     let meter = Meter::default();
 
-    let empty = meter.readiness();
-    meter.hold(Version::new(1));
-    let ready = meter.readiness();
-    meter.drain();
-    let draining = meter.readiness();
+    meter.hold(Version::new(7));
+    meter.hold(Version::new(5));
+    meter.see(Version::new(6));
 
     assert_eq!(
-        [empty, ready, draining],
-        [Readiness::Empty, Readiness::Ready, Readiness::Draining]
+        (meter.held(), meter.seen()),
+        (Version::new(7), Version::new(7))
     );
 }
 
-#[test]
-fn a_call_is_in_flight_until_it_is_dropped() {
-    let meter = Meter::default();
-
-    let call = meter.begin_call();
-    let during = meter.in_flight();
-    drop(call);
-    meter.call_ended(Outcome::NotRun);
-
-    assert_eq!((during, meter.in_flight()), (1, 0));
-    assert_eq!(meter.calls(Outcome::NotRun), 1);
-}
-
 #[test]
 fn a_time_at_a_bound_falls_below_it() {
-    let meter = Meter::default();
+    let histogram = Histogram::default();
 
-    meter.added(Duration::from_micros(BOUNDS_MICROS[0]));
-    meter.added(Duration::from_micros(BOUNDS_MICROS[0] + 1));
-    meter.added(Duration::from_mins(1));
+    histogram.record(Duration::from_micros(BOUNDS_MICROS[0]));
+    histogram.record(Duration::from_micros(BOUNDS_MICROS[0] + 1));
+    histogram.record(Duration::from_mins(1));
 
-    let latency = meter.latency();
+    let latency = histogram.read();
     assert_eq!(latency.buckets[..2], [1, 1]);
     assert_eq!(latency.buckets[BOUNDS_MICROS.len()], 1);
     assert_eq!(latency.count(), 3);
--- a/crates/cicadagw-node/src/node.rs
+++ b/crates/cicadagw-node/src/node.rs
@@ -42,22 +42,27 @@
         rings: rings.control,
         view: view.clone(),
     };
+    let traffic = cicadagw_link::Traffic::default();
+    let stats = Arc::new(cicadagw_proxy::Stats::default());
     let links = cicadagw_link::Setup::builder()
         .listener(sockets.link)
         .commands(rings.links.commands)
         .events(rings.links.events)
         .cancel(cancel.clone())
+        .traffic(traffic.clone())
         .build();
     let admin = cicadagw_admin::Setup::builder()
+        .calls(stats.clone())
         .cancel(cancel.clone())
         .control(ask)
+        .links(traffic)
         .listener(sockets.admin)
         .meter(meter.clone())
         .node(settings.node.clone())
         .set_level(cicadagw_log::set_level)
+        .stop(stop.clone())
         .maybe_token(settings.admin_token.clone())
         .build();
-    let stats = Arc::new(cicadagw_proxy::Stats::default());
     let calls = cicadagw_proxy::Setup::builder()
         .announce(sockets.announce)
         .budget(settings.budget.clone())
--- a/crates/cicadagw-proxy/src/exchange.rs
+++ b/crates/cicadagw-proxy/src/exchange.rs
@@ -43,7 +43,8 @@
     let mut outgoing = destination.client.request(request.method.clone(), uri);
     *outgoing.headers_mut() = headers;
     let sent = outgoing.send_body(body);
-    let response = timeout_at(destination.until, sent)
+    let response = request
+        .wait(timeout_at(destination.until, sent))
         .await
         .map_err(|_| Failure::Sent(Reason::Deadline))?
         .map_err(|error| failure(&error))?;
--- a/crates/cicadagw-proxy/src/ingress.rs
+++ b/crates/cicadagw-proxy/src/ingress.rs
@@ -1,7 +1,7 @@
 //! The first half of a call: from the caller to the node of the chosen endpoint.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_web::dev::Payload;
 use actix_web::http::header::{HeaderMap, HeaderName, HeaderValue};
@@ -31,6 +31,7 @@
 
 /// Takes a call that has just arrived.
 pub(crate) async fn handle(node: Rc<Node>, raw: HttpRequest, payload: Payload) -> HttpResponse {
+    let begin = Instant::now();
     let arrival = node.clock.now();
     let entry = node.enter();
     let request = match admit(&node, &raw, arrival) {
@@ -42,6 +43,8 @@
         node.stats.count_outcome(end.outcome());
     }
     if let End::Answered(answer) = &mut end {
+        let added = begin.elapsed().saturating_sub(request.waited());
+        node.stats.count_added(added);
         answer.flow.hold_entry(entry);
     }
     end.into_response(load.filter(|_| request.via.is_some()))
@@ -69,7 +72,7 @@
         Ok((target, deadline)) => {
             let reading = Upload::read(request, payload, &node.limits);
             let until = node.clock.instant(deadline);
-            match timeout_at(until, reading).await {
+            match request.wait(timeout_at(until, reading)).await {
                 Ok(Ok(upload)) => serve(node, request, target, &upload, deadline).await,
                 Ok(Err(reason)) => Outcome::not_run(reason),
                 Err(_) => Outcome::not_run(Reason::Deadline),
--- a/crates/cicadagw-proxy/src/request.rs
+++ b/crates/cicadagw-proxy/src/request.rs
@@ -1,6 +1,8 @@
 //! A call as it arrived.
 
+use std::cell::Cell;
 use std::str::FromStr;
+use std::time::{Duration, Instant};
 
 use actix_web::HttpRequest;
 use actix_web::http::header::{HeaderMap, HeaderName};
@@ -35,6 +37,8 @@
     pub(crate) size: Option<Bytes>,
     /// Whether the body's size is not known.
     pub(crate) is_chunked: bool,
+    /// How long the caller, other nodes and the backend server were waited for.
+    waited: Cell<Duration>,
 }
 
 /// What the node before has decided.
@@ -65,9 +69,23 @@
             via: via(headers)?,
             size: parsed(headers, &http::CONTENT_LENGTH)?.map(Bytes::new),
             is_chunked: headers.contains_key(http::TRANSFER_ENCODING),
+            waited: Cell::default(),
         })
     }
 
+    /// Awaits what others do for this call.
+    pub(crate) async fn wait<T>(&self, others: impl Future<Output = T>) -> T {
+        let begin = Instant::now();
+        let output = others.await;
+        self.waited.set(self.waited.get() + begin.elapsed());
+        output
+    }
+
+    /// Returns how long others were waited for.
+    pub(crate) fn waited(&self) -> Duration {
+        self.waited.get()
+    }
+
     /// Returns what a route is chosen by.
     pub(crate) fn line(&self) -> Line<'_> {
         Line {
--- a/crates/cicadagw-proxy/src/stats.rs
+++ b/crates/cicadagw-proxy/src/stats.rs
@@ -2,15 +2,18 @@
 
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use cicadagw_call::choice::Summary;
 use cicadagw_call::{Load, Outcome, life};
+use cicadagw_meter::{Histogram, Latency};
 use cicadagw_unit::id;
 use cicadagw_unit::size::Slots;
 
 /// What the calls duty counts; other threads may read it at any time.
 #[derive(Debug, Default)]
 pub struct Stats {
+    added: Histogram,
     answered: AtomicU64,
     in_flight: AtomicU64,
     not_run: AtomicU64,
@@ -88,6 +91,16 @@
         )
     }
 
+    /// Returns the times that this node added to answered calls.
+    pub fn latency(&self) -> Latency {
+        self.added.read()
+    }
+
+    /// Counts the time that this node added to an answered call.
+    pub(crate) fn count_added(&self, time: Duration) {
+        self.added.record(time);
+    }
+
     pub(crate) fn count_outcome(&self, outcome: Outcome) {
         let count = match outcome {
             Outcome::Answered => &self.answered,
