--- a/crates/cicadagw-node/src/control.rs
+++ b/crates/cicadagw-node/src/control.rs
@@ -129,7 +129,7 @@
     match note {
         Note::Adopted(version) => log::info!(version = version.get(); "{note}"),
         Note::Refused(version, _) => {
-            log::warn!(version = version.get(), next = "the version held stays in force"; "{note}")
+            log::warn!(version = version.get(), next = "the version held stays in force"; "{note}");
         }
         Note::Parted(_) => log::warn!(next = "another parent is asked"; "{note}"),
         Note::Gained(_) | Note::Joined(_) | Note::Lost(_) => log::info!("{note}"),
