Keep the lines of libraries below warnings out of the log

Cause: a start wrote eight lines of the web server beside one of the node, and at debug a library may write what it carries.

Change: lines of other packages are written from warnings on, at every level. A test counts the added time of a call at both nodes.

--- a/crates/cicadagw-log/src/install.rs
+++ b/crates/cicadagw-log/src/install.rs
@@ -7,7 +7,7 @@
 use cicadagw_unit::id;
 use log::LevelFilter;
 
-use crate::Lines;
+use crate::{Lines, Origin};
 
 /// Says that the process has a logger already.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -28,7 +28,7 @@
 /// [`Error`] when there is a logger already.
 pub fn install(level: Level, node: &id::Node) -> Result<(), Error> {
     logforth::starter_log::builder()
-        .dispatch(|dispatch| dispatch.append(Lines::new(stdout(), node)))
+        .dispatch(|dispatch| dispatch.filter(Origin).append(Lines::new(stdout(), node)))
         .try_apply()
         .map_err(|_| Error)?;
     set_level(level);
--- a/crates/cicadagw-log/src/lib.rs
+++ b/crates/cicadagw-log/src/lib.rs
@@ -6,6 +6,8 @@
 mod install;
 pub mod limit;
 mod lines;
+mod origin;
 
 pub use install::{Error, install, set_level};
 pub use lines::Lines;
+pub use origin::Origin;
--- a/crates/cicadagw-log/tests/lines.rs
+++ b/crates/cicadagw-log/tests/lines.rs
@@ -3,8 +3,8 @@
 use std::io::Write;
 use std::sync::{Arc, Mutex};
 
-use cicadagw_log::Lines;
 use cicadagw_log::limit::BURST;
+use cicadagw_log::{Lines, Origin};
 use logforth::core::Logger;
 use logforth::record::{Level, Record};
 use serde_json::Value;
@@ -37,14 +37,18 @@
     let node = "kochi-a-1".parse().unwrap();
     let lines = Lines::new(memory.clone(), &node);
     logforth::core::builder()
-        .dispatch(|dispatch| dispatch.append(lines))
+        .dispatch(|dispatch| dispatch.filter(Origin).append(lines))
         .build()
 }
 
 fn log(logger: &Logger, level: Level) {
+    log_from(logger, "cicadagw_control::core", level);
+}
+
+fn log_from(logger: &Logger, target: &'static str, level: Level) {
     let record = Record::builder()
         .level(level)
-        .target("control")
+        .target(target)
         .payload(format_args!("adopted a snapshot"))
         .build();
     logger.log(&record);
@@ -90,3 +94,16 @@
     );
     assert_eq!(held_back + written as u64, u64::from(count));
 }
+
+#[test]
+fn libraries_write_warnings_alone() {
+    let memory = Memory::default();
+    let logger = logger(&memory);
+
+    log_from(&logger, "actix_server::worker", Level::Info);
+    log_from(&logger, "actix_server::worker", Level::Warn);
+
+    let lines = memory.lines();
+    assert_eq!(lines.len(), 1);
+    assert_eq!(lines[0]["level"], "WARN");
+}
--- a/crates/cicadagw-proxy/tests/path.rs
+++ b/crates/cicadagw-proxy/tests/path.rs
@@ -101,3 +101,21 @@
         );
     }
 }
+
+#[tokio::test]
+async fn each_node_counts_the_time_that_it_added_to_an_answered_call() {
+    let mut mesh = Mesh::new();
+    let (near, far) = (mesh.node("near"), mesh.node("far"));
+    let backend = Backend::start(Conduct::Echo).await;
+    mesh.announce(&far, "orders-1", &backend).await;
+
+    let answered = get("/orders").send(near.calls).await;
+    let refused = get("/nowhere").send(near.calls).await;
+
+    assert_eq!(
+        (answered.outcome(), refused.outcome()),
+        ("answered", "not-run")
+    );
+    assert_eq!(near.stats.latency().count(), 1);
+    assert_eq!(far.stats.latency().count(), 1);
+}
