Count what crosses the link between regions

Cause: the link between regions is billed by volume, and nothing told its bytes from the others. Ruled out: counting at both ends, since a child does not know its parent's region before it has joined. Change: the parent's end counts what goes to and comes from a child of another region apart, in the traffic and as a label of the metrics.

--- a/crates/cicadagw-admin/src/metrics.rs
+++ b/crates/cicadagw-admin/src/metrics.rs
@@ -3,7 +3,7 @@
 use actix_web::HttpResponse;
 use actix_web::web::Data;
 use cicadagw_endpoint::State;
-use cicadagw_link::traffic::{Count, Kind, Way};
+use cicadagw_link::traffic::{Count, Kind, Reach, Way};
 use cicadagw_meter::{Operation, Success};
 use cicadagw_ring::Gauge;
 use opentelemetry::KeyValue;
@@ -258,9 +258,15 @@
     way: Way,
     value: fn(&Count) -> u64,
 ) {
-    for kind in Kind::ALL {
-        let count = sources.links.count(way, kind);
-        instrument.observe(value(&count), &[KeyValue::new("kind", kind.as_str())]);
+    for reach in Reach::ALL {
+        for kind in Kind::ALL {
+            let count = sources.links.count(way, reach, kind);
+            let labels = [
+                KeyValue::new("kind", kind.as_str()),
+                KeyValue::new("reach", reach.as_str()),
+            ];
+            instrument.observe(value(&count), &labels);
+        }
     }
 }
 
--- a/crates/cicadagw-admin/src/reading.rs
+++ b/crates/cicadagw-admin/src/reading.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cicadagw_link::traffic::{Kind, Way};
+use cicadagw_link::traffic::{Kind, Reach, Way};
 use cicadagw_meter::Latency;
 use cicadagw_proxy::stats::{Counts, State};
 use cicadagw_ring::Gauge;
@@ -50,7 +50,11 @@
 impl From<&Sources> for Reading {
     fn from(sources: &Sources) -> Self {
         let carried = |way| {
-            let bytes = |kind: &Kind| (kind.as_str(), sources.links.count(way, *kind).bytes);
+            let bytes = |kind: &Kind| {
+                let [within, across] =
+                    Reach::ALL.map(|reach| sources.links.count(way, reach, *kind).bytes);
+                (kind.as_str(), within.plus(across))
+            };
             Kind::ALL.iter().map(bytes).collect()
         };
         Self {
--- a/crates/cicadagw-link/src/child.rs
+++ b/crates/cicadagw-link/src/child.rs
@@ -19,7 +19,7 @@
 use crate::links::{End, Links, Peer};
 use crate::method;
 use crate::socket::Socket;
-use crate::traffic::{Kind, Way};
+use crate::traffic::{Kind, Reach, Way};
 
 /// What a parent sends, as it is carried.
 type Downs = Subscription<Box<RawValue>>;
@@ -117,7 +117,9 @@
             Err(error) => return error.to_string(),
         };
         let kind = Kind::from(&message);
-        links.traffic.add(Way::Received, kind, text.get().len());
+        links
+            .traffic
+            .add(Way::Received, Reach::Within, kind, text.get().len());
         let message = Box::new(message);
         links.tell(Event::Down { session, message }).await;
     }
@@ -132,7 +134,9 @@
     while let Some(message) = messages.recv().await {
         let kind = Kind::from(&message);
         let text = codec::encode_up(&message);
-        links.traffic.add(Way::Sent, kind, text.get().len());
+        links
+            .traffic
+            .add(Way::Sent, Reach::Within, kind, text.get().len());
         let sent = match one(&text) {
             Ok(params) => client.request::<(), _>(method::UP, params).await,
             Err(error) => Err(error),
--- a/crates/cicadagw-link/src/duty.rs
+++ b/crates/cicadagw-link/src/duty.rs
@@ -23,11 +23,12 @@
         events,
         cancel,
         limits,
+        region,
         traffic,
     } = setup;
     listener.set_nonblocking(true)?;
     let listener = TcpListener::from_std(listener)?;
-    let links = Links::new(events, cancel.clone(), limits, traffic);
+    let links = Links::new(events, cancel.clone(), limits, region, traffic);
     let obey = async {
         while let Some(command) = commands.recv().await {
             obey(&links, command);
@@ -77,11 +78,11 @@
     let encoded: Encoded = Arc::from(codec::encode_down(message));
     for session in sessions {
         if let Some(link) = open.get(session)
-            && let Peer::Child { ring, .. } = &link.peer
+            && let Peer::Child { reach, ring, .. } = &link.peer
         {
             links
                 .traffic
-                .add(Way::Sent, Kind::from(message), encoded.get().len());
+                .add(Way::Sent, *reach, Kind::from(message), encoded.get().len());
             offer(ring, &link.end, Arc::clone(&encoded));
         }
     }
--- a/crates/cicadagw-link/src/links.rs
+++ b/crates/cicadagw-link/src/links.rs
@@ -4,12 +4,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use cicadagw_ring::{Full, Sender};
+use cicadagw_unit::id;
 use cicadagw_wire::link::{Event, Session};
 use cicadagw_wire::{Refusal, Up};
 use serde_json::value::RawValue;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
 use tokio_util::sync::CancellationToken;
 
+use crate::traffic::Reach;
 use crate::{Limits, Traffic};
 
 /// What the control duty answers to a child that asks to join.
@@ -25,6 +27,7 @@
     /// Asked to join; the answer is taken out when it is given. It sends one message at a time.
     Child {
         answer: Option<oneshot::Sender<Answer>>,
+        reach: Reach,
         ring: Sender<Encoded>,
         turn: Arc<Semaphore>,
     },
@@ -69,11 +72,19 @@
     }
 }
 
+/// The turn of a child to send one message; it lasts until this is dropped.
+pub(crate) struct Turn {
+    pub(crate) end: End,
+    pub(crate) reach: Reach,
+    _permit: OwnedSemaphorePermit,
+}
+
 /// What the tasks of the duty share.
 #[derive(Clone)]
 pub(crate) struct Links {
     pub(crate) cancel: CancellationToken,
     pub(crate) limits: Limits,
+    pub(crate) region: id::Region,
     pub(crate) traffic: Traffic,
     events: Sender<Event>,
     open: Arc<Mutex<BTreeMap<Session, Link>>>,
@@ -84,11 +95,13 @@
         events: Sender<Event>,
         cancel: CancellationToken,
         limits: Limits,
+        region: id::Region,
         traffic: Traffic,
     ) -> Self {
         Self {
             cancel,
             limits,
+            region,
             traffic,
             events,
             open: Arc::default(),
@@ -144,6 +157,7 @@
         &self,
         session: Session,
         answer: oneshot::Sender<Answer>,
+        reach: Reach,
         ring: Sender<Encoded>,
     ) -> Option<End> {
         let mut open = self.open();
@@ -153,6 +167,7 @@
         }
         link.peer = Peer::Child {
             answer: Some(answer),
+            reach,
             ring,
             turn: Arc::new(Semaphore::new(1)),
         };
@@ -185,24 +200,32 @@
         matches!(peer, Some(Peer::Child { answer: None, .. }))
     }
 
-    /// Gives a child that was accepted its turn to send, and returns what ends its link.
+    /// Gives a child that was accepted its turn to send.
     ///
     /// One that has its turn already does not await its answers, which would take memory without
     /// bound here, so its link ends.
-    pub(crate) fn take_turn(&self, session: Session) -> Option<(OwnedSemaphorePermit, End)> {
+    pub(crate) fn take_turn(&self, session: Session) -> Option<Turn> {
         let open = self.open();
         let link = open.get(&session)?;
         let Peer::Child {
-            answer: None, turn, ..
+            answer: None,
+            reach,
+            turn,
+            ..
         } = &link.peer
         else {
             return None;
         };
+        let reach = *reach;
         let Ok(permit) = Arc::clone(turn).try_acquire_owned() else {
             link.end.because("the peer does not await its answers");
             return None;
         };
-        Some((permit, link.end.clone()))
+        Some(Turn {
+            end: link.end.clone(),
+            reach,
+            _permit: permit,
+        })
     }
 }
 
--- a/crates/cicadagw-link/src/parent.rs
+++ b/crates/cicadagw-link/src/parent.rs
@@ -19,7 +19,7 @@
 use crate::links::{Encoded, End, Links, Peer};
 use crate::method;
 use crate::socket::Socket;
-use crate::traffic::{Kind, Way};
+use crate::traffic::{Kind, Reach, Way};
 
 /// How many messages the transport holds for a child, besides the ring.
 const BUFFERED_MAX: u32 = 4;
@@ -127,7 +127,12 @@
     };
     let (answer, answered) = oneshot::channel();
     let (ring, messages) = cicadagw_ring::channel("link-down", links.limits.ring_capacity());
-    let Some(end) = links.ask(session, answer, ring) else {
+    let reach = if hello.region == links.region {
+        Reach::Within
+    } else {
+        Reach::Across
+    };
+    let Some(end) = links.ask(session, answer, reach, ring) else {
         return pending
             .reject(method::invalid("the peer asked before"))
             .await;
@@ -181,7 +186,7 @@
         .get::<ConnectionId>()
         .map(|id| session_of(id.0 as u64))
         .and_then(|session| Some((session, links.take_turn(session)?)));
-    let Some((session, (_turn, end))) = joined else {
+    let Some((session, turn)) = joined else {
         return Err(method::invalid(
             "the peer has not joined, or has its turn already",
         ));
@@ -196,13 +201,15 @@
         });
     match message {
         Ok((message, size)) => {
-            links.traffic.add(Way::Received, Kind::from(&message), size);
+            links
+                .traffic
+                .add(Way::Received, turn.reach, Kind::from(&message), size);
             let message = Box::new(message);
             links.tell(Event::Up { session, message }).await;
             Ok(())
         }
         Err(reason) => {
-            end.because(reason.clone());
+            turn.end.because(reason.clone());
             Err(method::invalid(&reason))
         }
     }
--- a/crates/cicadagw-link/src/setup.rs
+++ b/crates/cicadagw-link/src/setup.rs
@@ -3,6 +3,7 @@
 use std::net::TcpListener;
 
 use cicadagw_ring::{Receiver, Sender};
+use cicadagw_unit::id;
 use cicadagw_unit::size::{Bytes, Slots};
 use cicadagw_unit::time::Span;
 use cicadagw_wire::link::{Command, Event};
@@ -24,6 +25,8 @@
     /// What the duty may use.
     #[builder(default)]
     pub limits: Limits,
+    /// The region of the node.
+    pub region: id::Region,
     /// What was carried.
     #[builder(default)]
     pub traffic: Traffic,
--- a/crates/cicadagw-link/src/traffic.rs
+++ b/crates/cicadagw-link/src/traffic.rs
@@ -74,6 +74,29 @@
     Sent,
 }
 
+/// How far a message goes.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Reach {
+    /// Both nodes are in one region, or the other one is a parent, whose end counts the link.
+    #[default]
+    Within,
+    /// The message crosses the link between regions.
+    Across,
+}
+
+impl Reach {
+    /// Every reach.
+    pub const ALL: [Self; 2] = [Self::Within, Self::Across];
+
+    /// Returns the name, for metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Within => "within-region",
+            Self::Across => "across-regions",
+        }
+    }
+}
+
 /// How much of one kind went one way.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Count {
@@ -86,7 +109,7 @@
 /// The shared counts; clones count together.
 #[derive(Clone, Debug, Default)]
 pub struct Traffic {
-    counters: Arc<[[Counter; Kind::ALL.len()]; 2]>,
+    counters: Arc<[[[Counter; Kind::ALL.len()]; Reach::ALL.len()]; 2]>,
 }
 
 #[derive(Debug, Default)]
@@ -96,9 +119,9 @@
 }
 
 impl Traffic {
-    /// Returns how much of `kind` went `way`.
-    pub fn count(&self, way: Way, kind: Kind) -> Count {
-        let counter = self.counter(way, kind);
+    /// Returns how much of `kind` went `way` as far as `reach`.
+    pub fn count(&self, way: Way, reach: Reach, kind: Kind) -> Count {
+        let counter = self.counter(way, reach, kind);
         Count {
             bytes: Bytes::new(counter.bytes.load(Ordering::Relaxed)),
             messages: counter.messages.load(Ordering::Relaxed),
@@ -106,14 +129,14 @@
     }
 
     /// Counts one message of `size` bytes.
-    pub(crate) fn add(&self, way: Way, kind: Kind, size: usize) {
-        let counter = self.counter(way, kind);
+    pub(crate) fn add(&self, way: Way, reach: Reach, kind: Kind, size: usize) {
+        let counter = self.counter(way, reach, kind);
         let size = u64::try_from(size).unwrap_or(u64::MAX);
         counter.bytes.fetch_add(size, Ordering::Relaxed);
         counter.messages.fetch_add(1, Ordering::Relaxed);
     }
 
-    fn counter(&self, way: Way, kind: Kind) -> &Counter {
-        &self.counters[way as usize][kind as usize]
+    fn counter(&self, way: Way, reach: Reach, kind: Kind) -> &Counter {
+        &self.counters[way as usize][reach as usize][kind as usize]
     }
 }
--- a/crates/cicadagw-link/tests/link.rs
+++ b/crates/cicadagw-link/tests/link.rs
@@ -2,7 +2,7 @@
 
 mod fixture;
 
-use cicadagw_link::traffic::{Kind, Way};
+use cicadagw_link::traffic::{Kind, Reach, Way};
 use cicadagw_unit::Version;
 use cicadagw_unit::time::Span;
 use cicadagw_wire::link::{Command, Event, Session};
@@ -160,14 +160,21 @@
         message: Box::new(whole),
     };
     assert_eq!(child.event().await, expected);
-    let count = child.traffic.count(Way::Received, Kind::Configuration);
+    let count = child
+        .traffic
+        .count(Way::Received, Reach::Within, Kind::Configuration);
     assert_eq!(count.messages, 1);
     assert!(
         count.bytes.get() < plain as u64 / 4,
         "{} of {plain}",
         count.bytes
     );
-    assert_eq!(parent.traffic.count(Way::Sent, Kind::Configuration), count);
+    assert_eq!(
+        parent
+            .traffic
+            .count(Way::Sent, Reach::Within, Kind::Configuration),
+        count
+    );
 }
 
 #[tokio::test]
--- a/crates/cicadagw-node/src/node.rs
+++ b/crates/cicadagw-node/src/node.rs
@@ -49,6 +49,7 @@
         .commands(rings.links.commands)
         .events(rings.links.events)
         .cancel(cancel.clone())
+        .region(settings.region.clone())
         .traffic(traffic.clone())
         .build();
     let admin = cicadagw_admin::Setup::builder()
