Show findings of configurations with the lines that they stand in

Cause: the node shows wrong settings with their lines, the command line showed wrong configurations as a bare list.

--- a/crates/cicadactl/src/failure.rs
+++ b/crates/cicadactl/src/failure.rs
@@ -15,25 +15,47 @@
 pub struct Failure {
     /// How the program ends.
     pub exit: Exit,
+    /// What was found in a file; empty for all other failures.
+    pub findings: Findings,
     /// What to do next.
     pub help: String,
     /// What happened.
     pub message: String,
+    /// The text of the file with findings.
+    pub text: String,
 }
 
 impl Failure {
-    /// Creates a failure.
+    /// Creates a failure without findings.
     pub fn new(exit: Exit, message: impl Into<String>, help: impl Into<String>) -> Self {
         Self {
             exit,
+            findings: Findings::default(),
             help: help.into(),
             message: message.into(),
+            text: String::new(),
+        }
+    }
+
+    /// Creates a failure from `findings`, which were made in `text`.
+    pub fn found(findings: Findings, text: String) -> Self {
+        let message = format!("{} finding(s)", findings.as_slice().len());
+        let help = "mend the file at these places; nothing was changed";
+        Self {
+            findings,
+            text,
+            ..Self::new(Exit::Refused, message, help)
         }
     }
 
     /// Returns the failure for scripts.
     pub fn json(&self) -> Value {
-        json!({ "error": self.exit, "message": self.message, "help": self.help })
+        json!({
+            "error": self.exit,
+            "findings": self.findings,
+            "help": self.help,
+            "message": self.message,
+        })
     }
 }
 
@@ -51,17 +73,6 @@
     }
 }
 
-impl From<Findings> for Failure {
-    fn from(findings: Findings) -> Self {
-        let count = findings.as_slice().len();
-        Self::new(
-            Exit::Refused,
-            format!("{count} finding(s)\n{findings}"),
-            "mend the file at these places, then run `cicadactl check` on it; nothing was changed",
-        )
-    }
-}
-
 impl From<platform::Error> for Failure {
     fn from(error: platform::Error) -> Self {
         Self::new(
--- a/crates/cicadactl/src/file.rs
+++ b/crates/cicadactl/src/file.rs
@@ -21,7 +21,7 @@
             "give the path of a file with a configuration in JSON with comments",
         )
     })?;
-    Ok(load(&name, &text)?)
+    load(&name, &text).map_err(|findings| Failure::found(findings, text))
 }
 
 /// Checks the configuration in `path`, without the platform.
--- a/crates/cicadactl/src/main.rs
+++ b/crates/cicadactl/src/main.rs
@@ -164,8 +164,11 @@
 fn report(failure: &Failure, json: bool) {
     if json {
         anstream::println!("{}", failure.json());
-    } else {
+    } else if failure.findings.is_empty() {
         anstream::eprintln!("{}", render(failure));
+    } else {
+        let text = cicadagw_report::render(&failure.findings, &failure.text);
+        anstream::eprintln!("{}", text.trim_end());
     }
 }
 
--- a/crates/cicadactl/tests/command/refusals.rs
+++ b/crates/cicadactl/tests/command/refusals.rs
@@ -13,6 +13,7 @@
         shell.run(&format!("diff {file}"));
         shell.run(&format!("--operator asha apply {file}"));
     }
+    shell.run(&format!("--json check {FAULTY}"));
     shell.run("history");
 
     insta::assert_snapshot!(shell.session());
