--- a/crates/cicadactl/src/admin.rs
+++ b/crates/cicadactl/src/admin.rs
@@ -40,17 +40,22 @@
         })
     }
 
-    /// Shows the nodes that the node knows of: itself, and those whose endpoints it knows.
+    /// Shows the nodes that the node knows of: itself, those above and below it in the tree, and
+    /// those whose endpoints it knows.
     ///
     /// # Errors
     ///
     /// When the node does not answer.
     pub async fn nodes(&self) -> Result<Answer, Failure> {
         let dump = self.read().await?;
-        let mut nodes: BTreeMap<String, Value> = entries(&dump["endpoints"])
-            .filter(|record| record["state"] != "gone")
-            .map(|record| (cell(record, "node"), node(record, record)))
+        let linked = [&dump["path"], &dump["children"]]
+            .into_iter()
+            .flat_map(members);
+        let mut nodes: BTreeMap<String, Value> = linked
+            .map(|member| (cell(member, "node"), node(&Value::Null, member)))
             .collect();
+        let records = entries(&dump["endpoints"]).filter(|record| record["state"] != "gone");
+        nodes.extend(records.map(|record| (cell(record, "node"), node(record, record))));
         let identity = &dump["identity"];
         let member = &identity["member"];
         nodes.insert(cell(member, "node"), node(identity, member));
@@ -140,6 +145,11 @@
     })
 }
 
+/// Returns the values of a list.
+fn members(value: &Value) -> impl Iterator<Item = &Value> {
+    value.as_array().into_iter().flatten()
+}
+
 /// Returns the values of a table.
 fn entries(value: &Value) -> impl Iterator<Item = &Value> {
     value.as_object().into_iter().flat_map(Map::values)
--- a/crates/cicadactl/src/follow.rs
+++ b/crates/cicadactl/src/follow.rs
@@ -54,18 +54,26 @@
         Ok(self.answer(version))
     }
 
-    /// Tells `progress` whenever something changes, until the process is ended.
+    /// Tells `progress` whenever something changes, until the process is ended; an outage of the
+    /// platform is told as well.
     ///
     /// # Errors
     ///
-    /// When the platform cannot be used.
-    pub async fn watch(&mut self, mut progress: impl FnMut(&Answer)) -> Result<Answer, Failure> {
+    /// When what the platform holds cannot be read.
+    pub async fn watch(
+        &mut self,
+        mut progress: impl FnMut(&Result<Answer, Failure>),
+    ) -> Result<Answer, Failure> {
         let mut last = None;
         loop {
-            let answer = self.once().await?;
-            if last.as_ref() != Some(&answer) {
-                progress(&answer);
-                last = Some(answer);
+            let outcome = self.once().await;
+            match outcome {
+                Err(failure) if failure.exit != Exit::Unavailable => return Err(failure),
+                outcome if last.as_ref() == Some(&outcome) => {}
+                outcome => {
+                    progress(&outcome);
+                    last = Some(outcome);
+                }
             }
         }
     }
--- a/crates/cicadactl/src/main.rs
+++ b/crates/cicadactl/src/main.rs
@@ -97,7 +97,13 @@
             let progress = |line: &str| anstream::eprintln!("{line}");
             follower.wait(version, timeout, progress).await
         }
-        (None, true) => follower.watch(|answer| print(answer, flags.json)).await,
+        (None, true) => {
+            let progress = |outcome: &Result<Answer, Failure>| match outcome {
+                Ok(answer) => print(answer, flags.json),
+                Err(failure) => anstream::eprintln!("{failure}"),
+            };
+            follower.watch(progress).await
+        }
         (None, false) => follower.once().await,
         (Some(_), true) => Err(usage(
             "--watch and --wait exclude each other",
--- a/crates/cicadactl/tests/command/sessions.rs
+++ b/crates/cicadactl/tests/command/sessions.rs
@@ -23,7 +23,8 @@
     "domain": "kochi-a", "region": "kochi",
     "member": { "link": "127.0.0.1:7001", "node": "n0", "rack": "r0" }
   },
-  "node": "n0"
+  "children": [{ "link": "127.0.0.1:7101", "node": "n1", "rack": "r1" }],
+  "path": [{ "link": "127.0.0.1:7301", "node": "n3", "rack": "r3" }]
 }"#;
 
 #[test]
--- a/crates/cicadactl/tests/follow.rs
+++ b/crates/cicadactl/tests/follow.rs
@@ -12,7 +12,7 @@
 use cicadagw_unit::Version;
 use cicadagw_unit::time::{Moment, Span};
 use serde_json::json;
-use tokio::time::{Duration, Instant, sleep_until};
+use tokio::time::{Duration, Instant, sleep_until, timeout};
 
 /// How many reads a second there may be, over a longer while.
 const READS_A_SECOND: u64 = 5;
@@ -251,6 +251,28 @@
     assert_eq!((exit, seconds), (Exit::Unavailable, 60));
 }
 
+#[tokio::test(start_paused = true)]
+async fn watching_tells_every_change_and_an_outage_once() {
+    let store = store().await;
+    store.status(0, "kochi-a", 1);
+    store.status(0, "kochi-b", 0);
+    store.status(30, "kochi-b", 1);
+    store.down_until.set(store.start + Duration::from_secs(20));
+    let mut told = Vec::new();
+    let mut follower = Follower::new(&store);
+
+    let watching = follower.watch(|outcome| told.push(outcome.clone()));
+    let ended = timeout(Duration::from_mins(1), watching).await;
+
+    let lines = told.iter().map(|outcome| match outcome {
+        Ok(answer) => answer.text.clone(),
+        Err(failure) => failure.message.clone(),
+    });
+    let lines: Vec<String> = lines.collect();
+    assert!(ended.is_err(), "{ended:?}");
+    insta::assert_snapshot!(lines.join("\n\n"));
+}
+
 #[tokio::test(start_paused = true)]
 async fn reads_stay_below_their_rate() {
     let store = store().await;
--- a/crates/cicadagw-accept/tests/accept/main.rs
+++ b/crates/cicadagw-accept/tests/accept/main.rs
@@ -2,5 +2,6 @@
 
 mod change;
 mod fixture;
+mod property;
 mod session;
 mod store;
--- a/crates/cicadagw-accept/tests/accept/store.rs
+++ b/crates/cicadagw-accept/tests/accept/store.rs
@@ -42,6 +42,11 @@
         self.faults.borrow_mut().push((call, fault));
     }
 
+    /// Takes back the faults that did not come to pass.
+    pub(crate) fn mend(&self) {
+        self.faults.borrow_mut().clear();
+    }
+
     /// Returns the calls since the last time, one a line.
     pub(crate) fn calls(&self) -> String {
         let calls: Vec<String> = self.calls.borrow_mut().drain(..).collect();
