--- a/crates/cicadactl/src/main.rs
+++ b/crates/cicadactl/src/main.rs
@@ -97,7 +97,13 @@
             let progress = |line: &str| anstream::eprintln!("{line}");
             follower.wait(version, timeout, progress).await
         }
-        (None, true) => follower.watch(|answer| print(answer, flags.json)).await,
+        (None, true) => {
+            let progress = |outcome: &Result<Answer, Failure>| match outcome {
+                Ok(answer) => print(answer, flags.json),
+                Err(failure) => anstream::eprintln!("{failure}"),
+            };
+            follower.watch(progress).await
+        }
         (None, false) => follower.once().await,
         (Some(_), true) => Err(usage(
             "--watch and --wait exclude each other",
@@ -164,8 +170,11 @@
 fn report(failure: &Failure, json: bool) {
     if json {
         anstream::println!("{}", failure.json());
-    } else {
+    } else if failure.findings.is_empty() {
         anstream::eprintln!("{}", render(failure));
+    } else {
+        let text = cicadagw_report::render(&failure.findings, &failure.text);
+        anstream::eprintln!("{}", text.trim_end());
     }
 }
 
