Split the decisions of control by concern

Change: tree, sync, root and heartbeat stand on their own; Core::step stays the one entry. No behaviour changes.

--- a/crates/cicadagw-control/src/lib.rs
+++ b/crates/cicadagw-control/src/lib.rs
@@ -11,13 +11,17 @@
 mod endpoints;
 mod event;
 mod fetch;
+mod heartbeat;
 mod identity;
 mod ladder;
 mod lease;
 mod links;
 pub mod platform;
 mod roll;
+mod root;
 mod status;
+mod sync;
+mod tree;
 mod uplink;
 
 pub use core::Core;
--- /dev/null
+++ b/crates/cicadagw-control/src/root.rs
@@ -0,0 +1,101 @@
+//! What falls to the root of a failure domain.
+
+use std::collections::BTreeSet;
+
+use cicadagw_platform::Key;
+use cicadagw_unit::id;
+use cicadagw_unit::time::{Moment, Span};
+use cicadagw_wire::{Directory, Down, Member, Up};
+
+use crate::platform::Purpose;
+use crate::{Core, Effect, roll, status};
+
+/// The least time between two writes of the directory.
+const DIRECTORY_GAP: Span = Span::seconds(5);
+
+impl Core {
+    /// Passes on which nodes answered a roll call.
+    pub(crate) fn answer_roll_call(&mut self) {
+        let present = std::mem::take(&mut self.present);
+        if present.is_empty() {
+            return;
+        }
+        if self.ladder.rank().is_some() {
+            self.roll.answer(present);
+        } else {
+            self.up(Up::Present(present));
+        }
+    }
+
+    pub(crate) fn call_roll(&mut self) {
+        let sessions = self.children.sessions_in(&self.identity.domain);
+        self.down(sessions, Down::RollCall);
+    }
+
+    /// Does what falls to the root of a failure domain.
+    pub(crate) fn look_at_root_duties(&mut self, now: Moment) {
+        if self.ladder.rank().is_none() {
+            self.roll.reset();
+            return;
+        }
+        let report = self.report();
+        let recorded = self.registry.serving_nodes().len();
+        let reported = usize::try_from(report.serving).unwrap_or(usize::MAX);
+        match self.roll.tick(now, recorded, reported) {
+            roll::Outcome::Nothing => {}
+            roll::Outcome::Call => self.call_roll(),
+            roll::Outcome::Present(present) => self.bury_absent(now, &present),
+        }
+        let period = self.settings.timing.status;
+        let write = self
+            .status
+            .tick(now, &self.identity, &self.holder, &report, period);
+        self.effects.extend(write.map(Effect::Platform));
+        self.write_directory(now);
+    }
+
+    pub(crate) fn bury_absent(&mut self, now: Moment, present: &BTreeSet<id::Node>) {
+        let own = &self.identity.member.node;
+        let absent: Vec<_> = self
+            .registry
+            .serving_nodes()
+            .into_keys()
+            .filter(|node| node != own && !present.contains(node))
+            .collect();
+        for node in absent {
+            self.registry.bury(now, &node);
+        }
+    }
+
+    pub(crate) fn write_directory(&mut self, now: Moment) {
+        let mut members: Vec<Member> = self
+            .registry
+            .serving_nodes()
+            .into_values()
+            .map(|record| Member {
+                link: record.link,
+                node: record.node.clone(),
+                rack: record.rack.clone(),
+            })
+            .collect();
+        if members
+            .iter()
+            .all(|member| member.node != self.identity.member.node)
+        {
+            members.push(self.identity.member.clone());
+        }
+        let (at, written) = &self.directory;
+        if members == *written || (!written.is_empty() && now.since(*at) < DIRECTORY_GAP) {
+            return;
+        }
+        self.directory = (now, members.clone());
+        let directory = Directory {
+            domain: self.identity.domain.clone(),
+            members,
+            region: self.identity.region.clone(),
+        };
+        let key = Key::directory(&self.identity.domain);
+        let call = status::write(Purpose::Directory, key, &directory);
+        self.effects.push(Effect::Platform(call));
+    }
+}
--- /dev/null
+++ b/crates/cicadagw-control/src/sync.rs
@@ -0,0 +1,133 @@
+//! What a node takes from its neighbours and the platform, and passes on.
+
+use std::sync::Arc;
+
+use cicadagw_config::{Snapshot, Stamp};
+use cicadagw_unit::Version;
+use cicadagw_unit::time::Moment;
+use cicadagw_view::View;
+use cicadagw_wire::link::Session;
+use cicadagw_wire::{Down, Up};
+
+use crate::adopt::Verdict;
+use crate::endpoints::Source;
+use crate::{Core, Effect, Note, fetch};
+
+impl Core {
+    pub(crate) fn take_down(&mut self, now: Moment, session: Session, message: Down) {
+        match message {
+            Down::Beat(stamp) => self.holder.hear_of(stamp.version),
+            Down::Path(path) => self.take_path(now, *path),
+            Down::Digests(theirs) => {
+                let records = self.registry.difference(&theirs);
+                if !records.is_empty() {
+                    self.up(Up::Endpoints(records));
+                }
+            }
+            Down::Endpoints(records) => self.registry.learn(now, Source::Link(session), records),
+            Down::RollCall => {
+                self.present.push(self.identity.member.node.clone());
+                self.call_roll();
+            }
+            Down::Whole(snapshot) => self.offer(now, *snapshot),
+            Down::Delta(delta) => {
+                let Some(held) = self.holder.held().filter(|held| held.stamp == delta.from) else {
+                    return self.up(Up::WantWhole);
+                };
+                let version = delta.to.version;
+                match delta.apply(held) {
+                    Ok(snapshot) => self.offer(now, snapshot),
+                    Err(error) => {
+                        self.refuse(version, error.to_string());
+                        self.up(Up::WantWhole);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(crate) fn take_up(&mut self, now: Moment, session: Session, message: Up) {
+        match message {
+            Up::Endpoints(records) => self.registry.learn(now, Source::Link(session), records),
+            Up::Present(nodes) => self.present.extend(nodes),
+            Up::Report(report) => {
+                if let Some(child) = self.children.get_mut(session) {
+                    child.report = Some(*report);
+                }
+            }
+            Up::WantWhole => {
+                if let Some(child) = self.children.get_mut(session) {
+                    child.held = Stamp::default();
+                }
+                self.bring_up();
+            }
+        }
+    }
+
+    pub(crate) fn fetched(&mut self, now: Moment, outcome: fetch::Outcome) {
+        match outcome {
+            fetch::Outcome::Nothing => {}
+            fetch::Outcome::Calls(calls) => {
+                self.effects.extend(calls.into_iter().map(Effect::Platform));
+            }
+            fetch::Outcome::Offer(snapshot) => self.offer(now, *snapshot),
+            fetch::Outcome::Refused(version, reason) => self.refuse(version, reason),
+        }
+        self.watch(now);
+    }
+
+    /// Watches the platform while nothing stands above this node, or nothing was found for long.
+    pub(crate) fn watch(&mut self, now: Moment) {
+        let patience = self.settings.timing.silence();
+        let orphaned = self.uplink.orphaned(now);
+        let alone = orphaned.is_some_and(|span| self.is_apex() || span >= patience);
+        let call = self.fetch.tick(now, alone);
+        self.effects.extend(call.map(Effect::Platform));
+    }
+
+    pub(crate) fn offer(&mut self, now: Moment, snapshot: Snapshot) {
+        let version = snapshot.stamp.version;
+        match self.holder.offer(snapshot) {
+            Verdict::Adopted => {
+                self.effects.push(Effect::Note(Note::Adopted(version)));
+                self.publish();
+                self.bring_up();
+                self.send_report(now);
+            }
+            Verdict::Refused(reason) => self
+                .effects
+                .push(Effect::Note(Note::Refused(version, reason))),
+            Verdict::Ignored => {}
+        }
+    }
+
+    pub(crate) fn refuse(&mut self, version: Version, reason: String) {
+        self.effects
+            .push(Effect::Note(Note::Refused(version, reason.clone())));
+        self.holder.refuse(version, reason);
+    }
+
+    pub(crate) fn bring_up(&mut self) {
+        let commands = self.children.bring_up(&self.holder);
+        self.effects.extend(commands.into_iter().map(Effect::Link));
+    }
+
+    pub(crate) fn publish(&mut self) {
+        let view = View {
+            snapshot: self.holder.held().cloned(),
+            endpoints: Arc::clone(&self.endpoints),
+        };
+        self.effects.push(Effect::Publish(view));
+    }
+
+    pub(crate) fn spread(&mut self) {
+        let commands = self
+            .registry
+            .spread(&self.children.sessions(), self.uplink.joined());
+        self.effects.extend(commands.into_iter().map(Effect::Link));
+        if let Some(endpoints) = self.registry.take_changed() {
+            self.endpoints = endpoints;
+            self.publish();
+        }
+    }
+}
--- /dev/null
+++ b/crates/cicadagw-control/src/tree.rs
@@ -0,0 +1,212 @@
+//! The place of a node in the tree: its leases, its parent and its children.
+
+use std::net::SocketAddr;
+
+use cicadagw_unit::time::Moment;
+use cicadagw_wire::down::Path;
+use cicadagw_wire::link::{self, Command, Session};
+use cicadagw_wire::{Down, Hello, Member, Refusal};
+use rand::seq::SliceRandom;
+
+use crate::lease::Change;
+use crate::{Core, Effect, Note, ladder, uplink};
+
+impl Core {
+    pub(crate) fn look_at_leases(&mut self, now: Moment) {
+        let lonely = self.uplink.orphaned(now).is_some();
+        let outcome = self.ladder.tick(now, lonely);
+        self.climb(now, outcome);
+    }
+
+    pub(crate) fn climb(&mut self, now: Moment, outcome: ladder::Outcome) {
+        self.effects
+            .extend(outcome.calls.into_iter().map(Effect::Platform));
+        for (rank, change) in outcome.changes {
+            self.effects.push(Effect::Note(match change {
+                Change::Gained => Note::Gained(rank),
+                Change::Lost => Note::Lost(rank),
+            }));
+            let superior = self.ladder.superior().map(|member| member.link);
+            let outcome = self.uplink.rise(now, superior, &mut self.random);
+            self.apply(now, outcome);
+            self.send_path();
+        }
+    }
+
+    pub(crate) fn look_at_uplink(&mut self, now: Moment) {
+        let wanted = !self.is_apex();
+        let silence = self.settings.timing.silence();
+        let outcome = self.uplink.tick(now, wanted, silence, &mut self.random);
+        self.apply(now, outcome);
+    }
+
+    /// Carries out what the link to the parent needs.
+    pub(crate) fn apply(&mut self, now: Moment, outcome: uplink::Outcome) {
+        if outcome.refill {
+            self.refill();
+        }
+        if let Some(session) = outcome.hang_up {
+            self.command(Command::Close { session });
+        }
+        if let Some((session, address)) = outcome.dial {
+            let hello = Box::new(self.hello());
+            self.command(Command::Dial {
+                session,
+                address,
+                hello,
+            });
+        }
+        if outcome.joined {
+            self.reported = (Moment::default(), None);
+            self.send_report(now);
+        }
+        if outcome.parted {
+            self.effects
+                .push(Effect::Note(Note::Parted("the link is gone".to_owned())));
+            self.send_path();
+        }
+    }
+
+    /// Collects the nodes that can be asked to become the parent, the best first.
+    pub(crate) fn refill(&mut self) {
+        let superior = self.ladder.superior().map(|member| member.link);
+        self.uplink.add_candidates(superior);
+        if self.ladder.rank().is_some() {
+            return;
+        }
+        let nodes = self.registry.serving_nodes();
+        let mut others: Vec<SocketAddr> = nodes.values().map(|record| record.link).collect();
+        others.shuffle(&mut self.random);
+        let mut seeds = self.settings.seeds.to_vec();
+        seeds.shuffle(&mut self.random);
+        self.uplink.add_candidates(others.into_iter().chain(seeds));
+    }
+
+    pub(crate) fn hello(&self) -> Hello {
+        Hello {
+            domain: self.identity.domain.clone(),
+            endpoints: self.registry.digests(),
+            held: self.holder.stamp(),
+            member: self.identity.member.clone(),
+            region: self.identity.region.clone(),
+        }
+    }
+
+    pub(crate) fn link(&mut self, now: Moment, event: link::Event) {
+        match event {
+            link::Event::Opened { session } => {
+                self.uplink_event(now, session, uplink::Event::Opened, None);
+            }
+            link::Event::Refused { session, refusal } => {
+                let event = match refusal {
+                    Refusal::Full(_) => uplink::Event::Full,
+                    Refusal::Busy(_) => uplink::Event::Busy,
+                    Refusal::Loop => uplink::Event::Loop,
+                };
+                self.uplink_event(now, session, event, Some(&refusal));
+            }
+            link::Event::Closed { session, .. } => {
+                self.children.remove(session);
+                self.uplink_event(now, session, uplink::Event::Closed, None);
+            }
+            link::Event::Joining { session, hello } => self.welcome(now, session, &hello),
+            link::Event::Down { session, message } => {
+                if self.uplink.joined() == Some(session) {
+                    self.uplink.hear(now);
+                    self.take_down(now, session, *message);
+                }
+            }
+            link::Event::Up { session, message } => {
+                if let Some(child) = self.children.get_mut(session) {
+                    child.hear(now);
+                    self.take_up(now, session, *message);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn uplink_event(
+        &mut self,
+        now: Moment,
+        session: Session,
+        event: uplink::Event,
+        refusal: Option<&Refusal>,
+    ) {
+        if self.uplink.is(session) {
+            let outcome = self.uplink.take(now, event, refusal, &mut self.random);
+            self.apply(now, outcome);
+        } else if event == uplink::Event::Opened {
+            self.command(Command::Close { session });
+        }
+    }
+
+    /// Takes or refuses a child, and brings it up to what this node knows.
+    pub(crate) fn welcome(&mut self, now: Moment, session: Session, hello: &Hello) {
+        let above = |member: &Member| member.node == hello.member.node;
+        let refusal = if above(&self.identity.member) || self.uplink.path().iter().any(above) {
+            Some(Refusal::Loop)
+        } else {
+            let domain = &self.identity.domain;
+            self.children
+                .refusal(hello, domain, &self.holder, &self.settings.budget)
+        };
+        if let Some(refusal) = refusal {
+            return self.command(Command::Refuse { session, refusal });
+        }
+        if let Some(session) = self.children.add(now, session, hello) {
+            self.command(Command::Close { session });
+        }
+        self.command(Command::Accept { session });
+        self.holder.hear_of(hello.held.version);
+        let digests = self.registry.digests();
+        self.down(vec![session], Down::Path(Box::new(self.path())));
+        self.down(vec![session], Down::Beat(self.holder.stamp()));
+        if digests != hello.endpoints {
+            let records = self.registry.difference(&hello.endpoints);
+            self.down(vec![session], Down::Digests(digests));
+            if !records.is_empty() {
+                self.down(vec![session], Down::Endpoints(records));
+            }
+        }
+        self.bring_up();
+    }
+
+    pub(crate) fn take_path(&mut self, now: Moment, path: Path) {
+        let parent = path
+            .last()
+            .map(|member| member.node.to_string())
+            .unwrap_or_default();
+        if self.uplink.path().is_empty() {
+            self.effects.push(Effect::Note(Note::Joined(parent)));
+        }
+        if self.uplink.set_path(path, &self.identity.member.node) {
+            self.send_path();
+        } else {
+            let outcome = self
+                .uplink
+                .take(now, uplink::Event::Loop, None, &mut self.random);
+            self.apply(now, outcome);
+        }
+    }
+
+    /// Makes the holder of the next lease the first to be asked, once it is known.
+    pub(crate) fn ask_superior(&mut self) {
+        if self.uplink.joined().is_none()
+            && let Some(superior) = self.ladder.superior()
+        {
+            self.uplink.prefer(superior.link);
+        }
+    }
+
+    /// Returns the nodes from the root down to this one.
+    pub(crate) fn path(&self) -> Path {
+        let mut path = self.uplink.path().clone();
+        path.push(self.identity.member.clone());
+        path
+    }
+
+    pub(crate) fn send_path(&mut self) {
+        let path = self.path();
+        self.down(self.children.sessions(), Down::Path(Box::new(path)));
+    }
+}
