--- /dev/null
+++ b/crates/cicadagw-control/tests/control/away.rs
@@ -0,0 +1,1 @@
+//! Sessions.
--- /dev/null
+++ b/crates/cicadagw-control/tests/control/main.rs
@@ -0,0 +1,12 @@
+//! Sessions and properties of the decisions about control.
+
+mod away;
+mod fixture;
+mod lease;
+mod news;
+mod property;
+mod render;
+mod session;
+mod store;
+mod tree;
+mod version;
