Let every table end with the same record of an endpoint

Cause: an owner that drains and a root that declares it dead may both write the next sequence number. A table kept whichever came first, so two nodes held different records for ever when the owner was dead, and their digests never met. Ruled out: a separate number space for roots; the owner could not refute a false burial by it. Change: at the same sequence number the later state wins, then the other fields. Test: news::two_records_of_one_sequence_number_end_up_as_one failed with Draining against Gone, and passes.

--- a/crates/cicadagw-endpoint/src/record.rs
+++ b/crates/cicadagw-endpoint/src/record.rs
@@ -33,8 +33,10 @@
     pub state: State,
 }
 
-/// What an endpoint does.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+/// What an endpoint does; a later state is greater.
+#[derive(
+    Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
+)]
 #[serde(rename_all = "kebab-case")]
 pub enum State {
     /// It takes work.
--- a/crates/cicadagw-endpoint/src/table.rs
+++ b/crates/cicadagw-endpoint/src/table.rs
@@ -13,6 +13,22 @@
     records: BTreeMap<id::Endpoint, Record>,
 }
 
+/// Orders the records of one endpoint.
+///
+/// An owner and a root that declares the owner dead may use the same sequence number, so the state
+/// decides next, and then what a restarted owner may have changed. Every table must end with the
+/// same record, whatever the order in which it learns of them.
+fn order(record: &Record) -> impl Ord + '_ {
+    (
+        record.sequence,
+        record.state,
+        record.slots,
+        record.address,
+        (record.link, &record.node, &record.rack),
+        (&record.domain, &record.region, &record.service),
+    )
+}
+
 /// What a table did with a record.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -26,7 +42,7 @@
     /// Takes `record` in when it is newer than what the table holds of the same endpoint.
     pub fn merge(&mut self, record: Record) -> Outcome {
         let held = self.records.get(&record.endpoint);
-        if held.is_some_and(|held| held.sequence >= record.sequence) {
+        if held.is_some_and(|held| order(held) >= order(&record)) {
             return Outcome::Stale;
         }
         self.records.insert(record.endpoint.clone(), record);
