Keep an endpoint ended that this node ended in this life

Cause: a restarted node told of an end before it had heard the old records of its endpoint gave the end a low sequence number; the old record, with a higher one, revived the endpoint for the patience of unclaimed records. Besides, an announcement that changed nothing was spread as news. Change: the registry remembers what it ended and answers old news with a higher end at once; the same announcement twice is no news. Test: news::what_a_node_ended_itself_no_old_news_revives failed (Ready at 7 for Gone at 8), and passes.

--- a/crates/cicadagw-control/src/endpoints.rs
+++ b/crates/cicadagw-control/src/endpoints.rs
@@ -1,6 +1,6 @@
 //! News of endpoints: what is known, what is to be spread, and what this node says itself.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use cicadagw_endpoint::{Local, Outcome, Record, State, Table};
@@ -32,6 +32,8 @@
     gone: BTreeMap<id::Endpoint, Moment>,
     /// Records of this node that it did not make in this life, and since when they are known.
     orphans: BTreeMap<id::Endpoint, Moment>,
+    /// Endpoints that this node ended in this life; they never come back.
+    ended: BTreeSet<id::Endpoint>,
     changed: bool,
 }
 
@@ -44,6 +46,7 @@
             news: BTreeMap::new(),
             gone: BTreeMap::new(),
             orphans: BTreeMap::new(),
+            ended: BTreeSet::new(),
             changed: false,
         }
     }
@@ -72,12 +75,16 @@
 
     /// Takes news of the backend server of this host.
     pub(crate) fn tell(&mut self, now: Moment, local: Local) {
+        if self.local.get(&local.endpoint) == Some(&local) {
+            return;
+        }
         let known = self.table.get(&local.endpoint);
         let sequence = known.map_or(Sequence::new(1), |record| record.sequence.next());
         let record = self.record(&local, sequence);
         self.orphans.remove(&local.endpoint);
         if local.state == State::Gone {
             self.local.remove(&local.endpoint);
+            self.ended.insert(local.endpoint.clone());
         } else {
             self.local.insert(local.endpoint.clone(), local);
         }
@@ -120,6 +127,7 @@
             .collect();
         for endpoint in forgotten {
             self.gone.remove(&endpoint);
+            self.ended.remove(&endpoint);
             self.table.forget(&endpoint);
         }
         let unclaimed: Vec<_> = self
@@ -194,11 +202,15 @@
                 };
                 self.merge(now, Source::Own, own);
             }
-        } else {
-            if record.state != State::Gone {
-                self.orphans.entry(endpoint).or_insert(now);
-            }
-            self.merge(now, source, record);
+            return;
+        }
+        let ended = self.ended.contains(&endpoint);
+        if record.state != State::Gone && !ended {
+            self.orphans.entry(endpoint.clone()).or_insert(now);
+        }
+        self.merge(now, source, record);
+        if ended {
+            self.end(now, &endpoint);
         }
     }
 
