Tell every child the digests, also one that knows the same

Cause: a child says its digests when it dials. News that it took from its own children between the dial and the acceptance went to no parent; when the digests of the dial were equal to the parent's, nothing mended that until the next join. Besides, the digests of the whole table were computed for every dial and every join. Change: a parent always sends its digests; the child answers with what differs by then. The digests are kept until the table changes. Cost: about 50 bytes for each failure domain, once for each join.

--- a/crates/cicadagw-control/src/endpoints.rs
+++ b/crates/cicadagw-control/src/endpoints.rs
@@ -1,5 +1,6 @@
 //! News of endpoints: what is known, what is to be spread, and what this node says itself.
 
+use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -35,6 +36,8 @@
     /// Endpoints that this node ended in this life; they never come back.
     ended: BTreeSet<id::Endpoint>,
     changed: bool,
+    /// The digests of the table, until it changes.
+    digests: OnceCell<BTreeMap<id::Domain, Digest>>,
 }
 
 impl Registry {
@@ -48,6 +51,7 @@
             orphans: BTreeMap::new(),
             ended: BTreeSet::new(),
             changed: false,
+            digests: OnceCell::new(),
         }
     }
 
@@ -55,8 +59,8 @@
         &self.table
     }
 
-    pub(crate) fn digests(&self) -> BTreeMap<id::Domain, Digest> {
-        self.table.digests()
+    pub(crate) fn digests(&self) -> &BTreeMap<id::Domain, Digest> {
+        self.digests.get_or_init(|| self.table.digests())
     }
 
     /// Tells whether this node stands before a backend server.
@@ -129,6 +133,7 @@
             self.gone.remove(&endpoint);
             self.ended.remove(&endpoint);
             self.table.forget(&endpoint);
+            self.digests.take();
         }
         let unclaimed: Vec<_> = self
             .orphans
@@ -239,6 +244,7 @@
             State::Ready | State::Draining => self.gone.remove(&record.endpoint),
         };
         self.changed = true;
+        self.digests.take();
         for news in self.news.values_mut() {
             news.remove(&record.endpoint);
         }
--- a/crates/cicadagw-control/src/tree.rs
+++ b/crates/cicadagw-control/src/tree.rs
@@ -85,7 +85,7 @@
     pub(crate) fn hello(&self) -> Hello {
         Hello {
             domain: self.identity.domain.clone(),
-            endpoints: self.registry.digests(),
+            endpoints: self.registry.digests().clone(),
             held: self.holder.stamp(),
             member: self.identity.member.clone(),
             region: self.identity.region.clone(),
@@ -158,15 +158,14 @@
         }
         self.command(Command::Accept { session });
         self.holder.hear_of(hello.held.version);
-        let digests = self.registry.digests();
+        let digests = self.registry.digests().clone();
         self.down(vec![session], Down::Path(Box::new(self.path())));
         self.down(vec![session], Down::Beat(self.holder.stamp()));
-        if digests != hello.endpoints {
-            let records = self.registry.difference(&hello.endpoints);
-            self.down(vec![session], Down::Digests(digests));
-            if !records.is_empty() {
-                self.down(vec![session], Down::Endpoints(records));
-            }
+        let records = self.registry.difference(&hello.endpoints);
+        // Also when they are equal: the child may have learned more since it dialled.
+        self.down(vec![session], Down::Digests(digests));
+        if !records.is_empty() {
+            self.down(vec![session], Down::Endpoints(records));
         }
         self.bring_up();
     }
--- a/crates/cicadagw-control/tests/control/session.rs
+++ b/crates/cicadagw-control/tests/control/session.rs
@@ -1,7 +1,7 @@
 //! One node's control with a fake platform, and the record of what passed.
 
 use cicadagw_config::Stamp;
-use cicadagw_control::platform::{Answer, Call, Reply, Request};
+use cicadagw_control::platform::{Answer, Call, Purpose, Reply, Request};
 use cicadagw_control::{Core, Dump, Effect, Event};
 use cicadagw_endpoint::{Local, Record};
 use cicadagw_platform::Error;
@@ -26,6 +26,7 @@
     /// How many calls were made to the platform, a waiting watch as one.
     pub(crate) calls: usize,
     dialled: Option<Link>,
+    is_answered: fn(&Call) -> bool,
     now: Moment,
     lines: Vec<String>,
     waiting: Vec<(Moment, Call)>,
@@ -39,6 +40,7 @@
             effects: Vec::new(),
             calls: 0,
             dialled: None,
+            is_answered: |_| true,
             now: Moment::new(1_000),
             lines: Vec::new(),
             waiting: Vec::new(),
@@ -80,6 +82,22 @@
         self.now = self.now.after(span);
     }
 
+    /// Lets time pass with a parent that gives signs of life.
+    pub(crate) fn run_hearing(&mut self, span: Span) {
+        let end = self.now.after(span);
+        while self.now < end {
+            self.run(Span::seconds(1));
+            self.down(Down::Beat(self.held()));
+        }
+    }
+
+    /// Lets time pass with the platform answering the calls that `is_answered` names.
+    pub(crate) fn run_with(&mut self, span: Span, is_answered: fn(&Call) -> bool) {
+        self.is_answered = is_answered;
+        self.run(span);
+        self.is_answered = |_| true;
+    }
+
     /// Has the platform answer every call that it can answer now.
     pub(crate) fn answer(&mut self) {
         loop {
@@ -102,6 +120,9 @@
     }
 
     fn outcome(&mut self, since: Moment, call: &Call) -> Option<Result<Answer, Error>> {
+        if !(self.is_answered)(call) {
+            return None;
+        }
         let outcome = self.store.answer(&call.request);
         let over = match call.request {
             Request::Watch { wait, .. } => self.now.since(since) >= wait,
@@ -110,10 +131,11 @@
         outcome.or_else(|| over.then_some(Ok(Answer::Object(None))))
     }
 
-    /// Answers a call of the node by hand, the oldest first.
-    pub(crate) fn reply(&mut self, outcome: Result<Answer, Error>) {
-        let (_, call) = self.waiting.remove(0);
-        let purpose = call.purpose;
+    /// Answers the oldest call for `purpose` by hand.
+    pub(crate) fn reply_to(&mut self, purpose: Purpose, outcome: Result<Answer, Error>) {
+        let mut waiting = self.waiting.iter();
+        let index = waiting.position(|(_, call)| call.purpose == purpose);
+        self.waiting.remove(index.unwrap());
         self.step(Event::Platform(Reply { purpose, outcome }));
     }
 
--- a/crates/cicadagw-control/tests/control/store.rs
+++ b/crates/cicadagw-control/tests/control/store.rs
@@ -64,6 +64,17 @@
         self.write(Key::head(), serde_json::to_vec(&head).unwrap());
     }
 
+    /// The head.
+    pub(crate) fn head(&self) -> Head {
+        serde_json::from_slice(&self.objects[&Key::head()].value).unwrap()
+    }
+
+    /// Puts the snapshot of `version` in the place of a head that leads nowhere.
+    pub(crate) fn accept_over(&mut self, version: u64) {
+        self.objects.remove(&Key::head());
+        self.accept(version);
+    }
+
     /// Has the node with this number hold the lease of `rank`.
     pub(crate) fn give(&mut self, rank: Rank, number: u16) {
         let claim = Claim {
@@ -74,21 +85,6 @@
         self.write(lease(rank), serde_json::to_vec(&claim).unwrap());
     }
 
-    /// Who holds the lease of `rank`.
-    pub(crate) fn holder(&self, rank: Rank) -> Option<String> {
-        let object = self.objects.get(&lease(rank))?;
-        let claim: Claim = serde_json::from_slice(&object.value).unwrap();
-        Some(claim.holder.node.to_string())
-    }
-
-    pub(crate) fn remove(&mut self, key: &Key) {
-        self.objects.remove(key);
-    }
-
-    pub(crate) fn keys(&self) -> impl Iterator<Item = &Key> {
-        self.objects.keys()
-    }
-
     /// Sets the store back to `backup`, with its revisions.
     pub(crate) fn restore(&mut self, backup: Self) {
         *self = backup;
