Try to write the directory at a bounded rate

Cause: after a failed write the root forgot what it had written, which also lifted the gap between two writes, and nothing noted a write under way: it tried again at every tick. Besides, a root that lost its lease and came back compared with what it had written itself, though another root had written since; now it forgets that, and the status, when it is no root. Change: the directory has a writer of its own beside that of the status; members in the order of their names.

--- a/crates/cicadagw-control/src/core.rs
+++ b/crates/cicadagw-control/src/core.rs
@@ -10,7 +10,7 @@
 use cicadagw_unit::{Version, id};
 use cicadagw_view::Endpoints;
 use cicadagw_wire::link::{Command, Session};
-use cicadagw_wire::{Down, Member, Report, Up};
+use cicadagw_wire::{Down, Report, Up};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -22,9 +22,8 @@
 use crate::links::Children;
 use crate::platform::{self, Purpose};
 use crate::roll::Roll;
-use crate::status::Writer;
 use crate::uplink::Uplink;
-use crate::{Dump, Effect, Event, Identity, Rank};
+use crate::{Dump, Effect, Event, Identity, Rank, directory, status};
 
 /// The control of one node.
 pub struct Core {
@@ -39,8 +38,8 @@
     pub(crate) children: Children,
     pub(crate) fetch: Fetch,
     pub(crate) roll: Roll,
-    pub(crate) status: Writer,
-    pub(crate) directory: (Moment, Vec<Member>),
+    pub(crate) status: status::Writer,
+    pub(crate) directory: directory::Writer,
     pub(crate) present: Vec<id::Node>,
     pub(crate) reported: (Moment, Option<Report>),
     pub(crate) beat: Moment,
@@ -67,8 +66,8 @@
             children: Children::default(),
             fetch: Fetch::default(),
             roll: Roll::default(),
-            status: Writer::default(),
-            directory: (Moment::default(), Vec::new()),
+            status: status::Writer::default(),
+            directory: directory::Writer::default(),
             present: Vec::new(),
             reported: (Moment::default(), None),
             beat: Moment::default(),
@@ -167,11 +166,7 @@
                 self.fetched(now, outcome);
             }
             Purpose::Status => self.status.reply(reply.outcome.is_ok()),
-            Purpose::Directory => {
-                if reply.outcome.is_err() {
-                    self.directory.1.clear();
-                }
-            }
+            Purpose::Directory => self.directory.reply(reply.outcome.is_ok()),
         }
     }
 
--- a/crates/cicadagw-control/src/lib.rs
+++ b/crates/cicadagw-control/src/lib.rs
@@ -6,6 +6,7 @@
 mod charts;
 mod child;
 mod core;
+mod directory;
 mod dump;
 mod effect;
 mod endpoints;
--- a/crates/cicadagw-control/src/root.rs
+++ b/crates/cicadagw-control/src/root.rs
@@ -1,17 +1,12 @@
 //! What falls to the root of a failure domain.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
-use cicadagw_platform::Key;
 use cicadagw_unit::id;
-use cicadagw_unit::time::{Moment, Span};
+use cicadagw_unit::time::Moment;
 use cicadagw_wire::{Directory, Down, Member, Up};
 
-use crate::platform::Purpose;
-use crate::{Core, Effect, roll, status};
-
-/// The least time between two writes of the directory.
-const DIRECTORY_GAP: Span = Span::seconds(5);
+use crate::{Core, Effect, roll};
 
 impl Core {
     /// Passes on which nodes answered a roll call.
@@ -36,6 +31,8 @@
     pub(crate) fn look_at_root_duties(&mut self, now: Moment) {
         if self.ladder.rank().is_none() {
             self.roll.reset();
+            self.status.reset();
+            self.directory.reset();
             return;
         }
         let report = self.report();
@@ -68,34 +65,27 @@
     }
 
     pub(crate) fn write_directory(&mut self, now: Moment) {
-        let mut members: Vec<Member> = self
+        let mut members: BTreeMap<id::Node, Member> = self
             .registry
             .serving_nodes()
             .into_values()
-            .map(|record| Member {
-                link: record.link,
-                node: record.node.clone(),
-                rack: record.rack.clone(),
+            .map(|record| {
+                let member = Member {
+                    link: record.link,
+                    node: record.node.clone(),
+                    rack: record.rack.clone(),
+                };
+                (record.node.clone(), member)
             })
             .collect();
-        if members
-            .iter()
-            .all(|member| member.node != self.identity.member.node)
-        {
-            members.push(self.identity.member.clone());
-        }
-        let (at, written) = &self.directory;
-        if members == *written || (!written.is_empty() && now.since(*at) < DIRECTORY_GAP) {
-            return;
-        }
-        self.directory = (now, members.clone());
+        let own = &self.identity.member;
+        members.insert(own.node.clone(), own.clone());
         let directory = Directory {
             domain: self.identity.domain.clone(),
-            members,
+            members: members.into_values().collect(),
             region: self.identity.region.clone(),
         };
-        let key = Key::directory(&self.identity.domain);
-        let call = status::write(Purpose::Directory, key, &directory);
-        self.effects.push(Effect::Platform(call));
+        let call = self.directory.tick(now, directory);
+        self.effects.extend(call.map(Effect::Platform));
     }
 }
--- a/crates/cicadagw-control/src/status.rs
+++ b/crates/cicadagw-control/src/status.rs
@@ -103,6 +103,11 @@
             report.count = 0;
         }
     }
+
+    /// Forgets what was written, since another root may write; for a node that is no root.
+    pub(crate) fn reset(&mut self) {
+        self.last = None;
+    }
 }
 
 /// Returns an unconditional write of `value`.
