--- a/crates/cicadagw-control/src/uplink.rs
+++ b/crates/cicadagw-control/src/uplink.rs
@@ -69,7 +69,7 @@
         Climb = "climb",
         /// Act as the child of the parent.
         Join = "join",
-        /// Cease to act as its child.
+        /// Cease to act as its child, and forget the path to it.
         Part = "part",
         /// Close the link.
         HangUp = "hang-up",
@@ -93,6 +93,8 @@
     own: SocketAddr,
     session: Session,
     candidates: VecDeque<SocketAddr>,
+    /// The node that was asked last.
+    asked: Option<SocketAddr>,
     path: Path,
     heard: Moment,
     orphan_since: Moment,
@@ -118,6 +120,7 @@
             own,
             session: Session::default(),
             candidates: VecDeque::new(),
+            asked: None,
             path: Path::new(),
             heard: Moment::default(),
             orphan_since: Moment::default(),
@@ -140,6 +143,11 @@
         self.state != State::Orphan && self.session == session
     }
 
+    /// Tells whether the node at `address` is being asked.
+    pub(crate) fn asks(&self, address: SocketAddr) -> bool {
+        self.state == State::Dialing && self.asked == Some(address)
+    }
+
     /// Returns the nodes from the root down to the parent; empty without a parent.
     pub(crate) fn path(&self) -> &Path {
         &self.path
@@ -243,10 +251,8 @@
                 // Sessions of dialled links are even, those of incoming ones odd.
                 self.session = Session(self.session.0 + 2);
                 self.heard = now;
-                outcome.dial = self
-                    .candidates
-                    .pop_front()
-                    .map(|address| (self.session, address));
+                self.asked = self.candidates.pop_front();
+                outcome.dial = self.asked.map(|address| (self.session, address));
             }
             Action::Refill => outcome.refill = true,
             Action::Wait => {
@@ -258,6 +264,8 @@
                 if let Some(Refusal::Busy(span)) = refusal {
                     let jitter = random.random_range(0..=span.get());
                     self.next = now.after(Span::new(span.get() + jitter));
+                    self.candidates.extend(self.asked);
+                    self.candidates.rotate_right(1);
                 }
             }
             Action::Descend => {
@@ -275,7 +283,6 @@
                     .collect();
                 self.candidates.clear();
                 self.add_candidates(above);
-                self.path.clear();
                 self.next = now;
             }
             Action::Join => {
@@ -284,6 +291,7 @@
                 outcome.joined = true;
             }
             Action::Part => {
+                self.path.clear();
                 self.orphan_since = now;
                 outcome.parted = true;
             }
