Settle at once which of two nodes stands above the other

Cause 1: two orphans that asked each other took each other; both paths then showed a loop, both hung up, and only the jitter of the next tries ended that. Change: the one with the lesser name takes the other and is refused by it. Cause 2: an orphan that came back empty in a cut failure domain took children that held a version, and had nobody to get it from, since versions go down only. Change: an orphan that is no root sends away a node that holds more, with a short wait, and asks it to be the parent. Ruled out: sending versions up; a node below another tree would then need it on every link. Tests: tree::of_two_nodes_that_ask_each_other_one_is_taken (two were taken) and tree::the_one_that_holds_more_stands_above failed; both pass.

--- a/crates/cicadagw-control/src/links.rs
+++ b/crates/cicadagw-control/src/links.rs
@@ -14,7 +14,7 @@
 use crate::child::Child;
 
 /// What a child is told to wait when too many whole snapshots are under way.
-const BUSY_WAIT: Span = Span::new(200);
+pub(crate) const BUSY_WAIT: Span = Span::new(200);
 
 /// The children of this node.
 #[derive(Clone, Debug, Default)]
--- a/crates/cicadagw-control/src/tree.rs
+++ b/crates/cicadagw-control/src/tree.rs
@@ -9,7 +9,7 @@
 use rand::seq::SliceRandom;
 
 use crate::lease::Change;
-use crate::{Core, Effect, Note, ladder, uplink};
+use crate::{Core, Effect, Note, ladder, links, uplink};
 
 impl Core {
     pub(crate) fn look_at_leases(&mut self, now: Moment) {
@@ -142,15 +142,7 @@
 
     /// Takes or refuses a child, and brings it up to what this node knows.
     pub(crate) fn welcome(&mut self, now: Moment, session: Session, hello: &Hello) {
-        let above = |member: &Member| member.node == hello.member.node;
-        let refusal = if above(&self.identity.member) || self.uplink.path().iter().any(above) {
-            Some(Refusal::Loop)
-        } else {
-            let domain = &self.identity.domain;
-            self.children
-                .refusal(hello, domain, &self.holder, &self.settings.budget)
-        };
-        if let Some(refusal) = refusal {
+        if let Some(refusal) = self.refusal(hello) {
             return self.command(Command::Refuse { session, refusal });
         }
         if let Some(session) = self.children.add(now, session, hello) {
@@ -170,6 +162,36 @@
         self.bring_up();
     }
 
+    /// Says why the node that sent `hello` cannot become a child, if it cannot.
+    fn refusal(&mut self, hello: &Hello) -> Option<Refusal> {
+        if self.is_above(&hello.member) {
+            return Some(Refusal::Loop);
+        }
+        if self.should_be_below(hello) {
+            self.uplink.prefer(hello.member.link);
+            return Some(Refusal::Busy(links::BUSY_WAIT));
+        }
+        let domain = &self.identity.domain;
+        let budget = &self.settings.budget;
+        self.children.refusal(hello, domain, &self.holder, budget)
+    }
+
+    /// Tells whether `member` stands above this node, or will at once.
+    fn is_above(&self, member: &Member) -> bool {
+        let own = &self.identity.member.node;
+        // Of two nodes that ask each other, the one with the lesser name takes the other.
+        let ask_each_other = self.uplink.asks(member.link) && *own > member.node;
+        let path = self.uplink.path();
+        member.node == *own || ask_each_other || path.iter().any(|above| above.node == member.node)
+    }
+
+    /// Tells whether the node that sent `hello` had better be the parent, since it holds more and
+    /// nobody else brings this one up.
+    fn should_be_below(&self, hello: &Hello) -> bool {
+        let is_alone = self.uplink.joined().is_none() && self.ladder.rank().is_none();
+        is_alone && hello.held.version > self.holder.stamp().version
+    }
+
     pub(crate) fn take_path(&mut self, now: Moment, path: Path) {
         let parent = path
             .last()
