--- a/crates/cicadagw-control/src/child.rs
+++ b/crates/cicadagw-control/src/child.rs
@@ -2,9 +2,12 @@
 
 use cicadagw_config::Stamp;
 use cicadagw_unit::id;
-use cicadagw_unit::time::Moment;
+use cicadagw_unit::time::{Moment, Span};
 use cicadagw_wire::{Hello, Member, Report};
 
+/// How long a whole snapshot counts as on its way at the most; nodes further below may stay behind.
+const SYNC_MAX: Span = Span::seconds(1);
+
 /// A node that hangs below this one.
 #[derive(Clone, Debug)]
 pub(crate) struct Child {
@@ -14,8 +17,8 @@
     pub(crate) held: Stamp,
     pub(crate) heard: Moment,
     pub(crate) report: Option<Report>,
-    /// Whether a whole snapshot is on its way to it.
-    pub(crate) syncing: bool,
+    /// When a whole snapshot was sent that it has not yet reported to hold.
+    pub(crate) syncing: Option<Moment>,
 }
 
 impl Child {
@@ -26,13 +29,26 @@
             held: hello.held,
             heard: now,
             report: None,
-            syncing: false,
+            syncing: None,
         }
     }
 
-    /// Notes a sign of life; whatever was sent to the child before has been taken.
+    /// Notes a sign of life.
     pub(crate) fn hear(&mut self, now: Moment) {
         self.heard = now;
-        self.syncing = false;
+    }
+
+    /// Takes a report; one that shows the version sent ends the sync.
+    pub(crate) fn take_report(&mut self, report: Report) {
+        if report.lowest >= self.held.version {
+            self.syncing = None;
+        }
+        self.report = Some(report);
+    }
+
+    /// Tells whether a whole snapshot is on its way to it.
+    pub(crate) fn is_syncing(&self, now: Moment) -> bool {
+        self.syncing
+            .is_some_and(|since| now.since(since) < SYNC_MAX)
     }
 }
--- a/crates/cicadagw-control/src/links.rs
+++ b/crates/cicadagw-control/src/links.rs
@@ -67,6 +67,7 @@
         domain: &id::Domain,
         holder: &Holder,
         budget: &Budget,
+        now: Moment,
     ) -> Option<Refusal> {
         // Roots of other failure domains are few, and have nowhere else to go.
         let within: Vec<_> = self.in_domain(domain).collect();
@@ -77,8 +78,9 @@
             ));
         }
         let wants_whole = hello.held != holder.stamp() && holder.find(hello.held).is_none();
-        let syncing = self.children.values().filter(|child| child.syncing).count();
-        let busy = syncing >= usize::try_from(budget.whole_syncs.get()).unwrap_or(usize::MAX);
+        let syncing = self.children.values().filter(|child| child.is_syncing(now));
+        let busy =
+            syncing.count() >= usize::try_from(budget.whole_syncs.get()).unwrap_or(usize::MAX);
         (holder.held().is_some() && wants_whole && busy).then_some(Refusal::Busy(BUSY_WAIT))
     }
 
@@ -116,7 +118,7 @@
     }
 
     /// Brings every child up to what the node holds, by a delta where the child is a little behind.
-    pub(crate) fn bring_up(&mut self, holder: &Holder) -> Vec<Command> {
+    pub(crate) fn bring_up(&mut self, now: Moment, holder: &Holder) -> Vec<Command> {
         let Some(newest) = holder.held() else {
             return Vec::new();
         };
@@ -131,7 +133,9 @@
                 .or_insert_with(|| (child.held, Vec::new()))
                 .1
                 .push(*session);
-            child.syncing = holder.find(child.held).is_none();
+            if holder.find(child.held).is_none() {
+                child.syncing = Some(now);
+            }
             child.held = newest.stamp;
         }
         behind
--- a/crates/cicadagw-control/src/sync.rs
+++ b/crates/cicadagw-control/src/sync.rs
@@ -30,6 +30,7 @@
                 self.call_roll();
             }
             Down::Whole(snapshot) => self.offer(now, *snapshot),
+            Down::Delta(delta) if delta.to.version <= self.holder.stamp().version => {}
             Down::Delta(delta) => {
                 let Some(held) = self.holder.held().filter(|held| held.stamp == delta.from) else {
                     return self.up(Up::WantWhole);
@@ -52,14 +53,14 @@
             Up::Present(nodes) => self.present.extend(nodes),
             Up::Report(report) => {
                 if let Some(child) = self.children.get_mut(session) {
-                    child.report = Some(*report);
+                    child.take_report(*report);
                 }
             }
             Up::WantWhole => {
                 if let Some(child) = self.children.get_mut(session) {
                     child.held = Stamp::default();
                 }
-                self.bring_up();
+                self.bring_up(now);
             }
         }
     }
@@ -91,7 +92,7 @@
             Verdict::Adopted => {
                 self.effects.push(Effect::Note(Note::Adopted(version)));
                 self.publish();
-                self.bring_up();
+                self.bring_up(now);
                 self.send_report(now);
             }
             Verdict::Refused(reason) => self
@@ -107,8 +108,8 @@
         self.holder.refuse(version, reason);
     }
 
-    pub(crate) fn bring_up(&mut self) {
-        let commands = self.children.bring_up(&self.holder);
+    pub(crate) fn bring_up(&mut self, now: Moment) {
+        let commands = self.children.bring_up(now, &self.holder);
         self.effects.extend(commands.into_iter().map(Effect::Link));
     }
 
--- a/crates/cicadagw-control/src/tree.rs
+++ b/crates/cicadagw-control/src/tree.rs
@@ -142,7 +142,7 @@
 
     /// Takes or refuses a child, and brings it up to what this node knows.
     pub(crate) fn welcome(&mut self, now: Moment, session: Session, hello: &Hello) {
-        if let Some(refusal) = self.refusal(hello) {
+        if let Some(refusal) = self.refusal(now, hello) {
             return self.command(Command::Refuse { session, refusal });
         }
         if let Some(session) = self.children.add(now, session, hello) {
@@ -159,11 +159,11 @@
         if !records.is_empty() {
             self.down(vec![session], Down::Endpoints(records));
         }
-        self.bring_up();
+        self.bring_up(now);
     }
 
     /// Says why the node that sent `hello` cannot become a child, if it cannot.
-    fn refusal(&mut self, hello: &Hello) -> Option<Refusal> {
+    fn refusal(&mut self, now: Moment, hello: &Hello) -> Option<Refusal> {
         if self.is_above(&hello.member) {
             return Some(Refusal::Loop);
         }
@@ -173,7 +173,8 @@
         }
         let domain = &self.identity.domain;
         let budget = &self.settings.budget;
-        self.children.refusal(hello, domain, &self.holder, budget)
+        self.children
+            .refusal(hello, domain, &self.holder, budget, now)
     }
 
     /// Tells whether `member` stands above this node, or will at once.
--- a/crates/cicadagw-control/tests/control/version.rs
+++ b/crates/cicadagw-control/tests/control/version.rs
@@ -101,3 +101,13 @@
     assert_eq!(laggards.len(), 1);
     assert_eq!(laggards[0].held, Version::new(2));
 }
+
+#[test]
+fn a_delta_to_a_version_that_is_held_is_no_cause_for_a_whole_snapshot() {
+    let mut session = follower(2);
+    session.forget();
+
+    session.down(Down::Delta(Box::new(delta(1, 2))));
+
+    assert_eq!(session.commands().count(), 0);
+}
