Fetch one version at a time, and follow a platform that was set back

Cause 1: a part of a fetch that was given up came after the next fetch had begun and was taken for one of its parts: index out of bounds (the len is 1 but the index is 1), which ends the node. Change: no fetch begins before every part that was asked for is answered. Cause 2: the watch asks for a revision above the last one; a platform set back to a backup counts from a lower one, so changes went unseen until it had caught up. Change: after a watch that told of nothing, the head is read as it is: one read each 20 s more. Cause 3: a part that could not be read during an outage was reported as a refused version, and a version whose parts are gone was asked for twice a second for ever. Change: an outage only puts the fetch off; a second failure of the whole waits 10 s.

--- a/crates/cicadagw-control/src/fetch.rs
+++ b/crates/cicadagw-control/src/fetch.rs
@@ -14,6 +14,9 @@
 /// How long to wait after a call failed.
 const RETRY_WAIT: Span = Span::new(500);
 
+/// How long to wait when a version could not be had whole either.
+const REPAIR_WAIT: Span = Span::seconds(10);
+
 /// The longest way of deltas that is taken instead of a whole snapshot.
 const DELTAS_MAX: usize = 8;
 
@@ -34,9 +37,14 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Fetch {
     known: Revision,
+    /// Whether the last watch told of nothing; the next look then reads the head as it is, since a
+    /// platform set back to a backup counts its revisions from a lower one.
+    is_quiet: bool,
     watching: bool,
     next: Moment,
     plan: Option<Plan>,
+    /// How many parts were asked for and not answered.
+    outstanding: usize,
     /// The version for which deltas led nowhere.
     whole_for: Option<Version>,
 }
@@ -60,14 +68,19 @@
 impl Fetch {
     /// Looks at the head when no call is under way.
     pub(crate) fn tick(&mut self, now: Moment, wanted: bool) -> Option<Call> {
-        if !wanted || self.watching || self.plan.is_some() || now < self.next {
+        let is_busy = self.watching || self.plan.is_some() || self.outstanding > 0;
+        if !wanted || is_busy || now < self.next {
             return None;
         }
         self.watching = true;
-        let request = Request::Watch {
-            key: Key::head(),
-            after: self.known,
-            wait: WATCH_WAIT,
+        let request = if self.is_quiet {
+            Request::Get(Key::head())
+        } else {
+            Request::Watch {
+                key: Key::head(),
+                after: self.known,
+                wait: WATCH_WAIT,
+            }
         };
         Some(Call {
             purpose: Purpose::Head,
@@ -83,9 +96,13 @@
         holder: &Holder,
     ) -> Outcome {
         self.watching = false;
+        let was_quiet = std::mem::take(&mut self.is_quiet);
         match answer {
             Ok(Answer::Object(Some(object))) => self.read(&object, holder),
-            Ok(_) => Outcome::Nothing,
+            Ok(_) => {
+                self.is_quiet = !was_quiet;
+                Outcome::Nothing
+            }
             Err(_) => {
                 self.next = now.after(RETRY_WAIT);
                 Outcome::Nothing
@@ -101,12 +118,15 @@
         answer: Result<Answer, Error>,
         holder: &Holder,
     ) -> Outcome {
+        self.outstanding = self.outstanding.saturating_sub(1);
         let Some(plan) = &mut self.plan else {
             return Outcome::Nothing;
         };
         let bytes = match answer {
             Ok(Answer::Object(Some(object))) => object.value.to_vec(),
-            _ => return self.give_up(now, "a part cannot be read"),
+            Ok(_) => return self.give_up(now, "a part is not there"),
+            // The platform is away: that speaks neither for nor against the version.
+            Err(_) => return self.put_off(now),
         };
         if !part::is_intact(plan.digests[index], &bytes) {
             return self.give_up(now, "a part has another digest");
@@ -135,6 +155,7 @@
         }
         let plan = Plan::new(&head, holder, self.whole_for);
         let calls = plan.calls();
+        self.outstanding = calls.len();
         self.plan = Some(plan);
         Outcome::Calls(calls)
     }
@@ -145,15 +166,30 @@
             return Outcome::Nothing;
         };
         self.known = Revision::default();
-        self.next = now.after(RETRY_WAIT);
+        let is_repeated = self.whole_for == Some(plan.target.stamp.version);
+        let wait = if is_repeated { REPAIR_WAIT } else { RETRY_WAIT };
+        self.next = now.after(wait);
         self.whole_for = Some(plan.target.stamp.version);
         Outcome::Refused(plan.target.stamp.version, reason.to_owned())
     }
 
+    /// Ends the plan; the head is read again after a while.
+    fn put_off(&mut self, now: Moment) -> Outcome {
+        self.plan = None;
+        self.known = Revision::default();
+        self.next = now.after(RETRY_WAIT);
+        Outcome::Nothing
+    }
+
     fn assemble(&mut self, now: Moment, parts: Vec<Vec<u8>>, holder: &Holder) -> Outcome {
         let Some(plan) = &self.plan else {
             return Outcome::Nothing;
         };
+        if plan.target.stamp.version <= holder.stamp().version {
+            // A parent was faster.
+            self.plan = None;
+            return Outcome::Nothing;
+        }
         let snapshot = match plan.kind {
             Kind::Whole => plan.whole(&parts),
             Kind::Deltas => plan.follow(parts, holder),
