Spend less of the platform on leases, and keep what was claimed

Cause 2: a restarted holder waited out the lease of its own earlier life. Change: it takes it back at once; that life is over. Cause 3: nodes that were started together looked at the lease at the same moment and would all have claimed it; and every orphan watched the head and fetched the whole configuration after 6 s, which is when a lapsed lease is claimed. Change: the first look comes within 500 ms by the seed; an orphan that is no root turns to the head after 18 s.

--- a/crates/cicadagw-control/src/ladder.rs
+++ b/crates/cicadagw-control/src/ladder.rs
@@ -8,10 +8,16 @@
 use crate::platform::{Answer, Call};
 use crate::{Identity, Rank};
 
+/// The longest wait before a new node looks at the leases.
+const FIRST_LOOK_MAX: Span = Span::new(500);
+
 /// The leases of a node, from its failure domain up to the fleet.
 #[derive(Clone, Debug)]
 pub(crate) struct Ladder {
     leases: [(Rank, Lease); 3],
+    /// When the first look is taken after the start.
+    phase: Span,
+    is_new: bool,
 }
 
 /// What a step of the ladder leads to.
@@ -40,6 +46,8 @@
             )
         };
         Self {
+            phase: Span::new(term % FIRST_LOOK_MAX.get()),
+            is_new: true,
             leases: [
                 lease(Rank::Domain, Key::domain_lease(&identity.domain)),
                 lease(Rank::Region, Key::region_lease(&identity.region)),
@@ -54,6 +62,11 @@
         held.last().map(|(rank, _)| *rank)
     }
 
+    /// Tells whether the platform said of late that this node is the root of the fleet.
+    pub(crate) fn is_fresh(&self, now: Moment) -> bool {
+        self.leases.iter().all(|(_, lease)| lease.is_fresh(now))
+    }
+
     /// Returns the holder of the lowest lease that this node does not hold.
     pub(crate) fn superior(&self) -> Option<&Member> {
         let missing = self.leases.iter().find(|(_, lease)| !lease.is_held());
@@ -70,6 +83,11 @@
     /// Looks at every lease that is wanted; the lowest one is while `wanted`.
     pub(crate) fn tick(&mut self, now: Moment, mut wanted: bool) -> Outcome {
         let mut outcome = Outcome::default();
+        if wanted && std::mem::take(&mut self.is_new) {
+            // Nodes that were started together do not all claim the same lease.
+            let (_, lowest) = &mut self.leases[0];
+            lowest.put_off(now.after(self.phase));
+        }
         for (rank, lease) in &mut self.leases {
             wanted |= *rank == Rank::Domain && lease.is_held();
             outcome.add(*rank, lease.tick(now, wanted));
--- a/crates/cicadagw-control/src/lease.rs
+++ b/crates/cicadagw-control/src/lease.rs
@@ -153,6 +153,8 @@
     seen: Option<Seen>,
     in_flight: bool,
     next: Moment,
+    /// When the platform last said that this node is the holder.
+    confirmed: Moment,
 }
 
 impl Lease {
@@ -168,6 +170,7 @@
             seen: None,
             in_flight: false,
             next: Moment::default(),
+            confirmed: Moment::default(),
         }
     }
 
@@ -180,6 +183,16 @@
         matches!(self.state, State::Held | State::Renewing | State::Doubting)
     }
 
+    /// Tells whether the platform said of late that this node is the holder.
+    pub(crate) fn is_fresh(&self, now: Moment) -> bool {
+        self.is_held() && now.since(self.confirmed) < self.duration
+    }
+
+    /// Puts the next look off until `next`.
+    pub(crate) fn put_off(&mut self, next: Moment) {
+        self.next = next;
+    }
+
     /// Returns the other node that holds the lease, as far as this one knows.
     pub(crate) fn other(&self) -> Option<&Member> {
         let seen = self.seen.as_ref().filter(|_| !self.is_held())?;
@@ -209,6 +222,7 @@
             Ok(Answer::Object(Some(object))) => self.read(now, &object),
             Ok(Answer::Written(revision)) => {
                 self.revision = Some(revision);
+                self.confirmed = now;
                 Event::Written
             }
             Err(Error::Conflict) => Event::Conflict,
@@ -226,8 +240,13 @@
             return Event::Absent;
         };
         if claim == self.claim {
+            self.confirmed = now;
             return Event::Own;
         }
+        // The holder was an earlier life of this node, which is over.
+        if claim.holder.node == self.claim.holder.node {
+            return Event::Absent;
+        }
         let known = self
             .seen
             .as_ref()
--- a/crates/cicadagw-control/src/sync.rs
+++ b/crates/cicadagw-control/src/sync.rs
@@ -4,14 +4,14 @@
 
 use cicadagw_config::{Snapshot, Stamp};
 use cicadagw_unit::Version;
-use cicadagw_unit::time::Moment;
+use cicadagw_unit::time::{Moment, Span};
 use cicadagw_view::View;
 use cicadagw_wire::link::Session;
 use cicadagw_wire::{Down, Up};
 
 use crate::adopt::Verdict;
 use crate::endpoints::Source;
-use crate::{Core, Effect, Note, fetch};
+use crate::{Core, Effect, Note, Rank, fetch};
 
 impl Core {
     pub(crate) fn take_down(&mut self, now: Moment, session: Session, message: Down) {
@@ -79,10 +79,15 @@
 
     /// Watches the platform while nothing stands above this node, or nothing was found for long.
     pub(crate) fn watch(&mut self, now: Moment) {
-        let patience = self.settings.timing.silence();
+        let silence = self.settings.timing.silence();
+        let patience = match self.ladder.rank() {
+            Some(Rank::Fleet) => Span::default(),
+            Some(Rank::Domain | Rank::Region) => silence,
+            // Many nodes may be without a parent at once, and few of them need the platform.
+            None => silence.times(3),
+        };
         let orphaned = self.uplink.orphaned(now);
-        let alone = orphaned.is_some_and(|span| self.is_apex() || span >= patience);
-        let call = self.fetch.tick(now, alone);
+        let call = self.fetch.tick(now, orphaned >= Some(patience));
         self.effects.extend(call.map(Effect::Platform));
     }
 
--- a/crates/cicadagw-control/tests/control/lease.rs
+++ b/crates/cicadagw-control/tests/control/lease.rs
@@ -1,10 +1,11 @@
 //! Leases: lost answers, frozen holders, two roots at once.
 
 use cicadagw_control::Rank;
+use cicadagw_control::platform::Request;
 use cicadagw_unit::time::Span;
 use cicadagw_wire::Down;
 
-use crate::fixture::{hello, settings, snapshot};
+use crate::fixture::{hello, seeded, settings, snapshot};
 use crate::session::Session;
 use crate::store::{Fault, Store};
 
@@ -79,3 +80,28 @@
     assert_eq!(old.held(), snapshot(2).stamp);
     assert_eq!(state(&old, Rank::Fleet), "held");
 }
+
+#[test]
+fn a_claim_under_way_is_not_given_up() {
+    let mut session = Session::new(&seeded(2, &[1]), Store::default());
+    session.run_with(Span::seconds(1), |call| {
+        matches!(call.request, Request::Get(_))
+    });
+    session.joined(&[1]);
+    session.run_with(Span::new(100), |_| false);
+
+    session.answer();
+
+    assert_eq!(state(&session, Rank::Domain), "held");
+}
+
+#[test]
+fn a_restarted_holder_takes_its_lease_back_at_once() {
+    let mut store = Store::holding(1);
+    store.give(Rank::Domain, 1);
+    let mut session = Session::new(&settings(1), store);
+
+    session.run(Span::seconds(1));
+
+    assert_eq!(state(&session, Rank::Domain), "held");
+}
--- a/crates/cicadagw-control/tests/control/session.rs
+++ b/crates/cicadagw-control/tests/control/session.rs
@@ -34,8 +34,12 @@
 
 impl Session {
     pub(crate) fn new(settings: &Settings, store: Store) -> Self {
+        Self::seeded(settings, 7, store)
+    }
+
+    pub(crate) fn seeded(settings: &Settings, seed: u64, store: Store) -> Self {
         Self {
-            core: Core::new(settings, 7).unwrap(),
+            core: Core::new(settings, seed).unwrap(),
             store,
             effects: Vec::new(),
             calls: 0,
