Let roots that the platform does not answer find each other

Cause: a root of all that alone was cut off from the platform kept its lease in its own eyes, looked for no parent, and its failure domain stayed at an old version while another root of all went on. Other roots asked only the holder of the next lease, so without the platform they had nobody to ask. Ruled out: giving the lease up after a time; in an outage of the whole platform nobody could claim it, and the tree would lose its root for nothing. Change: a root of all that the platform has not confirmed for the duration of a lease asks for a parent too; a root that has found no superior for the time of three heartbeats asks two nodes of other failure domains in each round. Those below it refuse it as a loop. When the platform confirms it again it leaves that parent. Tests: away::a_root_of_all_without_platform_goes_below_a_newer_one failed (dialled nobody) and passes; away::a_root_of_all_without_platform_stays_when_all_hang_below_it dials less than 30 times in 60 s.

--- a/crates/cicadagw-control/src/endpoints.rs
+++ b/crates/cicadagw-control/src/endpoints.rs
@@ -2,6 +2,7 @@
 
 use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use cicadagw_endpoint::{Local, Outcome, Record, State, Table};
@@ -77,6 +78,16 @@
             .collect()
     }
 
+    /// Returns where nodes of other failure domains take links.
+    pub(crate) fn far_nodes(&self) -> Vec<SocketAddr> {
+        let far = self
+            .table
+            .records()
+            .filter(|record| record.domain != self.identity.domain && record.state != State::Gone);
+        let links: BTreeSet<_> = far.map(|record| record.link).collect();
+        links.into_iter().collect()
+    }
+
     /// Takes news of the backend server of this host.
     pub(crate) fn tell(&mut self, now: Moment, local: Local) {
         if self.local.get(&local.endpoint) == Some(&local) {
--- a/crates/cicadagw-control/src/tree.rs
+++ b/crates/cicadagw-control/src/tree.rs
@@ -11,6 +11,12 @@
 use crate::lease::Change;
 use crate::{Core, Effect, Note, ladder, links, uplink};
 
+/// How many nodes of its failure domain a node asks in one round, besides the seeds.
+const NEAR_CANDIDATES_MAX: usize = 8;
+
+/// How many nodes of other failure domains a root asks in one round.
+const FAR_CANDIDATES_MAX: usize = 2;
+
 impl Core {
     pub(crate) fn look_at_leases(&mut self, now: Moment) {
         let lonely = self.uplink.orphaned(now).is_some();
@@ -34,7 +40,12 @@
     }
 
     pub(crate) fn look_at_uplink(&mut self, now: Moment) {
-        let wanted = !self.is_apex();
+        // A root of all that the platform no longer confirms may have been followed by another one.
+        let wanted = !self.is_apex() || !self.ladder.is_fresh(now);
+        if !wanted && self.uplink.joined().is_some() {
+            let outcome = self.uplink.rise(now, None, &mut self.random);
+            self.apply(now, outcome);
+        }
         let silence = self.settings.timing.silence();
         let outcome = self.uplink.tick(now, wanted, silence, &mut self.random);
         self.apply(now, outcome);
@@ -43,7 +54,7 @@
     /// Carries out what the link to the parent needs.
     pub(crate) fn apply(&mut self, now: Moment, outcome: uplink::Outcome) {
         if outcome.refill {
-            self.refill();
+            self.refill(now);
         }
         if let Some(session) = outcome.hang_up {
             self.command(Command::Close { session });
@@ -68,20 +79,34 @@
     }
 
     /// Collects the nodes that can be asked to become the parent, the best first.
-    pub(crate) fn refill(&mut self) {
+    pub(crate) fn refill(&mut self, now: Moment) {
         let superior = self.ladder.superior().map(|member| member.link);
         self.uplink.add_candidates(superior);
         if self.ladder.rank().is_some() {
-            return;
+            return self.add_far_candidates(now);
         }
         let nodes = self.registry.serving_nodes();
         let mut others: Vec<SocketAddr> = nodes.values().map(|record| record.link).collect();
         others.shuffle(&mut self.random);
+        others.truncate(NEAR_CANDIDATES_MAX);
         let mut seeds = self.settings.seeds.to_vec();
         seeds.shuffle(&mut self.random);
         self.uplink.add_candidates(others.into_iter().chain(seeds));
     }
 
+    /// Adds nodes of other failure domains, for a root that has found no superior for long.
+    fn add_far_candidates(&mut self, now: Moment) {
+        let patience = self.settings.timing.silence();
+        let is_lost = self.uplink.orphaned(now) >= Some(patience);
+        if !is_lost {
+            return;
+        }
+        let mut far = self.registry.far_nodes();
+        far.shuffle(&mut self.random);
+        self.uplink
+            .add_candidates(far.into_iter().take(FAR_CANDIDATES_MAX));
+    }
+
     pub(crate) fn hello(&self) -> Hello {
         Hello {
             domain: self.identity.domain.clone(),
