--- a/crates/cicadagw-control/src/endpoints.rs
+++ b/crates/cicadagw-control/src/endpoints.rs
@@ -1,6 +1,8 @@
 //! News of endpoints: what is known, what is to be spread, and what this node says itself.
 
-use std::collections::BTreeMap;
+use std::cell::OnceCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use cicadagw_endpoint::{Local, Outcome, Record, State, Table};
@@ -32,7 +34,11 @@
     gone: BTreeMap<id::Endpoint, Moment>,
     /// Records of this node that it did not make in this life, and since when they are known.
     orphans: BTreeMap<id::Endpoint, Moment>,
+    /// Endpoints that this node ended in this life; they never come back.
+    ended: BTreeSet<id::Endpoint>,
     changed: bool,
+    /// The digests of the table, until it changes.
+    digests: OnceCell<BTreeMap<id::Domain, Digest>>,
 }
 
 impl Registry {
@@ -44,7 +50,9 @@
             news: BTreeMap::new(),
             gone: BTreeMap::new(),
             orphans: BTreeMap::new(),
+            ended: BTreeSet::new(),
             changed: false,
+            digests: OnceCell::new(),
         }
     }
 
@@ -52,8 +60,8 @@
         &self.table
     }
 
-    pub(crate) fn digests(&self) -> BTreeMap<id::Domain, Digest> {
-        self.table.digests()
+    pub(crate) fn digests(&self) -> &BTreeMap<id::Domain, Digest> {
+        self.digests.get_or_init(|| self.table.digests())
     }
 
     /// Tells whether this node stands before a backend server.
@@ -70,14 +78,28 @@
             .collect()
     }
 
+    /// Returns where nodes of other failure domains take links.
+    pub(crate) fn far_nodes(&self) -> Vec<SocketAddr> {
+        let far = self
+            .table
+            .records()
+            .filter(|record| record.domain != self.identity.domain && record.state != State::Gone);
+        let links: BTreeSet<_> = far.map(|record| record.link).collect();
+        links.into_iter().collect()
+    }
+
     /// Takes news of the backend server of this host.
     pub(crate) fn tell(&mut self, now: Moment, local: Local) {
+        if self.local.get(&local.endpoint) == Some(&local) {
+            return;
+        }
         let known = self.table.get(&local.endpoint);
         let sequence = known.map_or(Sequence::new(1), |record| record.sequence.next());
         let record = self.record(&local, sequence);
         self.orphans.remove(&local.endpoint);
         if local.state == State::Gone {
             self.local.remove(&local.endpoint);
+            self.ended.insert(local.endpoint.clone());
         } else {
             self.local.insert(local.endpoint.clone(), local);
         }
@@ -120,7 +142,9 @@
             .collect();
         for endpoint in forgotten {
             self.gone.remove(&endpoint);
+            self.ended.remove(&endpoint);
             self.table.forget(&endpoint);
+            self.digests.take();
         }
         let unclaimed: Vec<_> = self
             .orphans
@@ -194,11 +218,15 @@
                 };
                 self.merge(now, Source::Own, own);
             }
-        } else {
-            if record.state != State::Gone {
-                self.orphans.entry(endpoint).or_insert(now);
-            }
-            self.merge(now, source, record);
+            return;
+        }
+        let ended = self.ended.contains(&endpoint);
+        if record.state != State::Gone && !ended {
+            self.orphans.entry(endpoint.clone()).or_insert(now);
+        }
+        self.merge(now, source, record);
+        if ended {
+            self.end(now, &endpoint);
         }
     }
 
@@ -227,6 +255,7 @@
             State::Ready | State::Draining => self.gone.remove(&record.endpoint),
         };
         self.changed = true;
+        self.digests.take();
         for news in self.news.values_mut() {
             news.remove(&record.endpoint);
         }
