Say what a number without a unit looks like

Cause: `cicadactl rollback one` asked for "a whole number and ``".

Change: the text names a unit only where there is one.

Run: cargo test -p cicadagw-unit -p cicadactl -p cicadagw-settings, all passed.

--- a/crates/cicadagw-unit/src/macros.rs
+++ b/crates/cicadagw-unit/src/macros.rs
@@ -98,7 +98,12 @@
                     .and_then(|digits| digits.parse().ok())
                     .map(Self)
                     .ok_or_else(|| {
-                        $crate::Error::new($what, text, concat!("a whole number and `", $unit, "`"))
+                        let wanted = if $unit.is_empty() {
+                            "a whole number"
+                        } else {
+                            concat!("a whole number and `", $unit, "`")
+                        };
+                        $crate::Error::new($what, text, wanted)
                     })
             }
         }
