--- a/crates/cicadactl/tests/command/shell.rs
+++ b/crates/cicadactl/tests/command/shell.rs
@@ -2,7 +2,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
-use std::process::Command;
+use std::process::{Child, Command, Stdio};
 use std::sync::mpsc;
 use std::thread;
 
@@ -85,6 +85,28 @@
         self.session.push_str(&seen.replace(address, "ADDRESS"));
     }
 
+    /// Runs commands on the platform at one moment, and returns their exit codes.
+    pub(crate) fn run_at_once(&self, lines: &[String]) -> Vec<i32> {
+        let address = self.platform.address.to_string();
+        let children: Vec<Child> = lines
+            .iter()
+            .map(|line| {
+                Command::new(env!("CARGO_BIN_EXE_cicadactl"))
+                    .current_dir(root())
+                    .args(["--platform", &address])
+                    .args(line.split_whitespace())
+                    .stdout(Stdio::null())
+                    .stderr(Stdio::null())
+                    .spawn()
+                    .unwrap()
+            })
+            .collect();
+        let codes = children
+            .into_iter()
+            .map(|mut child| child.wait().unwrap().code().unwrap());
+        codes.collect()
+    }
+
     /// Returns what was seen.
     pub(crate) fn session(self) -> String {
         self.session
