Name the mark of redacted secrets once

Cause: the mark stood in two modules of the acceptance; were one changed, a redacted value could be applied.

Change: one constant.

Run: cargo test -p cicadagw-accept, 27 passed.

--- a/crates/cicadagw-accept/src/candidate.rs
+++ b/crates/cicadagw-accept/src/candidate.rs
@@ -5,15 +5,13 @@
 use cicadagw_config::{Config, Delta, Fault, Head, Snapshot, check};
 use cicadagw_unit::{Version, id};
 
+use crate::diff::REDACTED;
 use crate::request::find;
 use crate::{Intent, Refusal, Request};
 
 /// The preset that is in force after the first change, where it is declared and none is named.
 const ORDINARY: &str = "ordinary";
 
-/// What a redacted secret shows in place of its value.
-const REDACTED: &str = "[redacted]";
-
 /// What a change builds on.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Base {
--- a/crates/cicadagw-accept/src/diff.rs
+++ b/crates/cicadagw-accept/src/diff.rs
@@ -6,7 +6,7 @@
 use serde_json::{Map, Value};
 
 /// What a secret shows in place of its value.
-const REDACTED: &str = "[redacted]";
+pub(crate) const REDACTED: &str = "[redacted]";
 
 /// An object that is not the same in two configurations.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
--- a/crates/cicadagw-accept/src/session.rs
+++ b/crates/cicadagw-accept/src/session.rs
@@ -37,7 +37,8 @@
     Unavailable(String),
 }
 
-/// What is to be done; every effect but the last kinds is answered by an event.
+/// What is to be done; one event answers each effect that reads or writes the head, contents or
+/// parts, and none the others.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Effect {
     /// Read the head.
