Give places back that stalled callers hold; bear with a pause of the node

Cause: a caller that stops reading a large answer held its place at the backend server without end, since the server asks for no more of a body that it cannot write. And a node that stands still for longer than the renewal would have ended all its backend servers on its return, their announcements unread. Ruled out: a timer inside the body, which nobody polls then. Change: answers that may not fit into buffers are watched by the upkeep, and given up when nothing has moved for the policy's timeout; after a pause of the process the renewal time begins anew. Conclusion: frozen callers and a frozen node take nothing away from others.

--- a/crates/cicadagw-call/src/life.rs
+++ b/crates/cicadagw-call/src/life.rs
@@ -175,6 +175,14 @@
             .collect()
     }
 
+    /// Takes note that the node itself stood still: what was said to it meanwhile still waits to be
+    /// read, so the renewal time of all begins anew.
+    pub fn resume(&mut self, now: Moment) {
+        for backend in self.backends.values_mut() {
+            backend.renewed = now;
+        }
+    }
+
     /// Lets all drain, since the node stops.
     pub fn stop(&mut self, now: Moment) -> Vec<Effect> {
         let all: Vec<_> = self.backends.keys().cloned().collect();
--- a/crates/cicadagw-call/tests/life.rs
+++ b/crates/cicadagw-call/tests/life.rs
@@ -74,6 +74,19 @@
     assert_eq!(lines(&late), ["refuse a", "tell a Gone"]);
 }
 
+#[test]
+fn a_node_that_stood_still_holds_no_silence_against_its_backend_servers() {
+    let mut registry = Registry::default();
+    registry.announce(at(0), &said("a", 1, false)).unwrap();
+    registry.resume(at(60_000));
+
+    let in_time = registry.expire(at(63_000), RENEWAL);
+    let late = registry.expire(at(63_001), RENEWAL);
+
+    assert_eq!(in_time, []);
+    assert_eq!(lines(&late), ["refuse a", "tell a Gone"]);
+}
+
 #[test]
 fn a_new_start_at_the_same_address_ends_the_old_one() {
     let mut registry = Registry::default();
--- a/crates/cicadagw-proxy/src/ingress.rs
+++ b/crates/cicadagw-proxy/src/ingress.rs
@@ -35,7 +35,7 @@
     let begin = Instant::now();
     let entry = node.enter();
     let is_from_node = raw.headers().contains_key(&header::ENDPOINT);
-    let Outcome { mut end, load } = match admit(&node, &raw) {
+    let Outcome { end, load } = match admit(&node, &raw) {
         Ok(request) => {
             let outcome = carry(&node, &request, payload).await;
             if let End::Answered(_) = &outcome.end {
@@ -49,8 +49,11 @@
     if !is_from_node {
         node.stats.count_outcome(end.outcome());
     }
-    match &mut end {
-        End::Answered(answer) => answer.flow.hold_entry(entry),
+    match &end {
+        End::Answered(answer) => {
+            answer.flow.hold_entry(entry);
+            node.watch(answer.flow.watch());
+        }
         End::NotRun(reason) | End::Unknown(reason) => {
             log::debug!(reason:%, path = raw.path(); "a call was not answered");
         }
@@ -262,7 +265,7 @@
             .peers
             .learn(now, &record.service, &record.endpoint, signal, load);
         match end {
-            End::Answered(mut answer) => {
+            End::Answered(answer) => {
                 answer.flow.hold_visit(visit);
                 self.answer = Some(answer);
             }
--- a/crates/cicadagw-proxy/src/node.rs
+++ b/crates/cicadagw-proxy/src/node.rs
@@ -16,8 +16,10 @@
 use cicadagw_unit::time::Span;
 use cicadagw_view::{Endpoints, Shared, View};
 use tokio::sync::Notify;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::answer::Watch;
 use crate::clock::Clock;
 use crate::gate::Gate;
 use crate::outbox::Outbox;
@@ -41,6 +43,7 @@
     plan: RefCell<Plan>,
     registry: RefCell<Registry>,
     view: Shared,
+    watches: RefCell<Vec<Watch>>,
 }
 
 /// What calls are decided by, arranged for calls.
@@ -90,6 +93,7 @@
             plan: RefCell::default(),
             registry: RefCell::default(),
             view: parts.view.clone(),
+            watches: RefCell::default(),
         }
     }
 
@@ -164,6 +168,24 @@
         is_known
     }
 
+    /// Takes in an answer that is to be looked after.
+    pub(crate) fn watch(&self, watch: Option<Watch>) {
+        self.watches.borrow_mut().extend(watch);
+    }
+
+    /// Gives up the answers that stand still since their callers do not read.
+    pub(crate) fn check_watches(&self) {
+        let now = Instant::now();
+        let mut watches = std::mem::take(&mut *self.watches.borrow_mut());
+        watches.retain(|watch| watch.check(now));
+        self.watches.borrow_mut().append(&mut watches);
+    }
+
+    /// Takes note that this process itself stood still, so that nobody's silence counts.
+    pub(crate) fn resume(&self) {
+        self.registry.borrow_mut().resume(self.clock.now());
+    }
+
     /// Ends those that were silent for too long.
     pub(crate) fn expire(&self) {
         let now = self.clock.now();
--- a/crates/cicadagw-proxy/src/target.rs
+++ b/crates/cicadagw-proxy/src/target.rs
@@ -80,7 +80,7 @@
     match exchange(&destination, request, headers, errand.upload.body()).await {
         Ok(response) => {
             let idle_max = errand.target.policy.timeout.into();
-            let mut answer = Answer::new(response, &request.method, idle_max);
+            let answer = Answer::new(response, &request.method, idle_max);
             answer.flow.hold_slot(slot);
             End::Answered(Box::new(answer))
         }
--- a/crates/cicadagw-proxy/src/upkeep.rs
+++ b/crates/cicadagw-proxy/src/upkeep.rs
@@ -11,6 +11,9 @@
 /// How often backend servers are looked over and news is sent again.
 const PERIOD: Duration = Duration::from_millis(250);
 
+/// After how long without a look the process itself must have stood still.
+const PAUSE: Duration = Duration::from_secs(1);
+
 /// How long the last news may take to be sent.
 const LAST_NEWS: Duration = Duration::from_secs(1);
 
@@ -18,11 +21,17 @@
 pub(crate) async fn run(node: Rc<Node>, token: CancellationToken, drained: CancellationToken) {
     let mut ticks = interval(PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut last = Instant::now();
     loop {
         tokio::select! {
             () = token.cancelled() => break,
-            _ = ticks.tick() => tend(&node),
+            _ = ticks.tick() => {}
+        }
+        if last.elapsed() > PAUSE {
+            node.resume();
         }
+        last = Instant::now();
+        tend(&node);
     }
     drain(&node).await;
     drained.cancel();
@@ -30,6 +39,7 @@
 
 fn tend(node: &Node) {
     node.expire();
+    node.check_watches();
     node.flush();
     node.publish();
 }
--- a/crates/cicadagw-proxy/tests/limits.rs
+++ b/crates/cicadagw-proxy/tests/limits.rs
@@ -4,7 +4,7 @@
 
 use cicadagw_endpoint::State;
 use support::backend::{Backend, Conduct};
-use support::caller::{answer, call, get, post};
+use support::caller::{answer, call, get, head, post};
 use support::mesh::{CONFIG, Mesh, Node};
 use tokio::task::JoinSet;
 
@@ -96,6 +96,43 @@
     assert_eq!((answer.status, answer.text()), (200, "b"));
 }
 
+#[tokio::test]
+async fn a_late_answer_goes_to_nobody() {
+    let mut bench = bench().await;
+    let late = post("/orders", "late")
+        .header("x-cicadagw-deadline-ms", "50")
+        .send(bench.node.calls)
+        .await;
+    bench.backend.received().await;
+    let mut next = post("/orders", "next").begin(bench.node.calls).await;
+    bench.backend.received().await;
+
+    bench.backend.let_one();
+    bench.backend.let_one();
+
+    let answer = answer(&mut next, false).await;
+    assert_eq!((late.status, late.outcome()), (504, "unknown"));
+    assert_eq!((answer.status, answer.text()), (200, "next"));
+}
+
+#[tokio::test]
+async fn a_caller_that_does_not_read_gives_its_place_back() {
+    let mut mesh = Mesh::new();
+    let node = mesh.node("only");
+    let mut backend = Backend::start(Conduct::Endless).await;
+    mesh.announce(&node, "orders-1", &backend).await;
+    let mut stalled = get("/brief").begin(node.calls).await;
+    let begun = head(&mut stalled).await;
+    backend.received().await;
+
+    // The backend server sees its connection close while the caller still holds its own.
+    backend.closed().await;
+
+    let mut next = get("/brief").begin(node.calls).await;
+    assert_eq!(begun.status, 200);
+    assert_eq!(head(&mut next).await.status, 200);
+}
+
 #[tokio::test]
 async fn a_draining_backend_server_refuses_new_work_and_finishes_old() {
     let mut bench = bench().await;
--- a/crates/cicadagw-proxy/tests/support/backend.rs
+++ b/crates/cicadagw-proxy/tests/support/backend.rs
@@ -27,6 +27,8 @@
     NoLength,
     /// Answers in chunks.
     Chunked,
+    /// Answers without end.
+    Endless,
 }
 
 /// A request as the backend server got it.
@@ -114,6 +116,9 @@
             *self.runs.lock().unwrap().entry(id).or_default() += 1;
             let body = request.body.clone();
             self.received.send(request).unwrap();
+            if self.conduct == Conduct::Endless {
+                return self.flood(&mut stream).await;
+            }
             let Some(answer) = self.answer(&mut stream, count, body).await else {
                 return;
             };
@@ -123,6 +128,16 @@
         }
     }
 
+    async fn flood(&self, stream: &mut BufReader<TcpStream>) {
+        let head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        let chunk = format!("10000\r\n{}\r\n", "x".repeat(0x1_0000));
+        let mut written = stream.write_all(head).await;
+        while written.is_ok() {
+            written = stream.write_all(chunk.as_bytes()).await;
+        }
+        self.closed.send(()).unwrap();
+    }
+
     async fn wait_to_close(&self) {
         if matches!(self.conduct, Conduct::CutLength | Conduct::CutChunked) {
             self.leave.acquire().await.unwrap().forget();
--- a/crates/cicadagw-proxy/tests/support/mesh.rs
+++ b/crates/cicadagw-proxy/tests/support/mesh.rs
@@ -24,12 +24,14 @@
 pub const CONFIG: &str = r#"{
   "routes": {
     "orders": { "prefix": "/orders", "cluster": "orders", "policy": "plain" },
+    "brief": { "prefix": "/brief", "cluster": "orders", "policy": "brief" },
     "narrow": { "prefix": "/narrow", "cluster": "orders", "policy": "narrow" },
   },
   "clusters": { "orders": { "service": "orders", "secret": "key" } },
   "secrets": { "key": { "header": "x-key", "value": "open-sesame" } },
   "policies": {
     "plain": { "timeout": "30000ms" },
+    "brief": { "timeout": "500ms", "concurrency": "1", "queue": "0" },
     "narrow": { "timeout": "30000ms", "concurrency": "1", "queue": "1" },
   },
   "presets": { "ordinary": {} },
