--- a/crates/cicadagw-control/tests/control/main.rs
+++ b/crates/cicadagw-control/tests/control/main.rs
@@ -4,6 +4,7 @@
 mod fixture;
 mod lease;
 mod news;
+mod pair;
 mod property;
 mod render;
 mod session;
--- a/crates/cicadagw-control/tests/control/session.rs
+++ b/crates/cicadagw-control/tests/control/session.rs
@@ -135,6 +135,13 @@
         outcome.or_else(|| over.then_some(Ok(Answer::Object(None))))
     }
 
+    /// The oldest call for `purpose` that is not answered.
+    pub(crate) fn pending(&self, purpose: Purpose) -> Option<Request> {
+        let mut waiting = self.waiting.iter();
+        let found = waiting.find(|(_, call)| call.purpose == purpose);
+        found.map(|(_, call)| call.request.clone())
+    }
+
     /// Answers the oldest call for `purpose` by hand.
     pub(crate) fn reply_to(&mut self, purpose: Purpose, outcome: Result<Answer, Error>) {
         let mut waiting = self.waiting.iter();
--- a/crates/cicadagw-control/tests/control/version.rs
+++ b/crates/cicadagw-control/tests/control/version.rs
@@ -76,11 +76,11 @@
     session.down(Down::Delta(Box::new(corrupt)));
     session.down(Down::Whole(Box::new(wrong)));
     session.down(Down::Whole(Box::new(dangling(5, |config| {
-        config.clusters.clear()
+        config.clusters.clear();
     }))));
     session.run(Span::seconds(1));
     session.down(Down::Whole(Box::new(dangling(6, |config| {
-        config.secrets.clear()
+        config.secrets.clear();
     }))));
     session.run(Span::seconds(1));
     let while_refusing = session.held();
