Leave a node alone for a minute that refuted its burial

Cause: a root whose roll call does not reach a living node, since that still hangs below another root, buried its endpoints; the node refuted that; and the same began anew 8 s later, so its endpoints went and came for callers all the while. Ruled out: two roll calls in a row before a burial; the second one misses the same nodes. Change: a refuted burial is not repeated for 60 s. Test: news::a_node_that_refuted_its_burial_is_left_alone_for_a_while failed (gone at 4 for ready at 3), and passes.

--- a/crates/cicadagw-control/src/endpoints.rs
+++ b/crates/cicadagw-control/src/endpoints.rs
@@ -17,6 +17,9 @@
 /// How long a gone endpoint is remembered, so that old news does not revive it.
 const GONE_MEMORY: Span = Span::seconds(600);
 
+/// How long a node that refuted its burial is not buried again.
+const REFUTED_MEMORY: Span = Span::seconds(60);
+
 /// Where news came from; it is not sent back there.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum Source {
@@ -36,6 +39,8 @@
     orphans: BTreeMap<id::Endpoint, Moment>,
     /// Endpoints that this node ended in this life; they never come back.
     ended: BTreeSet<id::Endpoint>,
+    /// Nodes that refuted a burial, and when.
+    refuted: BTreeMap<id::Node, Moment>,
     changed: bool,
     /// The digests of the table, until it changes.
     digests: OnceCell<BTreeMap<id::Domain, Digest>>,
@@ -51,6 +56,7 @@
             gone: BTreeMap::new(),
             orphans: BTreeMap::new(),
             ended: BTreeSet::new(),
+            refuted: BTreeMap::new(),
             changed: false,
             digests: OnceCell::new(),
         }
@@ -117,8 +123,11 @@
         }
     }
 
-    /// Marks the endpoints of a node of the failure domain as gone.
+    /// Marks the endpoints of a node of the failure domain as gone, unless it lately refuted that.
     pub(crate) fn bury(&mut self, now: Moment, node: &id::Node) {
+        if self.refuted.contains_key(node) {
+            return;
+        }
         let dead: Vec<Record> = self
             .table
             .records()
@@ -134,6 +143,8 @@
 
     /// Looks at what time alone changes.
     pub(crate) fn tick(&mut self, now: Moment, patience: Span) {
+        self.refuted
+            .retain(|_, since| now.since(*since) <= REFUTED_MEMORY);
         let forgotten: Vec<_> = self
             .gone
             .iter()
@@ -247,6 +258,8 @@
     }
 
     fn merge(&mut self, now: Moment, source: Source, record: Record) {
+        let known = self.table.get(&record.endpoint);
+        let was_gone = known.is_some_and(|known| known.state == State::Gone);
         if self.table.merge(record.clone()) == Outcome::Stale {
             return;
         }
@@ -254,6 +267,9 @@
             State::Gone => self.gone.insert(record.endpoint.clone(), now),
             State::Ready | State::Draining => self.gone.remove(&record.endpoint),
         };
+        if was_gone && record.state != State::Gone {
+            self.refuted.insert(record.node.clone(), now);
+        }
         self.changed = true;
         self.digests.take();
         for news in self.news.values_mut() {
--- a/crates/cicadagw-control/tests/control/news.rs
+++ b/crates/cicadagw-control/tests/control/news.rs
@@ -239,3 +239,30 @@
 
     assert_eq!(session.news_up(), [record(3, "e3", 1, State::Ready)]);
 }
+
+/// Lets time pass with a child of which one node serves.
+fn run_with_child(session: &mut Session, seconds: u64) {
+    for _ in 0..seconds {
+        session.run(Span::seconds(1));
+        session.up(1, Up::Report(Box::new(report(1, 1, 0))));
+    }
+}
+
+#[test]
+fn a_node_that_refuted_its_burial_is_left_alone_for_a_while() {
+    let mut session = apex();
+    session.joining(1, hello(2, 1));
+    session.up(1, Up::Endpoints(vec![record(3, "e3", 1, State::Ready)]));
+    run_with_child(&mut session, 10);
+    let buried = known(&session, "e3");
+
+    // The node lives, but hangs below another root for now.
+    session.up(1, Up::Endpoints(vec![record(3, "e3", 3, State::Ready)]));
+    run_with_child(&mut session, 30);
+    let refuted = known(&session, "e3");
+    run_with_child(&mut session, 60);
+
+    assert_eq!(buried, Some(record(3, "e3", 2, State::Gone)));
+    assert_eq!(refuted, Some(record(3, "e3", 3, State::Ready)));
+    assert_eq!(state(&session, "e3"), Some(State::Gone));
+}
