Name the children that have not reported the newest version

Cause: when a version is adopted, the aggregate shows the lowest version at once, but no node by name, since each node named only itself; one that is stuck and silent was never named. Change: a parent names a child as behind when its last report shows less than is held here and names nobody. Tests: status::a_child_that_has_not_reported_the_new_version_is_named failed (no laggard) and passes; with it the rate of status writes (10 in 10 s of steady change), the choice of laggards, a child that is gone, and a cut that heals.

--- a/crates/cicadagw-control/src/links.rs
+++ b/crates/cicadagw-control/src/links.rs
@@ -46,9 +46,9 @@
     }
 
     /// Returns the reports of the children that belong to `domain`.
-    pub(crate) fn reports(&self, domain: &id::Domain) -> impl Iterator<Item = &Report> {
+    pub(crate) fn reports(&self, domain: &id::Domain) -> impl Iterator<Item = (&Member, &Report)> {
         self.in_domain(domain)
-            .filter_map(|child| child.report.as_ref())
+            .filter_map(|child| Some((&child.member, child.report.as_ref()?)))
     }
 
     /// Returns the links to the children that belong to `domain`.
--- a/crates/cicadagw-control/src/status.rs
+++ b/crates/cicadagw-control/src/status.rs
@@ -38,11 +38,19 @@
             reason,
         });
     }
-    for below in children.reports(&identity.domain) {
+    for (member, below) in children.reports(&identity.domain) {
         report.lowest = report.lowest.min(below.lowest);
         report.count += below.count;
         report.serving += below.serving;
         report.laggards.extend(below.laggards.iter().cloned());
+        if below.laggards.is_empty() && below.lowest < held {
+            // It has not yet said anything about the version held here.
+            report.laggards.push(Laggard {
+                node: member.node.clone(),
+                held: below.lowest,
+                reason: Reason::Behind,
+            });
+        }
     }
     // Those that are furthest behind are named first.
     report.laggards.sort_by_key(|laggard| laggard.held);
--- a/crates/cicadagw-control/tests/control/away.rs
+++ b/crates/cicadagw-control/tests/control/away.rs
@@ -1,13 +1,15 @@
 //! The platform is away, comes back, or comes back as it was before.
 
+use cicadagw_config::Delta;
 use cicadagw_control::Effect;
 use cicadagw_control::Rank;
 use cicadagw_control::platform::{Answer, Purpose, Request};
+use cicadagw_endpoint::{Record, State};
 use cicadagw_platform::{Error, Key, Object, Revision};
 use cicadagw_unit::time::Span;
-use cicadagw_wire::Refusal;
+use cicadagw_wire::{Down, Refusal, Up};
 
-use crate::fixture::{hello, settings, snapshot};
+use crate::fixture::{hello, record, settings, snapshot};
 use crate::session::Session;
 use crate::store::Store;
 
@@ -125,16 +127,16 @@
     let mut session = apex(2);
     session.store.away = true;
     session.joining(1, hello(2, 2));
-    let other = cicadagw_endpoint::Record {
+    let other = Record {
         domain: "kochi-b".parse().unwrap(),
-        ..crate::fixture::record(5, "e5", 1, cicadagw_endpoint::State::Ready)
+        ..record(5, "e5", 1, State::Ready)
     };
-    session.up(1, cicadagw_wire::Up::Endpoints(vec![other]));
+    session.up(1, Up::Endpoints(vec![other]));
 
     // Another node became the root of all, out of sight.
     let dialled = session.dials();
     session.joined(&[6, 5]);
-    session.down(cicadagw_wire::Down::Whole(Box::new(snapshot(3))));
+    session.down(Down::Whole(Box::new(snapshot(3))));
 
     assert_eq!(dialled, 5);
     assert_eq!(session.held(), snapshot(3).stamp);
@@ -144,12 +146,12 @@
 fn a_root_of_all_without_platform_stays_when_all_hang_below_it() {
     let mut session = apex(2);
     session.store.away = true;
-    let other = cicadagw_endpoint::Record {
+    let other = Record {
         domain: "kochi-b".parse().unwrap(),
-        ..crate::fixture::record(5, "e5", 1, cicadagw_endpoint::State::Ready)
+        ..record(5, "e5", 1, State::Ready)
     };
     session.joining(1, hello(2, 2));
-    session.up(1, cicadagw_wire::Up::Endpoints(vec![other]));
+    session.up(1, Up::Endpoints(vec![other]));
 
     session.dials();
     session.refused(Refusal::Loop);
@@ -166,3 +168,31 @@
     });
     assert!(watched);
 }
+
+#[test]
+fn a_root_that_was_cut_off_catches_up_when_the_cut_heals() {
+    let mut session = Session::new(&settings(1), Store::holding(2));
+    session.store.give(Rank::Region, 5);
+    session.dials();
+    session.joined(&[6, 5]);
+    session.down(Down::Whole(Box::new(snapshot(2))));
+    session.store.away = true;
+    session.closed();
+    session.run(Span::seconds(60));
+
+    session.joining(1, hello(2, 0));
+    session.store.away = false;
+    session.store.give(Rank::Region, 7);
+    session.forget();
+    let dialled = session.dials_after(Span::seconds(5));
+    session.joined(&[6, 7]);
+    session.down(Down::Delta(Box::new(Delta::between(
+        &snapshot(2),
+        &snapshot(3),
+    ))));
+
+    assert_eq!(dialled, Some(7));
+    assert_eq!(session.held(), snapshot(3).stamp);
+    assert_eq!(session.dump().leases[&Rank::Domain], "held");
+    insta::assert_snapshot!(session.told());
+}
--- a/crates/cicadagw-control/tests/control/main.rs
+++ b/crates/cicadagw-control/tests/control/main.rs
@@ -8,6 +8,7 @@
 mod property;
 mod render;
 mod session;
+mod status;
 mod store;
 mod takeover;
 mod tree;
--- a/crates/cicadagw-control/tests/control/session.rs
+++ b/crates/cicadagw-control/tests/control/session.rs
@@ -216,6 +216,12 @@
         panic!("the node dials nobody");
     }
 
+    /// Lets time pass, and returns the last port that the node dialled in it.
+    pub(crate) fn dials_after(&mut self, span: Span) -> Option<u16> {
+        self.run(span);
+        self.dials_made().last().copied()
+    }
+
     /// The numbers of the nodes dialled so far.
     pub(crate) fn dials_made(&self) -> Vec<u16> {
         let dials = self.commands().filter_map(|command| match command {
--- /dev/null
+++ b/crates/cicadagw-control/tests/control/status.rs
@@ -0,0 +1,112 @@
+//! Status: bounded in rate, complete in counts, with the laggards by name.
+
+use cicadagw_control::Effect;
+use cicadagw_control::platform::Purpose;
+use cicadagw_platform::Key;
+use cicadagw_unit::Version;
+use cicadagw_unit::time::Span;
+use cicadagw_wire::{Laggard, Reason, Status, Up};
+
+use crate::fixture::{DOMAIN, hello, member, report, settings};
+use crate::session::Session;
+use crate::store::Store;
+
+/// The root of everything with one child.
+fn root() -> Session {
+    let mut session = Session::new(&settings(1), Store::holding(2));
+    session.run(Span::seconds(4));
+    session.joining(1, hello(2, 2));
+    session.up(1, Up::Report(Box::new(report(2, 1, 0))));
+    session.run(Span::seconds(1));
+    session.forget();
+    session
+}
+
+fn written(session: &Session) -> Status {
+    let key = Key::status(&DOMAIN.parse().unwrap());
+    serde_json::from_slice(&session.store.read(&key).unwrap()).unwrap()
+}
+
+fn behind(number: u16, held: u64) -> Laggard {
+    Laggard {
+        node: member(number).node,
+        held: Version::new(held),
+        reason: Reason::Behind,
+    }
+}
+
+#[test]
+fn a_status_that_changes_all_the_time_is_written_once_a_second() {
+    let mut session = root();
+
+    for count in 0..100 {
+        session.up(1, Up::Report(Box::new(report(2, 1 + count, count))));
+        session.run(Span::new(100));
+    }
+
+    let writes = session.effects.iter().filter(
+        |effect| matches!(effect, Effect::Platform(call) if call.purpose == Purpose::Status),
+    );
+    assert_eq!(writes.count(), 10);
+}
+
+#[test]
+fn a_child_that_has_not_reported_the_new_version_is_named() {
+    let mut session = root();
+
+    session.store.accept(3);
+    session.run(Span::seconds(2));
+    let meanwhile = written(&session);
+    session.up(1, Up::Report(Box::new(report(3, 1, 0))));
+    session.run(Span::seconds(2));
+
+    assert_eq!(meanwhile.report.lowest, Version::new(2));
+    assert_eq!(meanwhile.report.laggards.to_vec(), [behind(2, 2)]);
+    assert_eq!(written(&session).report, report(3, 2, 0));
+}
+
+#[test]
+fn of_many_laggards_those_furthest_behind_are_named() {
+    let mut session = root();
+    let mut below = report(1, 6, 0);
+    below.laggards = [5, 4, 3, 1].iter().map(|held| behind(10, *held)).collect();
+    session.joining(3, hello(3, 2));
+    let mut beside = report(1, 6, 0);
+    beside.laggards = [6, 2, 1].iter().map(|held| behind(20, *held)).collect();
+
+    session.up(1, Up::Report(Box::new(below)));
+    session.up(3, Up::Report(Box::new(beside)));
+    session.run(Span::seconds(2));
+
+    let report = written(&session).report;
+    let held: Vec<_> = report
+        .laggards
+        .iter()
+        .map(|laggard| laggard.held.get())
+        .collect();
+    assert_eq!(report.count, 13);
+    assert_eq!(held, [1, 1, 2, 3]);
+}
+
+#[test]
+fn a_child_that_is_gone_counts_no_more() {
+    let mut session = root();
+
+    session.close(1);
+    session.run(Span::seconds(2));
+
+    assert_eq!(written(&session).report, report(2, 1, 0));
+}
+
+#[test]
+fn an_idle_root_of_all_asks_the_platform_little() {
+    let mut session = root();
+
+    for _ in 0..60 {
+        session.run(Span::seconds(1));
+        session.up(1, Up::Report(Box::new(report(2, 1, 0))));
+    }
+
+    // Three leases renewed each 2 s, the status each 10 s, a watch and a read each 20 s.
+    assert_eq!(session.calls, 3 * 30 + 6 + 2 * 3);
+}
--- a/crates/cicadagw-control/tests/control/store.rs
+++ b/crates/cicadagw-control/tests/control/store.rs
@@ -75,6 +75,11 @@
         self.accept(version);
     }
 
+    /// The value of an object.
+    pub(crate) fn read(&self, key: &Key) -> Option<Vec<u8>> {
+        self.objects.get(key).map(|object| object.value.to_vec())
+    }
+
     /// Has the node with this number hold the lease of `rank`.
     pub(crate) fn give(&mut self, rank: Rank, number: u16) {
         let claim = Claim {
