Climb within the failure domain

Cause: the children of a dead root climbed to the node above it, the root of the region in another failure domain, which takes children of other failure domains without limit. With a parent they looked at no lease, so their failure domain stayed without a root, and with it without status, directory and roll calls. Ruled out: refusing such children at the root of the region; a hello does not say who is a root. Change: a node that is no root keeps, of the nodes above its lost parent, those that it knows in its own failure domain. The last orphan claims the lease once it has lapsed. Test: tree::a_node_whose_root_dies_stays_in_its_failure_domain_and_claims_the_lease failed (dialled 6, the root of the region), and passes.

--- a/crates/cicadagw-control/src/tree.rs
+++ b/crates/cicadagw-control/src/tree.rs
@@ -1,5 +1,6 @@
 //! The place of a node in the tree: its leases, its parent and its children.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use cicadagw_unit::time::Moment;
@@ -81,6 +82,7 @@
         }
         if outcome.parted {
             self.ladder.look_at_once(now);
+            self.stay_near();
             self.effects
                 .push(Effect::Note(Note::Parted("the link is gone".to_owned())));
             self.send_path();
@@ -103,6 +105,21 @@
         self.uplink.add_candidates(others.into_iter().chain(seeds));
     }
 
+    /// Drops candidates of other failure domains, unless this node is a root.
+    ///
+    /// Below them it would be served, but nobody in its failure domain might look at the lease.
+    fn stay_near(&mut self) {
+        if self.ladder.rank().is_some() {
+            return;
+        }
+        let nodes = self.registry.serving_nodes();
+        let mut near: BTreeSet<SocketAddr> = nodes.values().map(|record| record.link).collect();
+        near.extend(&self.settings.seeds);
+        near.extend(self.ladder.superior().map(|member| member.link));
+        self.uplink
+            .retain_candidates(|address| near.contains(address));
+    }
+
     /// Adds nodes of other failure domains, for a root that has found no superior for long.
     fn add_far_candidates(&mut self, now: Moment) {
         let patience = self.settings.timing.silence();
--- a/crates/cicadagw-control/src/uplink.rs
+++ b/crates/cicadagw-control/src/uplink.rs
@@ -179,6 +179,11 @@
         }
     }
 
+    /// Drops the candidates that are not to be asked.
+    pub(crate) fn retain_candidates(&mut self, is_kept: impl Fn(&SocketAddr) -> bool) {
+        self.candidates.retain(is_kept);
+    }
+
     /// Asks `address` next, before all other candidates.
     pub(crate) fn prefer(&mut self, address: SocketAddr) {
         self.candidates.retain(|candidate| *candidate != address);
--- a/crates/cicadagw-control/tests/control/tree.rs
+++ b/crates/cicadagw-control/tests/control/tree.rs
@@ -15,11 +15,17 @@
     session
 }
 
-/// A node without platform that hangs below the nodes of `path`.
+/// A node without platform that hangs below the nodes of `path`, all of its failure domain.
 fn below(path: &[u16]) -> Session {
     let mut session = cut_off(9, &path[path.len() - 1..]);
     session.dials();
     session.joined(path);
+    let records = path.iter().map(|number| {
+        let endpoint = format!("e{number}");
+        record(*number, &endpoint, 1, cicadagw_endpoint::State::Ready)
+    });
+    session.down(Down::Endpoints(records.collect()));
+    session.run(Span::new(100));
     session.forget();
     session
 }
@@ -233,3 +239,22 @@
     assert_eq!(session.dump().leases[&Rank::Region], "held");
     assert_eq!(session.last_answer(), Some(Ok(())));
 }
+
+#[test]
+fn a_node_whose_root_dies_stays_in_its_failure_domain_and_claims_the_lease() {
+    let mut session = below(&[1]);
+    session.store.away = false;
+    session.store.give(Rank::Domain, 1);
+    // The root of the region, in another failure domain, stands above the root that dies.
+    session.down(Down::Path(Box::new(members(&[6, 1]))));
+
+    session.closed();
+    session.run(Span::seconds(12));
+
+    assert!(
+        !session.dials_made().contains(&6),
+        "{:?}",
+        session.dials_made()
+    );
+    assert_eq!(session.dump().leases[&Rank::Domain], "held");
+}
