Show how a herd is spread, a child comes back, and a closed link is deaf

A root of 8 children refuses 154 of 162 that come at the same moment, names its children to each, and makes no call to the platform.

--- a/crates/cicadagw-control/tests/control/tree.rs
+++ b/crates/cicadagw-control/tests/control/tree.rs
@@ -2,6 +2,7 @@
 
 use cicadagw_control::Rank;
 use cicadagw_unit::time::Span;
+use cicadagw_wire::link::Command;
 use cicadagw_wire::{Down, Refusal, Up};
 
 use crate::fixture::{hello, member, record, report, seeded, settings, snapshot};
@@ -258,3 +259,60 @@
     );
     assert_eq!(session.dump().leases[&Rank::Domain], "held");
 }
+
+#[test]
+fn a_herd_is_spread_over_the_children_of_a_root() {
+    let mut session = Session::new(&settings(1), Store::holding(2));
+    session.run(Span::seconds(4));
+    session.forget();
+
+    for number in 2..=163 {
+        session.joining(u64::from(number) * 2 + 1, hello(number, 0));
+    }
+
+    let children: Vec<_> = (2..=9).map(member).collect();
+    let answers = session.commands().filter_map(|command| match command {
+        Command::Accept { .. } => Some(None),
+        Command::Refuse { refusal, .. } => Some(Some(refusal.clone())),
+        _ => None,
+    });
+    let (taken, refused): (Vec<_>, Vec<_>) = answers.partition(Option::is_none);
+    let full = Some(Refusal::Full(children));
+    assert_eq!(taken.len(), 8);
+    assert_eq!(refused.len(), 154);
+    assert!(refused.into_iter().all(|refusal| refusal == full));
+    assert_eq!(session.calls, 0);
+}
+
+#[test]
+fn a_child_that_comes_back_takes_its_own_place() {
+    let mut session = below(&[1]);
+    session.joining(1, hello(10, 0));
+    session.forget();
+
+    session.joining(3, hello(10, 0));
+
+    let closed = session
+        .commands()
+        .any(|command| matches!(command, Command::Close { session } if session.0 == 1));
+    assert!(closed);
+    assert_eq!(session.dump().children, [member(10)]);
+}
+
+#[test]
+fn what_a_closed_link_still_brings_is_not_taken() {
+    let mut session = below(&[1]);
+    session.closed();
+
+    session.down(Down::Whole(Box::new(snapshot(3))));
+    session.joining(1, hello(10, 0));
+    session.close(1);
+    session.up(
+        1,
+        Up::Endpoints(vec![record(10, "e10", 1, cicadagw_endpoint::State::Ready)]),
+    );
+
+    let endpoints = session.dump().endpoints;
+    assert_eq!(session.held(), cicadagw_config::Stamp::default());
+    assert_eq!(endpoints.get(&"e10".parse().unwrap()), None);
+}
