--- a/crates/cicadagw-control/tests/control/property.rs
+++ b/crates/cicadagw-control/tests/control/property.rs
@@ -1,10 +1,11 @@
 //! What holds whatever the order, loss and repetition.
 
-use cicadagw_config::{Delta, check};
+use cicadagw_config::{Delta, Snapshot, check};
 use cicadagw_control::platform::{Answer, Purpose, Request};
 use cicadagw_control::{Claim, Effect, Rank};
 use cicadagw_endpoint::{Record, State};
 use cicadagw_platform::{Error, Key, Object, Revision};
+use cicadagw_unit::Version;
 use cicadagw_unit::time::Span;
 use cicadagw_wire::{Down, Up};
 use quickcheck::{Gen, QuickCheck};
@@ -32,7 +33,7 @@
 /// An offer, sound or not, made of three numbers.
 fn offer((kind, from, to): (u8, u8, u8)) -> Down {
     let (from, to) = (u64::from(from % 6) + 1, u64::from(to % 6) + 1);
-    match kind % 6 {
+    match kind % 7 {
         0 => Down::Beat(snapshot(to).stamp),
         1 | 2 => Down::Delta(Box::new(Delta::between(&snapshot(from), &snapshot(to)))),
         3 => {
@@ -45,6 +46,16 @@
             broken.config.clusters.clear();
             Down::Whole(Box::new(broken))
         }
+        5 => {
+            let mut config = snapshot(to).config;
+            config.secrets.clear();
+            let version = Version::new(to);
+            Down::Whole(Box::new(Snapshot::new(
+                version,
+                snapshot(to).preset,
+                config,
+            )))
+        }
         _ => Down::Whole(Box::new(snapshot(to))),
     }
 }
--- a/crates/cicadagw-control/tests/control/version.rs
+++ b/crates/cicadagw-control/tests/control/version.rs
@@ -1,9 +1,12 @@
 //! What a node does with the versions that it is offered.
 
+use std::sync::Arc;
+
 use cicadagw_config::{Delta, Snapshot};
 use cicadagw_endpoint::State;
 use cicadagw_unit::Version;
 use cicadagw_unit::time::Span;
+use cicadagw_wire::link::{Command, Session as Link};
 use cicadagw_wire::{Down, Up};
 
 use crate::fixture::{hello, local, report, seeded, settings, snapshot};
@@ -111,3 +114,19 @@
 
     assert_eq!(session.commands().count(), 0);
 }
+
+#[test]
+fn a_child_that_wants_the_whole_snapshot_gets_it() {
+    let mut session = follower(2);
+    session.joining(1, hello(3, 2));
+    session.forget();
+
+    session.up(1, Up::WantWhole);
+
+    let sent: Vec<_> = session.commands().collect();
+    let whole = Command::Down {
+        sessions: vec![Link(1)],
+        message: Arc::new(Down::Whole(Box::new(snapshot(2)))),
+    };
+    assert_eq!(sent, [&whole]);
+}
