Claim nothing more once the node leaves

Cause: a read of a lease that was under way when the node was told to stop found the lease absent, or just given back by another node that stops, and led to a claim: the lease then stood for a node that was gone until it lapsed. Change: answers about leases that come after the leaving are not acted on. Test: takeover::a_node_that_leaves_claims_nothing_more failed (held for unknown), and passes; 64 passed.

--- a/crates/cicadagw-control/src/ladder.rs
+++ b/crates/cicadagw-control/src/ladder.rs
@@ -125,6 +125,10 @@
         answer: Result<Answer, Error>,
     ) -> Outcome {
         let mut outcome = Outcome::default();
+        if self.has_left {
+            // A read under way must not lead to a claim.
+            return outcome;
+        }
         if let Some((_, lease)) = self.leases.iter_mut().find(|(held, _)| *held == rank) {
             outcome.add(rank, lease.reply(now, answer));
         }
--- a/crates/cicadagw-control/tests/control/takeover.rs
+++ b/crates/cicadagw-control/tests/control/takeover.rs
@@ -62,3 +62,15 @@
     assert_eq!(session.dump().leases[&Rank::Domain], "watching");
     assert_eq!(session.held(), snapshot(2).stamp);
 }
+
+#[test]
+fn a_node_that_leaves_claims_nothing_more() {
+    let mut session = Session::new(&settings(1), Store::holding(1));
+    session.run_with(Span::new(300), |_| false);
+
+    session.step(Event::Leave);
+    session.answer();
+
+    assert_eq!(session.dump().leases[&Rank::Domain], "unknown");
+    assert_eq!(session.calls, 1);
+}
