Add no header of the client's own; take a backend server's 503 for load, not for a fault

Cause: the client put accept-encoding: identity on calls that had none (seen in a trace of system calls). And five answers of 503 in a row put a backend server out that only sheds load, which moves its calls to others that are as busy. Ruled out: a retry of such an answer, since the backend server may have begun the request. Change: calls go out as they came; 503 makes an endpoint count as full for a second.

--- a/crates/cicadagw-proxy/src/exchange.rs
+++ b/crates/cicadagw-proxy/src/exchange.rs
@@ -40,7 +40,9 @@
         .path_and_query(request.path.clone())
         .build()
         .map_err(|_| Failure::NotSent(Reason::BadRequest))?;
-    let mut outgoing = destination.client.request(request.method.clone(), uri);
+    let client = &destination.client;
+    // Else the client would add a header that the caller did not send.
+    let mut outgoing = client.request(request.method.clone(), uri).no_decompress();
     *outgoing.headers_mut() = headers;
     let sent = outgoing.send_body(body);
     let response = request
--- a/crates/cicadagw-proxy/src/ingress.rs
+++ b/crates/cicadagw-proxy/src/ingress.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use actix_web::dev::Payload;
-use actix_web::http::ConnectionType;
 use actix_web::http::header::{HeaderMap, HeaderName, HeaderValue};
+use actix_web::http::{ConnectionType, StatusCode};
 use actix_web::{HttpRequest, HttpResponse};
 use cicadagw_call::attempt::{Action, Attempt, Event, Facts};
 use cicadagw_call::choice::Signal;
@@ -260,6 +260,14 @@
             self.forward(&record).await
         };
         let (event, signal) = read(&end);
+        let load = if sheds(&end) {
+            Some(Load {
+                in_flight: record.slots,
+                slots: record.slots,
+            })
+        } else {
+            load
+        };
         let now = self.node.clock.now();
         self.node
             .peers
@@ -340,12 +348,19 @@
     Outcome { end, load }
 }
 
+/// Tells whether a backend server itself says that it has too much to do. It counts as full for a
+/// while; to put it out would only move its calls to others that are as busy.
+fn sheds(end: &End) -> bool {
+    matches!(end, End::Answered(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE)
+}
+
 /// Returns what the end of an attempt means for the call, and for the health of the endpoint.
 fn read(end: &End) -> (Event, Signal) {
     match end {
         End::Answered(answer) => {
             let signal = match answer.status.as_u16() {
-                502..=504 => Signal::Failure,
+                502 | 504 => Signal::Failure,
+                503 => Signal::Neutral,
                 _ => Signal::Success,
             };
             (Event::Answer, signal)
--- a/crates/cicadagw-proxy/tests/path.rs
+++ b/crates/cicadagw-proxy/tests/path.rs
@@ -75,7 +75,9 @@
 
     let headers = backend.received().await.headers;
     assert_eq!(headers["x-key"], "open-sesame");
-    assert!(!headers.contains_key("x-hop"));
+    for absent in ["x-hop", "accept-encoding", "x-cicadagw-endpoint"] {
+        assert!(!headers.contains_key(absent), "{absent}");
+    }
     assert!(!format!("{:?}", answer.headers).contains("open-sesame"));
     assert!(!answer.headers.contains_key("x-cicadagw-load"));
 }
