Part the attempts of a call from its arrival

Cause: one file held what is refused at arrival and the attempts, and said twice what a call on its way is. A call that was lost and then refused elsewhere named the later refusal as the reason of its doubt. Change: journey.rs holds the attempts; an errand is one call on its way, whoever chose the endpoint. Conclusion: each file has one job again.

--- a/crates/cicadagw-proxy/src/lib.rs
+++ b/crates/cicadagw-proxy/src/lib.rs
@@ -11,6 +11,7 @@
 mod gate;
 mod header;
 mod ingress;
+mod journey;
 mod node;
 mod outbox;
 mod peers;
--- a/crates/cicadagw-proxy/src/target.rs
+++ b/crates/cicadagw-proxy/src/target.rs
@@ -18,9 +18,8 @@
 use crate::request::Request;
 use crate::upload::Upload;
 
-/// One attempt at an endpoint.
+/// A call that is on its way.
 pub(crate) struct Errand<'a> {
-    pub(crate) endpoint: &'a id::Endpoint,
     pub(crate) target: &'a Target,
     pub(crate) request: &'a Request,
     pub(crate) upload: &'a Rc<Upload>,
@@ -43,8 +42,12 @@
 }
 
 /// Takes a call to a backend server of this host, once there is a place for it.
-pub(crate) async fn attempt(node: &Rc<Node>, errand: &Errand<'_>) -> Outcome {
-    let gate = match node.gate(errand.endpoint) {
+pub(crate) async fn attempt(
+    node: &Rc<Node>,
+    errand: &Errand<'_>,
+    endpoint: &id::Endpoint,
+) -> Outcome {
+    let gate = match node.gate(endpoint) {
         Ok((gate, _)) => gate,
         Err(reason) => return Outcome::not_run(reason),
     };
--- a/crates/cicadagw-proxy/tests/failure.rs
+++ b/crates/cicadagw-proxy/tests/failure.rs
@@ -79,7 +79,7 @@
 
     let answer = get("/orders").id("a").send(bench.near.calls).await;
 
-    assert_eq!(answer.outcome(), "unknown");
+    assert_eq!((answer.outcome(), answer.reason()), ("unknown", "lost"));
     assert!(bench.backend.runs("a") > 0);
 }
 
