Look after the node while it drains, too

Cause: from the moment of a stop nothing was looked after: news that the ring had no room for waited until the very end, and an answer that its caller does not read held the stop up for the whole time for draining. Found by reading. Change: the same upkeep goes on until the node is idle. Tests of a full ring and of a request that its caller cuts. Conclusion: a stop is told and ended as fast as the calls allow.

--- a/crates/cicadagw-proxy/src/upkeep.rs
+++ b/crates/cicadagw-proxy/src/upkeep.rs
@@ -1,9 +1,10 @@
 //! What the duty does from time to time, and how it ends.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until, timeout_at};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use crate::node::Node;
@@ -19,22 +20,28 @@
 
 /// Looks after the node until `token` is cancelled, then lets it drain and cancels `drained`.
 pub(crate) async fn run(node: Rc<Node>, token: CancellationToken, drained: CancellationToken) {
+    tend_until(&node, token.cancelled()).await;
+    drain(&node).await;
+    drained.cancel();
+}
+
+/// Looks after the node until `end`.
+async fn tend_until<T>(node: &Node, end: impl Future<Output = T>) -> T {
     let mut ticks = interval(PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut last = Instant::now();
+    let mut end = pin!(end);
     loop {
         tokio::select! {
-            () = token.cancelled() => break,
+            output = &mut end => return output,
             _ = ticks.tick() => {}
         }
         if last.elapsed() > PAUSE {
             node.resume();
         }
         last = Instant::now();
-        tend(&node);
+        tend(node);
     }
-    drain(&node).await;
-    drained.cancel();
 }
 
 fn tend(node: &Node) {
@@ -48,17 +55,23 @@
     let begin = Instant::now();
     log::info!("the calls duty drains");
     node.stop();
-    node.publish();
-    sleep_until(begin + node.linger.into()).await;
     let limit = begin + node.timing.drain.into();
-    if timeout_at(limit, node.idle()).await.is_err() {
+    let idle = async {
+        sleep_until(begin + node.linger.into()).await;
+        timeout_at(limit, node.idle()).await
+    };
+    if tend_until(node, idle).await.is_err() {
         log::warn!("calls are still under way after the time for draining");
     }
     node.end_all();
-    let last = Instant::now() + LAST_NEWS;
-    let mut ticks = interval(PERIOD);
-    while !node.flush() && Instant::now() < last {
-        ticks.tick().await;
+    let news = async {
+        let mut ticks = interval(PERIOD);
+        while !node.flush() {
+            ticks.tick().await;
+        }
+    };
+    if timeout(LAST_NEWS, news).await.is_err() {
+        log::warn!("the last news of the backend servers was not taken");
     }
     node.publish();
 }
--- a/crates/cicadagw-proxy/tests/failure.rs
+++ b/crates/cicadagw-proxy/tests/failure.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, TcpListener};
 
 use support::backend::{Backend, Conduct, body};
-use support::caller::{Answer, get, head, post};
+use support::caller::{Answer, call, get, head, post};
 use support::mesh::{Mesh, Node};
 
 struct Bench {
@@ -141,10 +141,27 @@
     assert_eq!((answer.status, answer.outcome()), (502, "unknown"));
 }
 
+#[tokio::test]
+async fn a_request_that_its_caller_cut_does_not_run() {
+    let mut bench = bench(Conduct::Echo).await;
+    let cut = call("POST", "/orders")
+        .id("cut")
+        .header("content-length", "10")
+        .raw_body(b"cro");
+    drop(cut.begin(bench.near.calls).await);
+
+    let whole = post("/orders", "crock").id("whole");
+    let answer = whole.send(bench.near.calls).await;
+
+    let received = bench.backend.received().await;
+    assert_eq!((answer.status, &*received.headers["x-id"]), (200, "whole"));
+    assert_eq!(bench.backend.runs("cut"), 0);
+}
+
 #[tokio::test]
 async fn an_id_that_is_gone_does_not_come_back() {
     let bench = bench(Conduct::Echo).await;
-    let end = support::caller::call("DELETE", "/announce/orders-1");
+    let end = call("DELETE", "/announce/orders-1");
     let ended = end.send(bench.far.announce).await;
 
     let address = bench.backend.address;
--- a/crates/cicadagw-proxy/tests/limits.rs
+++ b/crates/cicadagw-proxy/tests/limits.rs
@@ -2,10 +2,12 @@
 
 mod support;
 
+use std::collections::BTreeMap;
+
 use cicadagw_endpoint::State;
 use support::backend::{Backend, Conduct};
 use support::caller::{answer, call, get, head, post};
-use support::mesh::{CONFIG, Mesh, Node};
+use support::mesh::{CONFIG, Mesh, Node, RING};
 use tokio::task::JoinSet;
 
 struct Bench {
@@ -192,6 +194,34 @@
     assert_eq!(bench.backend.runs("b"), 0);
 }
 
+#[tokio::test]
+async fn a_full_ring_loses_no_news_and_keeps_the_newest() {
+    let mut mesh = Mesh::new();
+    let node = mesh.node("only");
+    for port in 1..=RING + 2 {
+        let endpoint = format!("orders-{port}");
+        let address = ([127, 0, 0, 1], port).into();
+        node.announce(&endpoint, address, "ready").await;
+    }
+    let last = format!("orders-{}", RING + 2);
+    let address = ([127, 0, 0, 1], RING + 2).into();
+    node.announce(&last, address, "draining").await;
+
+    let mut told = BTreeMap::new();
+    for _ in 1..=RING + 2 {
+        let news = mesh.hear(&node).await;
+        told.insert(news.endpoint.to_string(), news.state);
+    }
+
+    let draining: Vec<_> = told
+        .iter()
+        .filter(|(_, state)| **state == State::Draining)
+        .map(|(endpoint, _)| endpoint.clone())
+        .collect();
+    assert_eq!(told.len(), usize::from(RING) + 2);
+    assert_eq!(draining, [last]);
+}
+
 #[tokio::test]
 async fn a_loop_ends_at_the_hop_limit() {
     let mut mesh = Mesh::new();
--- a/crates/cicadagw-proxy/tests/support/mesh.rs
+++ b/crates/cicadagw-proxy/tests/support/mesh.rs
@@ -37,6 +37,9 @@
   "presets": { "ordinary": {} },
 }"#;
 
+/// How much news the ring to the control duty holds.
+pub const RING: u16 = 16;
+
 /// Nodes that share one view, and the endpoints that were told of.
 pub struct Mesh {
     pub view: Shared,
@@ -76,7 +79,7 @@
     pub fn node(&self, name: &str) -> Node {
         let calls = TcpListener::bind("127.0.0.1:0").unwrap();
         let announce = TcpListener::bind("127.0.0.1:0").unwrap();
-        let (sender, control) = channel("control", 16);
+        let (sender, control) = channel("control", RING.into());
         let token = CancellationToken::new();
         let stats = Arc::<Stats>::default();
         let name: id::Node = name.parse().unwrap();
