Carry calls to clusters that no route names any more

Cause: the index held a cluster only when a route named it. Once a change took the last route from a cluster, the node of an endpoint that already held the new version answered a call routed under the old one with not-run, no-route, and no other node could have done better.

Ruled out: to refuse with a reason that has the caller's node try elsewhere, since every node soon holds the same version; to run a call whose cluster is unknown without a secret, since nothing tells that it needs none.

Change: every declared cluster and policy counts. A cluster that was taken away is remembered for 16 versions, with its secret.

Before: the two new tests failed (None for the policy and secret). After: they pass, with the tests of cicadagw-call's routes and of cicadagw-proxy.

--- a/crates/cicadagw-call/src/route.rs
+++ b/crates/cicadagw-call/src/route.rs
@@ -1,12 +1,16 @@
 //! Which route a call takes.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use cicadagw_config::{Cluster, Policy, Route, Secret, Snapshot};
-use cicadagw_unit::id;
+use cicadagw_unit::{Version, id};
 use compact_str::CompactString;
 
+/// For how many versions a cluster that was taken away is remembered, for calls that were routed
+/// before.
+const REMEMBERED: u64 = 16;
+
 /// The routes of one snapshot, arranged so that a match costs as many look-ups as the path has
 /// segments, however many routes there are.
 #[derive(Debug, Default)]
@@ -15,7 +19,19 @@
     hosts: HashMap<CompactString, Prefixes>,
     longest_prefix: usize,
     targets: HashMap<(id::Cluster, id::Policy), Arc<Target>>,
-    clusters: HashMap<id::Cluster, Arc<Target>>,
+    /// All declared clusters, and those that were declared until lately.
+    clusters: BTreeMap<id::Cluster, Known>,
+    /// All declared policies, as the preset in force changes them.
+    policies: BTreeMap<id::Policy, Policy>,
+}
+
+/// A cluster and what is presented to its backend servers.
+#[derive(Clone, Debug)]
+struct Known {
+    cluster: Cluster,
+    secret: Option<Secret>,
+    /// The newest version that declares it.
+    version: Version,
 }
 
 /// Routes by prefix; those of one prefix stand in the order in which they are tried.
@@ -58,9 +74,30 @@
 impl Index {
     /// Arranges the routes of `snapshot`.
     pub fn new(snapshot: &Snapshot) -> Self {
-        let mut index = Self::default();
-        for (name, route) in &snapshot.config.routes {
-            if let Some(target) = index.target(snapshot, &route.cluster, &route.policy) {
+        Self::after(&Self::default(), snapshot)
+    }
+
+    /// Arranges the routes of `snapshot`, which takes the place of that of `earlier`.
+    ///
+    /// Clusters that `snapshot` takes away stay known for a while, with their secrets, since calls
+    /// of other nodes may still be routed to them.
+    pub fn after(earlier: &Self, snapshot: &Snapshot) -> Self {
+        let config = &snapshot.config;
+        let mut index = Self {
+            clusters: remembered(earlier, snapshot.stamp.version),
+            ..Self::default()
+        };
+        for (name, cluster) in &config.clusters {
+            index.declare(snapshot, name, cluster);
+        }
+        for name in config.policies.keys() {
+            let policy = config.policy(name, &snapshot.preset);
+            index
+                .policies
+                .extend(policy.map(|policy| (name.clone(), policy)));
+        }
+        for (name, route) in &config.routes {
+            if let Some(target) = index.target(&route.cluster, &route.policy) {
                 index.insert(name, route, target);
             }
         }
@@ -92,48 +129,72 @@
     }
 
     /// Returns the target of a call that another node has routed with a snapshot of its own, which
-    /// may be older or newer; `None` when the cluster is no longer for `service`.
+    /// may be older or newer; `None` when no cluster for `service` is known.
+    ///
+    /// A cluster that is declared goes before one that was.
     pub fn resolve(
         &self,
         cluster: &id::Cluster,
         policy: &id::Policy,
         service: &id::Service,
-    ) -> Option<&Arc<Target>> {
+    ) -> Option<Arc<Target>> {
         let exact = self.targets.get(&(cluster.clone(), policy.clone()));
-        exact
-            .or_else(|| self.clusters.get(cluster))
-            .filter(|target| target.cluster.service == *service)
-            .or_else(|| {
-                self.clusters
-                    .values()
-                    .filter(|target| target.cluster.service == *service)
-                    .min_by(|left, right| left.name.cmp(&right.name))
-            })
+        if let Some(exact) = exact.filter(|target| target.cluster.service == *service) {
+            return Some(exact.clone());
+        }
+        let (name, known) = self.known(cluster, service)?;
+        Some(Arc::new(Target {
+            name: name.clone(),
+            cluster: known.cluster.clone(),
+            policy_name: policy.clone(),
+            policy: self.policy(policy, name),
+            secret: known.secret.clone(),
+        }))
     }
 
-    fn target(
-        &mut self,
-        snapshot: &Snapshot,
-        cluster: &id::Cluster,
-        policy: &id::Policy,
-    ) -> Option<Arc<Target>> {
+    /// Returns the cluster that stands for `wanted`: itself, else the first one for `service`.
+    fn known(&self, wanted: &id::Cluster, service: &id::Service) -> Option<(&id::Cluster, &Known)> {
+        let fits = self.clusters.iter();
+        let fits = fits.filter(|(_, known)| known.cluster.service == *service);
+        fits.min_by_key(|(name, known)| (std::cmp::Reverse(known.version), *name != wanted, *name))
+    }
+
+    /// Returns the policy `wanted`, else the one by which `cluster` is routed first, else the
+    /// defaults.
+    fn policy(&self, wanted: &id::Policy, cluster: &id::Cluster) -> Policy {
+        let of_cluster = || {
+            let names = self.targets.keys();
+            let names = names.filter(|(name, _)| name == cluster);
+            names.map(|(_, policy)| policy).min()
+        };
+        let declared = self.policies.get(wanted);
+        let declared = declared.or_else(|| self.policies.get(of_cluster()?));
+        declared.map_or_else(|| Policy::builder().build(), Policy::clone)
+    }
+
+    fn declare(&mut self, snapshot: &Snapshot, name: &id::Cluster, cluster: &Cluster) {
+        let secret = cluster.secret.as_ref();
+        let known = Known {
+            cluster: cluster.clone(),
+            secret: secret.and_then(|name| snapshot.config.secrets.get(name).cloned()),
+            version: snapshot.stamp.version,
+        };
+        self.clusters.insert(name.clone(), known);
+    }
+
+    fn target(&mut self, cluster: &id::Cluster, policy: &id::Policy) -> Option<Arc<Target>> {
         let key = (cluster.clone(), policy.clone());
         if let Some(target) = self.targets.get(&key) {
             return Some(target.clone());
         }
-        let config = &snapshot.config;
-        let declared = config.clusters.get(cluster)?;
-        let secret = declared.secret.as_ref();
+        let known = self.clusters.get(cluster)?;
         let target = Arc::new(Target {
             name: cluster.clone(),
-            cluster: declared.clone(),
+            cluster: known.cluster.clone(),
             policy_name: policy.clone(),
-            policy: config.policy(policy, &snapshot.preset)?,
-            secret: secret.and_then(|name| config.secrets.get(name).cloned()),
+            policy: self.policies.get(policy)?.clone(),
+            secret: known.secret.clone(),
         });
-        self.clusters
-            .entry(cluster.clone())
-            .or_insert_with(|| target.clone());
         self.targets.insert(key, target.clone());
         Some(target)
     }
@@ -154,6 +215,16 @@
     }
 }
 
+/// Returns the clusters of `earlier` that calls under `version` may still be routed to.
+fn remembered(earlier: &Index, version: Version) -> BTreeMap<id::Cluster, Known> {
+    let is_late = |known: &Known| version.get().saturating_sub(known.version.get()) <= REMEMBERED;
+    let clusters = earlier.clusters.iter();
+    let clusters = clusters.filter(|(_, known)| is_late(known));
+    clusters
+        .map(|(name, known)| (name.clone(), known.clone()))
+        .collect()
+}
+
 impl Entry {
     /// Orders entries of one prefix: most conditions first, then by name.
     fn rank(&self) -> (std::cmp::Reverse<usize>, &id::Route) {
--- a/crates/cicadagw-call/tests/route.rs
+++ b/crates/cicadagw-call/tests/route.rs
@@ -112,6 +112,69 @@
     assert_eq!(resolve("host", "gone"), None);
 }
 
+/// Two clusters of one service with a secret each, and one that is routed to.
+const SECRETS: &str = r#"{
+  "routes": { "all": { "prefix": "/", "cluster": "all", "policy": "plain" } },
+  "clusters": {
+    "all": { "service": "all" },
+    "kiln": { "service": "kiln", "secret": "kiln-key" },
+  },
+  "policies": { "plain": {}, "short": { "timeout": "40ms" } },
+  "presets": { "ordinary": { "policies": { "short": { "timeout": "30ms" } } } },
+  "secrets": { "kiln-key": { "header": "x-key", "value": "clay" } },
+}"#;
+
+/// The same without the cluster that is not routed to.
+const TAKEN_AWAY: &str = r#"{
+  "routes": { "all": { "prefix": "/", "cluster": "all", "policy": "plain" } },
+  "clusters": { "all": { "service": "all" } },
+  "policies": { "plain": {} },
+  "presets": { "ordinary": {} },
+}"#;
+
+fn snapshot(version: u64, text: &str) -> Snapshot {
+    let config = load("secrets.jsonc", text).unwrap();
+    Snapshot::new(Version::new(version), "ordinary".parse().unwrap(), config)
+}
+
+/// Returns how a call that another node sent to the cluster `kiln` is treated.
+fn kiln(index: &Index) -> Option<(String, Option<String>)> {
+    let (cluster, policy) = ("kiln".parse().unwrap(), "short".parse().unwrap());
+    let target = index.resolve(&cluster, &policy, &"kiln".parse().unwrap())?;
+    let secret = target.secret.as_ref();
+    let secret = secret.map(|secret| secret.value.reveal().to_owned());
+    Some((target.policy.timeout.to_string(), secret))
+}
+
+#[test]
+fn a_call_to_a_cluster_that_no_route_names_any_more_is_carried() {
+    let index = Index::new(&snapshot(1, SECRETS));
+
+    let treated = kiln(&index);
+
+    assert_eq!(treated, Some(("30ms".to_owned(), Some("clay".to_owned()))));
+}
+
+#[test]
+fn a_call_to_a_cluster_that_was_taken_away_is_carried_for_a_while() {
+    let before = Index::new(&snapshot(1, SECRETS));
+
+    let secrets = [2, 17, 18].map(|version| {
+        let index = Index::after(&before, &snapshot(version, TAKEN_AWAY));
+        kiln(&index).and_then(|(_, secret)| secret)
+    });
+
+    let clay = || Some("clay".to_owned());
+    assert_eq!(secrets, [clay(), clay(), None]);
+}
+
+#[test]
+fn a_cluster_that_was_never_known_is_not_guessed() {
+    let index = Index::new(&snapshot(2, TAKEN_AWAY));
+
+    assert_eq!(kiln(&index), None);
+}
+
 /// Returns a checker that takes the same way on every run.
 fn seeded() -> QuickCheck {
     QuickCheck::new().rng(Gen::from_size_and_seed(SIZE, SEED))
--- a/crates/cicadagw-proxy/src/ingress.rs
+++ b/crates/cicadagw-proxy/src/ingress.rs
@@ -1,6 +1,7 @@
 //! The first half of a call: from the caller to the node of the chosen endpoint.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use actix_web::dev::Payload;
@@ -90,7 +91,7 @@
             let reading = Upload::read(request, payload, &node.limits);
             let until = node.clock.instant(deadline);
             match request.wait(timeout_at(until, reading)).await {
-                Ok(Ok(upload)) => serve(node, request, target, &upload, deadline).await,
+                Ok(Ok(upload)) => serve(node, request, &target, &upload, deadline).await,
                 Ok(Err(reason)) => Outcome::not_run(reason),
                 Err(_) => Outcome::not_run(Reason::Deadline),
             }
@@ -100,23 +101,22 @@
 }
 
 /// Finds out where a call goes, and by when it must be answered.
-fn steer<'p>(
-    node: &Node,
-    plan: &'p Plan,
-    request: &Request,
-) -> Result<(&'p Target, Moment), Reason> {
+fn steer(node: &Node, plan: &Plan, request: &Request) -> Result<(Arc<Target>, Moment), Reason> {
     let index = plan.index.as_ref().ok_or(Reason::NoConfiguration)?;
     let target = match &request.via {
         Some(via) => {
             let (_, service) = node.gate(&via.endpoint)?;
             index.resolve(&via.cluster, &via.policy, &service)
         }
-        None => index.find(request.line(), |name, value| {
-            request.has_header(name, value)
-        }),
+        None => index
+            .find(request.line(), |name, value| {
+                request.has_header(name, value)
+            })
+            .cloned(),
     };
     let target = target.ok_or(Reason::NoRoute)?;
-    Ok((target, request.deadline(target.policy.timeout)))
+    let deadline = request.deadline(target.policy.timeout);
+    Ok((target, deadline))
 }
 
 /// Serves a call, here when another node has chosen the endpoint, and else where the choice falls.
--- a/crates/cicadagw-proxy/src/node.rs
+++ b/crates/cicadagw-proxy/src/node.rs
@@ -107,10 +107,11 @@
         }
         let snapshot = |view: &View| view.snapshot.as_ref().map(Arc::as_ptr);
         if held.and_then(|held| snapshot(held)) != snapshot(&view) {
+            let earlier = plan.index.take().unwrap_or_default();
             plan.index = view
                 .snapshot
                 .as_ref()
-                .map(|snapshot| Rc::new(Index::new(snapshot)));
+                .map(|snapshot| Rc::new(Index::after(&earlier, snapshot)));
         }
         if !Arc::ptr_eq(&plan.endpoints, &view.endpoints) {
             plan.endpoints = view.endpoints.clone();
