--- a/crates/cicadagw-proxy/src/ingress.rs
+++ b/crates/cicadagw-proxy/src/ingress.rs
@@ -1,6 +1,7 @@
 //! Calls as they arrive: what is refused at once, where a call goes, and what its caller gets.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Instant;
 
 use actix_web::dev::Payload;
@@ -82,7 +83,7 @@
                 Ok(Ok(upload)) => {
                     let errand = Errand {
                         request,
-                        target,
+                        target: &target,
                         upload: &upload,
                         deadline,
                     };
@@ -97,23 +98,22 @@
 }
 
 /// Finds out where a call goes, and by when it must be answered.
-fn steer<'p>(
-    node: &Node,
-    plan: &'p Plan,
-    request: &Request,
-) -> Result<(&'p Target, Moment), Reason> {
+fn steer(node: &Node, plan: &Plan, request: &Request) -> Result<(Arc<Target>, Moment), Reason> {
     let index = plan.index.as_ref().ok_or(Reason::NoConfiguration)?;
     let target = match &request.via {
         Some(via) => {
             let (_, service) = node.gate(&via.endpoint)?;
             index.resolve(&via.cluster, &via.policy, &service)
         }
-        None => index.find(request.line(), |name, value| {
-            request.has_header(name, value)
-        }),
+        None => index
+            .find(request.line(), |name, value| {
+                request.has_header(name, value)
+            })
+            .cloned(),
     };
     let target = target.ok_or(Reason::NoRoute)?;
-    Ok((target, request.deadline(target.policy.timeout)))
+    let deadline = request.deadline(target.policy.timeout);
+    Ok((target, deadline))
 }
 
 /// Serves a call, here when another node has chosen the endpoint, and else where the choice falls.
