--- a/crates/cicadagw-dev/examples/backend.rs
+++ b/crates/cicadagw-dev/examples/backend.rs
@@ -14,6 +14,7 @@
 
 mod flags {
     use std::net::SocketAddr;
+    use std::path::PathBuf;
 
     use cicadagw_unit::id::Service;
     use cicadagw_unit::size::Slots;
@@ -38,6 +39,8 @@
             optional --work work: Span
             /// For how long it takes late calls after it began to drain, such as 2000ms.
             optional --linger linger: Span
+            /// The file that gets the id of every request that runs, one a line.
+            optional --journal journal: PathBuf
             /// Faults from the start, in JSON as for /control.
             optional --fault fault: String
         }
@@ -67,6 +70,7 @@
         .maybe_announce(flags.announce)
         .connections(flags.connections.unwrap_or(Slots::new(100)))
         .endpoint(endpoint)
+        .maybe_journal(flags.journal)
         .linger(flags.linger.unwrap_or(Span::seconds(2)))
         .service(flags.service)
         .slots(flags.slots.unwrap_or(Slots::new(10)))
--- a/crates/cicadagw-dev/src/backend/server.rs
+++ b/crates/cicadagw-dev/src/backend/server.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
 use std::time::Duration;
 
 use actix_web::dev::Server;
@@ -33,6 +34,8 @@
     pub connections: Slots,
     /// The endpoint; new for every start.
     pub endpoint: id::Endpoint,
+    /// The file that gets the id of every request that runs, one a line; it outlives a kill.
+    pub journal: Option<PathBuf>,
     /// For how long it takes late calls after it began to drain.
     #[builder(default = Span::seconds(2))]
     pub linger: Span,
@@ -89,10 +92,10 @@
 ///
 /// # Errors
 ///
-/// When the listener cannot be used.
+/// When the listener or the journal cannot be used.
 pub fn serve(listener: TcpListener, backend: Backend) -> io::Result<(Server, Handle)> {
     let address = listener.local_addr()?;
-    let state = web::Data::new(State::new(address, backend));
+    let state = web::Data::new(State::new(address, backend)?);
     let handle = Handle {
         address,
         state: state.clone(),
--- a/crates/cicadagw-dev/src/backend/state.rs
+++ b/crates/cicadagw-dev/src/backend/state.rs
@@ -1,5 +1,7 @@
 //! What the handlers and the announcer of a backend server share.
 
+use std::fs::File;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -30,14 +32,20 @@
 }
 
 impl State {
-    pub(crate) fn new(address: SocketAddr, backend: Backend) -> Self {
-        Self {
+    pub(crate) fn new(address: SocketAddr, backend: Backend) -> io::Result<Self> {
+        let open = |path| File::options().create(true).append(true).open(path);
+        let journal = backend.journal.as_ref().map(open).transpose()?;
+        let inner = Inner {
+            executions: Executions::new(journal),
+            ..Inner::default()
+        };
+        Ok(Self {
             address,
             backend,
-            inner: Mutex::default(),
+            inner: Mutex::new(inner),
             in_flight: watch::Sender::default(),
             news: Notify::default(),
-        }
+        })
     }
 
     pub(crate) fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/crates/cicadagw-dev/src/backend/stats.rs
+++ b/crates/cicadagw-dev/src/backend/stats.rs
@@ -1,6 +1,8 @@
 //! What a backend server has seen.
 
 use std::collections::HashMap;
+use std::fs::File;
+use std::io::Write;
 
 use compact_str::CompactString;
 
@@ -23,13 +25,22 @@
 }
 
 /// How often each request ran.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub(crate) struct Executions {
     counts: HashMap<CompactString, u32>,
+    journal: Option<File>,
     total: u64,
 }
 
 impl Executions {
+    /// Creates counts that also go to `journal`.
+    pub(crate) fn new(journal: Option<File>) -> Self {
+        Self {
+            journal,
+            ..Self::default()
+        }
+    }
+
     /// Counts one execution of `request`, and returns how many there were; a request without an id
     /// counts in the total alone.
     pub(crate) fn count(&mut self, request: &str) -> u32 {
@@ -37,6 +48,11 @@
         if request.is_empty() {
             return 1;
         }
+        if let Some(journal) = &mut self.journal {
+            let line = format!("{request}\n");
+            let written = journal.write_all(line.as_bytes());
+            written.expect("a stand-in that cannot count is of no use");
+        }
         let count = self.counts.entry(request.into()).or_default();
         *count += 1;
         *count
--- a/crates/cicadagw-dev/src/process/fleet.rs
+++ b/crates/cicadagw-dev/src/process/fleet.rs
@@ -60,10 +60,10 @@
         more: &Value,
     ) -> io::Result<Self> {
         let mut nodes = Vec::new();
-        for (index, place) in places.iter().enumerate() {
+        for place in places {
             let mut addresses = Vec::new();
-            for number in 0..count {
-                addresses.push(Addresses::free(host(index * count + number))?);
+            for _ in 0..count {
+                addresses.push(Addresses::free(host())?);
             }
             let seeds: Vec<SocketAddr> = addresses.iter().map(|own| own.link).collect();
             for (number, own) in addresses.iter().enumerate() {
--- a/crates/cicadagw-dev/src/process/place.rs
+++ b/crates/cicadagw-dev/src/process/place.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use cicadagw_unit::id;
 
@@ -23,14 +24,21 @@
     pub(crate) link: SocketAddr,
 }
 
-/// Returns the loopback address of node `index`, which is its alone.
-pub(crate) fn host(index: usize) -> IpAddr {
+/// How many nodes were given an address by this process.
+static HOSTS: AtomicUsize = AtomicUsize::new(0);
+
+/// Returns a loopback address that no other node of this process has.
+pub(crate) fn host() -> IpAddr {
     /// The third number of the first node's address.
     const FIRST: usize = 10;
     /// How many nodes share the third number.
     const ROW: usize = 250;
+    /// How many third numbers there are.
+    const ROWS: usize = 240;
+    let index = HOSTS.fetch_add(1, Ordering::Relaxed);
     let number = |number: usize| u8::try_from(number).unwrap_or(u8::MAX);
-    let (third, fourth) = (number(FIRST + index / ROW), number(1 + index % ROW));
+    let third = number(FIRST + index / ROW % ROWS);
+    let fourth = number(1 + index % ROW);
     IpAddr::V4(Ipv4Addr::new(127, 0, third, fourth))
 }
 
