--- a/crates/cicadagw-dev/src/platform/fault.rs
+++ b/crates/cicadagw-dev/src/platform/fault.rs
@@ -12,6 +12,8 @@
     pub down: bool,
     /// The next write that takes effect gets no answer.
     pub drop_answer_of_next_put: bool,
+    /// The next write of the object with this key that takes effect gets no answer.
+    pub drop_answer_of_put_to: Option<CompactString>,
     /// Calls of these clients are not served: parts of their `user-agent`, between `/`.
     pub refuse_from: Vec<CompactString>,
 }
@@ -29,6 +31,9 @@
     /// Replaces [`Fault::drop_answer_of_next_put`].
     #[serde(skip_serializing_if = "Option::is_none")]
     pub drop_answer_of_next_put: Option<bool>,
+    /// Replaces [`Fault::drop_answer_of_put_to`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub drop_answer_of_put_to: Option<CompactString>,
     /// Replaces [`Fault::refuse_from`].
     #[serde(skip_serializing_if = "Option::is_none")]
     pub refuse_from: Option<Vec<CompactString>>,
@@ -46,11 +51,23 @@
         if let Some(drop) = change.drop_answer_of_next_put {
             self.drop_answer_of_next_put = drop;
         }
+        if let Some(key) = change.drop_answer_of_put_to {
+            self.drop_answer_of_put_to = Some(key);
+        }
         if let Some(refuse_from) = change.refuse_from {
             self.refuse_from = refuse_from;
         }
     }
 
+    /// Takes whether a write of `key`, which took effect, gets no answer.
+    pub(crate) fn take_drop(&mut self, key: &str) -> bool {
+        if self.drop_answer_of_put_to.as_deref() == Some(key) {
+            self.drop_answer_of_put_to = None;
+            return true;
+        }
+        std::mem::take(&mut self.drop_answer_of_next_put)
+    }
+
     /// Tells whether calls of the client `agent` are served.
     pub fn serves(&self, agent: &str) -> bool {
         let refused = |part: &str| self.refuse_from.iter().any(|name| name == part);
--- a/crates/cicadagw-dev/src/platform/handlers.rs
+++ b/crates/cicadagw-dev/src/platform/handlers.rs
@@ -169,7 +169,7 @@
     let answer = match inner.objects.put(key.clone(), value, condition) {
         Ok(revision) => {
             inner.announce(&key);
-            if std::mem::take(&mut inner.fault.drop_answer_of_next_put) {
+            if inner.fault.take_drop(key.as_str()) {
                 inner.stats.failed += 1;
                 connection::cut(&request);
             }
--- a/crates/cicadagw-dev/src/process/operator.rs
+++ b/crates/cicadagw-dev/src/process/operator.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::Command;
+use std::process::{Command, Output};
 
 use super::{Program, Programs};
 
@@ -25,18 +25,27 @@
         }
     }
 
-    /// Runs `cicadactl` with `arguments`, and returns what it writes.
+    /// Runs `cicadactl` with `arguments`, and returns what it writes and how it ends.
     ///
     /// # Errors
     ///
-    /// When it does not exit with zero, with what it wrote.
-    pub fn run(&self, arguments: &[&str]) -> io::Result<String> {
-        let output = Command::new(&self.program)
+    /// When it does not start.
+    pub fn output(&self, arguments: &[&str]) -> io::Result<Output> {
+        Command::new(&self.program)
             .arg("--platform")
             .arg(self.platform.to_string())
             .args(["--operator", &self.name])
             .args(arguments)
-            .output()?;
+            .output()
+    }
+
+    /// Runs `cicadactl` with `arguments`, and returns what it writes.
+    ///
+    /// # Errors
+    ///
+    /// When it does not exit with zero, with what it wrote.
+    pub fn run(&self, arguments: &[&str]) -> io::Result<String> {
+        let output = self.output(arguments)?;
         let written = String::from_utf8_lossy(&output.stdout).into_owned();
         if output.status.success() {
             return Ok(written);
