Let calls routed with an older version find a cluster without routes

Cause: a node resolved calls that another node had routed among the clusters that its own routes name. When a change takes the last route off a cluster, a node that already holds it refused the calls of nodes that do not yet hold it, with no-route.

Ruled out: lost answers and doubled runs; the journals of the backend servers show none.

Change: clusters that no route names are kept too, with every policy.

--- a/crates/cicadagw-call/src/route.rs
+++ b/crates/cicadagw-call/src/route.rs
@@ -64,6 +64,7 @@
                 index.insert(name, route, target);
             }
         }
+        index.add_unrouted(snapshot);
         index
     }
 
@@ -111,6 +112,19 @@
             })
     }
 
+    /// Adds the clusters that no route names: nodes that still hold an older version route to them.
+    fn add_unrouted(&mut self, snapshot: &Snapshot) {
+        let config = &snapshot.config;
+        for cluster in config.clusters.keys() {
+            if self.clusters.contains_key(cluster) {
+                continue;
+            }
+            for policy in config.policies.keys() {
+                self.target(snapshot, cluster, policy);
+            }
+        }
+    }
+
     fn target(
         &mut self,
         snapshot: &Snapshot,
--- a/crates/cicadagw-call/tests/route.rs
+++ b/crates/cicadagw-call/tests/route.rs
@@ -112,6 +112,24 @@
     assert_eq!(resolve("host", "gone"), None);
 }
 
+#[test]
+fn a_call_routed_with_an_older_snapshot_finds_a_cluster_without_routes() {
+    let mut config = config();
+    config.routes.clear();
+    let index = Index::new(&Snapshot::new(
+        Version::new(2),
+        "peak".parse().unwrap(),
+        config,
+    ));
+    let names = ("plain".parse().unwrap(), "plain".parse().unwrap());
+
+    let target = index.resolve(&names.0, &names.1, &"plain".parse().unwrap());
+
+    let target = target.unwrap();
+    assert_eq!(target.name.as_str(), "plain");
+    assert_eq!(target.policy.timeout.to_string(), "250ms");
+}
+
 /// Returns a checker that takes the same way on every run.
 fn seeded() -> QuickCheck {
     QuickCheck::new().rng(Gen::from_size_and_seed(SIZE, SEED))
