Let calls begin when every node knows the backend servers

Cause: the call refused with no-endpoint came before its node had published the endpoint of orders, whose backend server had announced itself 240 ms before the first change; a dump shows a record before calls can use it. Ruled out: expiry (no such log line in the kept logs) and lost attempts (the reason of those is another).

Change: the test waits for an answered call by each service at every node, which is stricter than the dump. Folders of failed tests are kept, and named.

--- a/crates/cicadagw-dev/src/process/scratch.rs
+++ b/crates/cicadagw-dev/src/process/scratch.rs
@@ -1,9 +1,10 @@
 //! Folders for settings and logs.
 
 use std::path::{Path, PathBuf};
-use std::{env, fs, io, process};
+use std::{env, fs, io, process, thread};
 
-/// A new folder among the temporary files, removed with its content when it is dropped.
+/// A new folder among the temporary files, removed with its content when it is dropped, unless its
+/// test has failed.
 #[derive(Debug)]
 pub struct Scratch {
     path: PathBuf,
@@ -47,7 +48,9 @@
 
 impl Drop for Scratch {
     fn drop(&mut self) {
-        if !self.kept {
+        if thread::panicking() {
+            anstream::eprintln!("logs and settings are in {}", self.path.display());
+        } else if !self.kept {
             // What cannot be removed is left to the system's own cleaning.
             let _ = fs::remove_dir_all(&self.path);
         }
--- a/crates/cicadagw-dev/tests/fault/calls.rs
+++ b/crates/cicadagw-dev/tests/fault/calls.rs
@@ -21,8 +21,12 @@
     let mut mesh = mesh_at_one(2, 2);
     add_backends(&mut mesh, "2ms");
     mesh.add_backend("orders", 1, &["--work", "2ms"]).unwrap();
-    mesh.until("with three endpoints", |dump| endpoints(dump) == 3)
-        .unwrap();
+    for cluster in ["orders", "catalogue"] {
+        // Every node knows a backend server of each before the calls begin.
+        let accepted = apply(&mesh, cluster).unwrap();
+        mesh.until_held(accepted.version).unwrap();
+        mesh.until_answered("/booking").unwrap();
+    }
     let watch = Watch::start(&mesh.fleet.nodes).unwrap();
     let traffic = Traffic::start(&mesh.calls(), "/booking").unwrap();
 
@@ -39,7 +43,7 @@
     check_runs(&mesh, &report);
     check_answered(&report);
     assert_eq!(watch.finish(), Vec::<String>::new());
-    mesh.until_held(Version::new(CHANGES + 1)).unwrap();
+    mesh.until_held(Version::new(CHANGES + 3)).unwrap();
     mesh.stop().unwrap();
 }
 
