--- a/crates/cicadagw-dev/src/mesh/processes.rs
+++ b/crates/cicadagw-dev/src/mesh/processes.rs
@@ -13,7 +13,7 @@
 use super::{Backend, Journal};
 use crate::http::{block_on, get_json, post, until_ok};
 use crate::platform::{Change, Stats};
-use crate::process::{Fleet, Node, Operator, Place, Process, Program, Programs, Scratch};
+use crate::process::{Fleet, Node, Operator, Place, Process, Program, Programs, Scratch, Signal};
 
 /// How long a state is awaited; it only guards against waiting for ever.
 pub const PATIENCE: Span = Span::seconds(30);
@@ -234,27 +234,40 @@
         })
     }
 
-    /// Asks all backend servers and nodes to end, and checks that they end well.
+    /// Asks all backend servers and then all nodes to end, and checks that they end well.
     ///
     /// # Errors
     ///
     /// When one does not.
     pub fn stop(mut self) -> io::Result<()> {
-        let nodes = self.fleet.nodes.iter_mut();
-        let nodes = nodes.filter_map(|node| node.process.as_mut());
         let backends = self.backends.iter_mut();
-        for process in backends.map(|backend| &mut backend.process).chain(nodes) {
-            let status = process.terminate(PATIENCE)?;
-            if !status.success() {
-                let tail = process.tail();
-                let reason = format!("{} ended with {status}\n{tail}", process.name());
-                return Err(io::Error::other(reason));
-            }
-        }
+        end(backends.map(|backend| &mut backend.process).collect())?;
+        let nodes = self.fleet.nodes.iter_mut();
+        end(nodes.filter_map(|node| node.process.as_mut()).collect())?;
         self.platform_process.kill()
     }
 }
 
+/// Asks all of `processes` to end at once, and checks that they end well.
+fn end(mut processes: Vec<&mut Process>) -> io::Result<()> {
+    for process in &mut processes {
+        if process.wait(Span::default()).is_none() {
+            process.signal(Signal::Terminate)?;
+        }
+    }
+    for process in processes {
+        let status = process.wait(PATIENCE);
+        if !status.is_some_and(|status| status.success()) {
+            let (name, tail) = (process.name(), process.tail());
+            let status = status.map_or("nothing".to_owned(), |status| status.to_string());
+            return Err(io::Error::other(format!(
+                "{name} ended with {status}\n{tail}"
+            )));
+        }
+    }
+    Ok(())
+}
+
 /// Returns the version that a node holds, by its dump.
 fn held(dump: &Value) -> Version {
     Version::new(dump["held"]["version"].as_u64().unwrap_or_default())
