Measure a fleet of processes beside a baseline

Cause: nothing measured what keeping a fleet in step costs, so no slope to 1,300 nodes could be read. Ruled out: socket counters of processes, which need tools that are not there; the bytes on the wire are an estimate from messages and payload. Change: the example `measure` with the command `fleet`; meters read received bytes, messages and platform calls too.

--- a/crates/cicadagw-dev/src/lib.rs
+++ b/crates/cicadagw-dev/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod caller;
 mod connection;
 pub mod http;
+pub mod measure;
 pub mod platform;
 pub mod process;
--- /dev/null
+++ b/crates/cicadagw-dev/src/measure/mod.rs
@@ -0,0 +1,17 @@
+//! Measuring programs; `examples/measure` is their command line.
+
+mod announcers;
+mod baseline;
+mod change;
+mod configuration;
+mod converge;
+pub mod figures;
+pub mod fit;
+pub mod fleet;
+pub mod proc;
+mod recovery;
+pub mod role;
+mod sample;
+mod stage;
+mod window;
+pub mod wire;
--- /dev/null
+++ b/crates/cicadagw-dev/src/measure/stage.rs
@@ -0,0 +1,136 @@
+//! The processes that are measured.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Command;
+
+use cicadagw_unit::size::Bytes;
+use cicadagw_unit::time::Span;
+use serde_json::json;
+
+use super::announcers::Announcers;
+use super::change::Operator;
+use super::converge::Observer;
+use super::role::{Dump, Role};
+use crate::process::{Fleet, Node, Place, Process, Program, Programs, Scratch};
+use crate::{http, platform};
+
+/// How long a node may take to start.
+const PATIENCE: Span = Span::seconds(30);
+
+/// A platform of its own with a fleet; everything ends when this is dropped.
+pub(crate) struct Stage {
+    pub(crate) observer: Observer,
+    pub(crate) operator: Operator,
+    pub(crate) fleet: Fleet,
+    pub(crate) platform: Platform,
+    _announcers: Announcers,
+    scratch: Scratch,
+}
+
+/// The stand-in of the platform, a process of its own.
+pub(crate) struct Platform {
+    pub(crate) address: SocketAddr,
+    _process: Process,
+}
+
+/// What the platform has had.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Load {
+    pub(crate) calls: u64,
+    pub(crate) bytes: Bytes,
+}
+
+impl Platform {
+    pub(crate) fn start(programs: &Programs, folder: &Path) -> io::Result<Self> {
+        let mut command = Command::new(programs.path(Program::Platform));
+        command.arg("127.0.0.1:0");
+        let (process, address) = Process::start_stand_in("platform", &mut command, folder)?;
+        Ok(Self {
+            address,
+            _process: process,
+        })
+    }
+
+    pub(crate) async fn load(&self) -> io::Result<Load> {
+        let stats = http::get_json::<platform::Stats>(self.address, "/stats").await;
+        let stats = stats.map_err(io::Error::other)?;
+        Ok(Load {
+            calls: stats.calls.total(),
+            bytes: stats.received.plus(stats.sent),
+        })
+    }
+}
+
+impl Load {
+    /// Returns what came since `earlier`.
+    pub(crate) fn since(&self, earlier: &Self) -> Self {
+        Self {
+            calls: self.calls - earlier.calls,
+            bytes: Bytes::new(self.bytes.get() - earlier.bytes.get()),
+        }
+    }
+}
+
+impl Stage {
+    /// Starts the platform, `count` nodes in each of `places` and their backend servers, and puts
+    /// the first version in force.
+    pub(crate) async fn start(
+        programs: &Programs,
+        places: &[Place],
+        count: usize,
+        services: usize,
+    ) -> io::Result<Self> {
+        let scratch = Scratch::new()?;
+        let platform = Platform::start(programs, scratch.path())?;
+        let more = json!({ "platform": [platform.address] });
+        let mut fleet = Fleet::new(programs, scratch.path(), places, count, &more)?;
+        fleet.start(scratch.path())?;
+        for node in &fleet.nodes {
+            let live = http::until_ok(node.admin, "/live", PATIENCE).await;
+            live.map_err(io::Error::other)?;
+        }
+        let mut operator = Operator::new(platform.address, services);
+        let announcers = Announcers::start(&fleet.nodes, &operator.edited().services()?)?;
+        let observer = Observer::new();
+        let accepted = operator.change().await?;
+        observer
+            .until(&admins(&fleet.nodes), accepted.version)
+            .await?;
+        Ok(Self {
+            observer,
+            operator,
+            fleet,
+            platform,
+            _announcers: announcers,
+            scratch,
+        })
+    }
+
+    /// Returns the admin addresses of all nodes.
+    pub(crate) fn admins(&self) -> Vec<SocketAddr> {
+        admins(&self.fleet.nodes)
+    }
+
+    /// Starts every node that does not run.
+    pub(crate) fn restart(&mut self) -> io::Result<()> {
+        self.fleet.start(self.scratch.path())
+    }
+
+    /// Returns the role of each node.
+    pub(crate) async fn roles(&self) -> io::Result<Vec<Role>> {
+        let mut roles = Vec::new();
+        for node in &self.fleet.nodes {
+            let dump: Dump = http::get_json(node.admin, "/dump")
+                .await
+                .map_err(io::Error::other)?;
+            roles.push(Role::from(&dump));
+        }
+        Ok(roles)
+    }
+}
+
+fn admins(nodes: &[Node]) -> Vec<SocketAddr> {
+    nodes.iter().map(|node| node.admin).collect()
+}
--- a/crates/cicadagw-dev/src/process/meters.rs
+++ b/crates/cicadagw-dev/src/process/meters.rs
@@ -13,6 +13,18 @@
 /// The metric of the bytes sent to other nodes.
 const SENT: &str = "cicadagw_control_sent_bytes_total";
 
+/// The metric of the bytes received from other nodes.
+const RECEIVED: &str = "cicadagw_control_received_bytes_total";
+
+/// The metric of the messages sent to other nodes.
+const SENT_MESSAGES: &str = "cicadagw_control_sent_messages_total";
+
+/// The metric of the messages received from other nodes.
+const RECEIVED_MESSAGES: &str = "cicadagw_control_received_messages_total";
+
+/// The metric of the calls to the platform.
+const PLATFORM: &str = "cicadagw_platform_calls_total";
+
 /// What the label of messages between regions looks like.
 const ACROSS: &str = "reach=\"across-regions\"";
 
@@ -23,8 +35,16 @@
     pub held: Version,
     /// The bytes sent to other nodes.
     pub sent: Bytes,
-    /// Those of them that were sent to another region.
+    /// The bytes received from other nodes.
+    pub received: Bytes,
+    /// Those of both that crossed the link between regions, counted at the parent's end.
     pub across: Bytes,
+    /// The messages sent to other nodes.
+    pub sent_messages: u64,
+    /// The messages received from other nodes.
+    pub received_messages: u64,
+    /// The calls to the platform.
+    pub platform_calls: u64,
 }
 
 impl Meters {
@@ -49,15 +69,24 @@
             let Ok(value) = value.parse() else {
                 continue;
             };
-            if name == HELD {
-                meters.held = Version::new(value);
-            } else if name.starts_with(SENT) {
-                meters.sent = meters.sent.plus(Bytes::new(value));
-                if name.contains(ACROSS) {
-                    meters.across = meters.across.plus(Bytes::new(value));
-                }
-            }
+            meters.take(name, value);
         }
         meters
     }
+
+    fn take(&mut self, name: &str, value: u64) {
+        let metric = name.split('{').next().unwrap_or(name);
+        match metric {
+            HELD => self.held = Version::new(value),
+            SENT => self.sent = self.sent.plus(Bytes::new(value)),
+            RECEIVED => self.received = self.received.plus(Bytes::new(value)),
+            SENT_MESSAGES => self.sent_messages += value,
+            RECEIVED_MESSAGES => self.received_messages += value,
+            PLATFORM => self.platform_calls += value,
+            _ => {}
+        }
+        if matches!(metric, SENT | RECEIVED) && name.contains(ACROSS) {
+            self.across = self.across.plus(Bytes::new(value));
+        }
+    }
 }
