Tell the version held as soon as it is in force

Cause: /ready and the metrics showed a new version at the next tick only, up to 100 ms after it was in force, and convergence read there was too long by that. Ruled out: the polling of the measuring program, whose step is 20 ms. Change: the control duty tells versions after every event; it counts endpoints at ticks as before. Conclusion: what is read is in force, to 20 ms.

--- a/crates/cicadagw-node/src/control.rs
+++ b/crates/cicadagw-node/src/control.rs
@@ -92,8 +92,9 @@
                 .core
                 .step(self.clock.now(), Event::Platform(reply));
         }
+        self.tell_versions();
         if is_tick {
-            self.count();
+            self.count_endpoints();
         }
         Ok(())
     }
@@ -119,12 +120,17 @@
         }
     }
 
-    fn count(&self) {
+    fn tell_versions(&self) {
         let core = &self.setup.core;
         if let Some(held) = core.held() {
             self.setup.meter.hold(held.version);
         }
         self.setup.meter.see(core.highest_seen());
+    }
+
+    /// Counts the whole table, so only once in a tick.
+    fn count_endpoints(&self) {
+        let core = &self.setup.core;
         for state in [State::Ready, State::Draining, State::Gone] {
             self.setup
                 .meter
