--- a/crates/cicadagw-dev/src/lib.rs
+++ b/crates/cicadagw-dev/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 mod connection;
 pub mod http;
+pub mod measure;
 pub mod mesh;
 pub mod platform;
 pub mod process;
