Give tests of deadlines ample time before the call goes out

Cause: two tests let a call be over 50 ms after its arrival and one answer stand still for 500 ms; on a busy machine the call might not have gone out by then, which is another outcome. None failed so far. Change: 2 s for each. Conclusion: no verdict hangs on a short time.

--- a/crates/cicadagw-proxy/tests/limits.rs
+++ b/crates/cicadagw-proxy/tests/limits.rs
@@ -10,6 +10,9 @@
 use support::mesh::{CONFIG, Mesh, Node, RING};
 use tokio::task::JoinSet;
 
+/// A time that is over soon, but not before a call has gone out.
+const AMPLE_MS: &str = "2000";
+
 struct Bench {
     mesh: Mesh,
     node: Node,
@@ -53,7 +56,7 @@
 
     let late = post("/orders", "a")
         .id("a")
-        .header("x-cicadagw-deadline-ms", "50")
+        .header("x-cicadagw-deadline-ms", AMPLE_MS)
         .send(bench.node.calls)
         .await;
 
@@ -102,7 +105,7 @@
 async fn a_late_answer_goes_to_nobody() {
     let mut bench = bench().await;
     let late = post("/orders", "late")
-        .header("x-cicadagw-deadline-ms", "50")
+        .header("x-cicadagw-deadline-ms", AMPLE_MS)
         .send(bench.node.calls)
         .await;
     bench.backend.received().await;
--- a/crates/cicadagw-proxy/tests/support/mesh.rs
+++ b/crates/cicadagw-proxy/tests/support/mesh.rs
@@ -31,7 +31,7 @@
   "secrets": { "key": { "header": "x-key", "value": "open-sesame" } },
   "policies": {
     "plain": { "timeout": "30000ms" },
-    "brief": { "timeout": "500ms", "concurrency": "1", "queue": "0" },
+    "brief": { "timeout": "2000ms", "concurrency": "1", "queue": "0" },
     "narrow": { "timeout": "30000ms", "concurrency": "1", "queue": "1" },
   },
   "presets": { "ordinary": {} },
