Count answers and the calls of nodes alone in the figures

Cause: a trial in a debug build showed the cost of a change read from a window with more than one change a second, and our calls to the platform held those of the operator, which the baseline's did not. Change: as many changes as the window has seconds; platform calls as nodes count them; the estimate of the wire holds answers; the tree's depth. Conclusion: both sides count the same.

--- a/crates/cicadagw-dev/examples/measure/fleet.rs
+++ b/crates/cicadagw-dev/examples/measure/fleet.rs
@@ -12,7 +12,7 @@
 const SIZES: &str = "12,24,48,96";
 
 /// Measures, and prints the report.
-pub(crate) fn run(flags: Fleet) -> io::Result<()> {
+pub(crate) fn run(flags: &Fleet) -> io::Result<()> {
     let sizes = flags.sizes.as_deref().unwrap_or(SIZES);
     let sizes: Result<_, _> = sizes.split(',').map(str::parse).collect();
     let options = Options::builder()
--- a/crates/cicadagw-dev/examples/measure/main.rs
+++ b/crates/cicadagw-dev/examples/measure/main.rs
@@ -31,7 +31,7 @@
 
 fn main() -> ExitCode {
     let outcome = match flags::Measure::from_env_or_exit().subcommand {
-        flags::MeasureCmd::Fleet(flags) => fleet::run(flags),
+        flags::MeasureCmd::Fleet(flags) => fleet::run(&flags),
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/cicadagw-dev/src/measure/baseline.rs
+++ b/crates/cicadagw-dev/src/measure/baseline.rs
@@ -33,7 +33,7 @@
 const RETRY: Duration = Duration::from_millis(200);
 
 /// How long it may take until a version is in force everywhere.
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_mins(1);
 
 /// How many adoptions may wait to be noted.
 const RING: usize = 1024;
--- a/crates/cicadagw-dev/src/measure/converge.rs
+++ b/crates/cicadagw-dev/src/measure/converge.rs
@@ -12,7 +12,7 @@
 pub(crate) const RESOLUTION: Duration = Duration::from_millis(20);
 
 /// How long it may take until a version is in force everywhere.
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_mins(1);
 
 /// How long an answer may take.
 const ANSWER: Duration = Duration::from_secs(2);
--- a/crates/cicadagw-dev/src/measure/fleet.rs
+++ b/crates/cicadagw-dev/src/measure/fleet.rs
@@ -2,14 +2,15 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cicadagw_unit::time::Span;
 use compact_str::{CompactString, format_compact};
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::time::{interval, sleep};
 
 use super::converge::{RESOLUTION, last_ms};
 use super::figures::{Figures, Size, Trend, quantile, trends};
+use super::role::Role;
 use super::stage::Stage;
 use super::window::Window;
 use super::{baseline, recovery};
@@ -22,10 +23,10 @@
 const SETTLING: Duration = Duration::from_secs(10);
 
 /// How much time passes between the changes of the window with changes.
-const CHANGE_PERIOD: Duration = Duration::from_secs(1);
+const CHANGE_PERIOD: Span = Span::seconds(1);
 
 /// The figures that the baseline has as well: ours, and its own.
-const COMPARED: [(&str, &str); 6] = [
+const COMPARED: [(&str, &str); 7] = [
     ("convergence-p50-ms", "baseline.convergence-p50-ms"),
     ("convergence-p99-ms", "baseline.convergence-p99-ms"),
     ("convergence-max-ms", "baseline.convergence-max-ms"),
@@ -34,10 +35,17 @@
         "baseline.received-B/change/node",
     ),
     (
-        "per-change.platform-calls",
+        "per-change.received-wire-estimate-B/node",
+        "baseline.received-B/change/node",
+    ),
+    (
+        "per-change.node-platform-calls",
         "baseline.platform-calls/change",
     ),
-    ("idle.platform-calls/s", "baseline.idle.platform-calls/s"),
+    (
+        "idle.node-platform-calls/s",
+        "baseline.idle.platform-calls/s",
+    ),
 ];
 
 /// What is measured.
@@ -134,15 +142,13 @@
 }
 
 /// Accepts a change every second for `span`; returns how many.
-async fn change_for(stage: &mut Stage, span: Span) -> io::Result<usize> {
-    let start = Instant::now();
-    let mut ticks = interval(CHANGE_PERIOD);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut changes = 0;
-    while start.elapsed() < Duration::from(span) {
-        ticks.tick().await;
+async fn change_for(stage: &mut Stage, span: Span) -> io::Result<u64> {
+    let changes = span.get() / CHANGE_PERIOD.get();
+    let mut ticks = interval(CHANGE_PERIOD.into());
+    ticks.tick().await;
+    for _ in 0..changes {
         stage.operator.change().await?;
-        changes += 1;
+        ticks.tick().await;
     }
     Ok(changes)
 }
@@ -167,32 +173,40 @@
 
 /// Works out what a change costs, from the windows with and without changes.
 fn per_change(figures: &mut Figures) {
-    let changes = figures["changing.changes"];
     let mut costs = Figures::new();
-    let mut received = (0.0, 0.0);
     for (name, value) in &*figures {
         let Some(figure) = name.strip_prefix("changing.") else {
             continue;
         };
         let idle = figures.get(format!("idle.{figure}").as_str());
-        let Some(idle) = idle.filter(|_| figure.contains("/s")) else {
-            continue;
-        };
-        // The windows hold one change a second, so a rate's growth is the cost of a change.
-        let cost = value - idle;
-        let figure = figure.replace("/s", "");
-        if let Some(role) = figure.strip_suffix(".received-payload-B.mean") {
-            let nodes = figures[format!("changing.{role}.nodes").as_str()];
-            received = (received.0 + nodes * cost, received.1 + nodes);
+        let is_rate = figure.ends_with("/s") || figure.ends_with("/s.mean");
+        // The window holds one change a second, so a rate's growth is the cost of a change.
+        if let Some(idle) = idle.filter(|_| is_rate) {
+            let figure = figure.replace("/s", "").replace(".mean", "");
+            costs.insert(format_compact!("per-change.{figure}"), value - idle);
         }
-        costs.insert(format_compact!("per-change.{figure}"), cost);
     }
-    debug_assert!(changes > 0.0);
-    let each = received.0 / received.1;
-    costs.insert("per-change.received-payload-B/node".into(), each);
+    for figure in ["received-payload-B", "received-wire-estimate-B"] {
+        let each = each_node(figures, &costs, figure);
+        costs.insert(format_compact!("per-change.{figure}/node"), each);
+    }
     figures.extend(costs);
 }
 
+/// Returns the mean of a cost over the nodes of all roles.
+fn each_node(figures: &Figures, costs: &Figures, figure: &str) -> f64 {
+    let (mut sum, mut count) = (0.0, 0.0);
+    for role in Role::ALL.map(Role::as_str) {
+        let nodes = figures.get(format!("changing.{role}.nodes").as_str());
+        let cost = costs.get(format!("per-change.{role}.{figure}").as_str());
+        if let Some((nodes, cost)) = nodes.zip(cost) {
+            sum += nodes * cost;
+            count += nodes;
+        }
+    }
+    sum / count
+}
+
 /// Returns our figures over those of the baseline.
 fn ratios(figures: &Figures) -> Figures {
     let ratio = |(own, other): &(&str, &str)| {
--- a/crates/cicadagw-dev/src/measure/stage.rs
+++ b/crates/cicadagw-dev/src/measure/stage.rs
@@ -120,14 +120,18 @@
 
     /// Returns the role of each node.
     pub(crate) async fn roles(&self) -> io::Result<Vec<Role>> {
-        let mut roles = Vec::new();
+        let dumps = self.dumps().await?;
+        Ok(dumps.iter().map(Role::from).collect())
+    }
+
+    /// Returns what each node tells of its place in the tree.
+    pub(crate) async fn dumps(&self) -> io::Result<Vec<Dump>> {
+        let mut dumps = Vec::new();
         for node in &self.fleet.nodes {
-            let dump: Dump = http::get_json(node.admin, "/dump")
-                .await
-                .map_err(io::Error::other)?;
-            roles.push(Role::from(&dump));
+            let dump = http::get_json(node.admin, "/dump").await;
+            dumps.push(dump.map_err(io::Error::other)?);
         }
-        Ok(roles)
+        Ok(dumps)
     }
 }
 
--- a/crates/cicadagw-dev/src/measure/window.rs
+++ b/crates/cicadagw-dev/src/measure/window.rs
@@ -27,6 +27,7 @@
 struct Use {
     values: [(&'static str, f64); 8],
     across: f64,
+    platform_calls: f64,
 }
 
 impl Window {
@@ -51,7 +52,8 @@
     ) -> io::Result<()> {
         let load = stage.platform.load().await?.since(&self.load);
         let seconds = self.start.elapsed().as_secs_f64();
-        let roles = stage.roles().await?;
+        let dumps = stage.dumps().await?;
+        let roles = dumps.iter().map(Role::from);
         let mut uses: BTreeMap<Role, Vec<Use>> = BTreeMap::new();
         for ((node, before), role) in stage.fleet.nodes.iter().zip(&self.samples).zip(roles) {
             let after = Sample::take(node).await?;
@@ -59,11 +61,19 @@
                 .or_default()
                 .push(Use::between(before, &after, seconds));
         }
+        let depth = dumps.iter().map(|dump| dump.path.len()).max();
+        let calls: f64 = uses
+            .values()
+            .flatten()
+            .map(|used| used.platform_calls)
+            .sum();
         let across: f64 = uses.values().flatten().map(|used| used.across).sum();
         let mut add = |figure: &str, value| {
             figures.insert(format_compact!("{name}.{figure}"), value);
         };
         add("across-regions-payload-B/s", across);
+        add("depth", depth.unwrap_or_default() as f64);
+        add("node-platform-calls/s", calls);
         add("platform-calls/s", load.calls as f64 / seconds);
         add("platform-values-B/s", load.bytes.get() as f64 / seconds);
         for (role, uses) in &uses {
@@ -109,6 +119,7 @@
                 ("anonymous-MiB", mebibytes(after.memory.anonymous)),
             ],
             across: rate(bytes(new.across, old.across).get()),
+            platform_calls: rate(new.platform_calls - old.platform_calls),
         }
     }
 }
--- a/crates/cicadagw-dev/tests/measure.rs
+++ b/crates/cicadagw-dev/tests/measure.rs
@@ -141,11 +141,11 @@
 }
 
 #[test]
-fn the_wire_takes_frames_segments_and_acknowledgements() {
+fn the_wire_takes_frames_segments_and_answers() {
     let small = estimate(Bytes::new(200), 2);
     let large = estimate(Bytes::new(2_000), 1);
 
-    assert_eq!(small, Bytes::new(200 + 2 * (76 + 6 + 104)));
-    assert_eq!(large, Bytes::new(2_000 + 76 + 6 + 2 * 104));
+    assert_eq!(small, Bytes::new(200 + 2 * (76 + 6 + 41 + 104)));
+    assert_eq!(large, Bytes::new(2_000 + 76 + 6 + 41 + 2 * 104));
     assert_eq!(estimate(Bytes::default(), 0), Bytes::default());
 }
