Measure calls over real processes

Added latency over one and two hops beside the direct call, capacity and processor time, goodput with limits and without, losses and doubles during restarts and 100 changes, memory of calls in flight and of streamed bodies.

--- a/crates/cicadagw-dev/examples/backend.rs
+++ b/crates/cicadagw-dev/examples/backend.rs
@@ -37,6 +37,8 @@
             optional --connections connections: Slots
             /// How long a call takes, such as 5ms.
             optional --work work: Span
+            /// How many calls it really runs at once; all of them by default.
+            optional --workers workers: Slots
             /// For how long it takes late calls after it began to drain, such as 2000ms.
             optional --linger linger: Span
             /// The file that gets the id of every request that runs, one a line.
@@ -75,6 +77,7 @@
         .service(flags.service)
         .slots(flags.slots.unwrap_or(Slots::new(10)))
         .work(flags.work.unwrap_or_default())
+        .maybe_workers(flags.workers)
         .build();
     let (server, handle) = backend::serve(listener, backend)?;
     handle.control(&fault);
--- a/crates/cicadagw-dev/src/backend/handlers.rs
+++ b/crates/cicadagw-dev/src/backend/handlers.rs
@@ -47,7 +47,7 @@
     }
     let id = header(&request, REQUEST_ID).unwrap_or_default();
     let executions = state.lock().executions.count(&id);
-    sleep(Duration::from(state.backend.work) + slow).await;
+    work(&state, slow).await;
     if close == Some(Close::AfterRun) {
         connection::cut(&request);
     }
@@ -61,6 +61,17 @@
     respond(&request, &answer, close == Some(Close::MidAnswer))
 }
 
+/// Works on a call, once one of the places is free.
+async fn work(state: &State, slow: Duration) {
+    let work = Duration::from(state.backend.work) + slow;
+    // A timer goes off up to a millisecond late, so none is set where there is nothing to wait for.
+    if !work.is_zero() {
+        // The semaphore is never closed.
+        let _place = state.workers.acquire().await;
+        sleep(work).await;
+    }
+}
+
 /// Writes the answer in the length and form that the request asks for.
 fn respond(request: &HttpRequest, answer: &Answer, cut: bool) -> HttpResponse {
     let line = Bytes::from(answer.line());
--- a/crates/cicadagw-dev/src/backend/server.rs
+++ b/crates/cicadagw-dev/src/backend/server.rs
@@ -47,6 +47,8 @@
     /// How long a call takes.
     #[builder(default)]
     pub work: Span,
+    /// How many calls it really runs at once; the others wait in it. Without this, all run.
+    pub workers: Option<Slots>,
 }
 
 impl Backend {
--- a/crates/cicadagw-dev/src/backend/state.rs
+++ b/crates/cicadagw-dev/src/backend/state.rs
@@ -6,7 +6,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use cicadagw_endpoint::State as Life;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 use super::stats::Executions;
 use super::{Announcement, Backend, Fault, Load, Stats};
@@ -16,6 +16,8 @@
 pub(crate) struct State {
     pub(crate) address: SocketAddr,
     pub(crate) backend: Backend,
+    /// The places in which calls run.
+    pub(crate) workers: Semaphore,
     inner: Mutex<Inner>,
     in_flight: watch::Sender<u32>,
     news: Notify,
@@ -39,7 +41,11 @@
             executions: Executions::new(journal),
             ..Inner::default()
         };
+        let workers = backend
+            .workers
+            .map_or(Semaphore::MAX_PERMITS, |workers| workers.get() as usize);
         Ok(Self {
+            workers: Semaphore::new(workers),
             address,
             backend,
             inner: Mutex::new(inner),
--- a/crates/cicadagw-dev/src/caller/call.rs
+++ b/crates/cicadagw-dev/src/caller/call.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use awc::error::SendRequestError;
 use awc::http::header::HOST;
 use compact_str::{CompactString, format_compact};
 use tokio::time::Instant;
@@ -23,10 +24,8 @@
 /// Makes call `number`, which was due at `due`.
 pub(crate) async fn call(calls: Rc<Calls>, number: u64, due: Instant) -> Done {
     let begin = Instant::now();
-    let load = &calls.load;
     let request = format_compact!("{}-{number}", calls.prefix);
-    let ended = send(&calls, address(load, number), &request).await;
-    let (verdict, reason) = ended.unwrap_or((Verdict::Lost, None));
+    let (verdict, reason) = try_in_turn(&calls, number, &request).await;
     Done {
         request,
         verdict,
@@ -36,6 +35,25 @@
     }
 }
 
+/// Tries a call at one address after the other, as long as it surely did not run.
+async fn try_in_turn(
+    calls: &Calls,
+    number: u64,
+    request: &str,
+) -> (Verdict, Option<CompactString>) {
+    let mut attempt = 1;
+    loop {
+        let address = address(&calls.load, number + attempt - 1);
+        let ended = send(calls, address, request).await;
+        let may_try = attempt < u64::from(calls.load.attempts);
+        match ended {
+            Ok((Verdict::NotRun, _)) | Err(SendRequestError::Connect(_)) if may_try => attempt += 1,
+            Ok(ended) => return ended,
+            Err(_) => return (Verdict::Lost, None),
+        }
+    }
+}
+
 /// Returns the address that call `number` goes to.
 fn address(load: &Load, number: u64) -> SocketAddr {
     let count = load.addresses.len() as u64;
@@ -43,12 +61,12 @@
     load.addresses[index]
 }
 
-/// Sends one call and judges its answer; `None` when there is none. A reason is the node's.
+/// Sends one call and judges its answer. A reason is the node's.
 async fn send(
     calls: &Calls,
     address: SocketAddr,
     request: &str,
-) -> Option<(Verdict, Option<CompactString>)> {
+) -> Result<(Verdict, Option<CompactString>), SendRequestError> {
     let load = &calls.load;
     let url = format!("http://{address}{}", load.path);
     let mut call = calls
@@ -62,13 +80,13 @@
     if load.answer_bytes > 0 {
         call = call.insert_header((ANSWER_BYTES, load.answer_bytes));
     }
-    let mut response = call.send_body(load.body.clone()).await.ok()?;
+    let mut response = call.send_body(load.body.clone()).await?;
     let body = response.body().limit(usize::MAX).await.ok();
     let Some(body) = body else {
-        return Some((Verdict::Cut, None));
+        return Ok((Verdict::Cut, None));
     };
     let (status, headers) = (response.status(), response.headers());
     let least = load.answer_bytes;
     let verdict = Verdict::of(request, least, status, headers, &body);
-    Some((verdict, text(headers, REASON).map(Into::into)))
+    Ok((verdict, text(headers, REASON).map(Into::into)))
 }
--- a/crates/cicadagw-dev/src/caller/load.rs
+++ b/crates/cicadagw-dev/src/caller/load.rs
@@ -32,6 +32,9 @@
     /// How many bytes an answer must have at least.
     #[builder(default)]
     pub answer_bytes: usize,
+    /// At how many addresses a call is tried that surely did not run.
+    #[builder(default = 1)]
+    pub attempts: u8,
     /// The body of every request.
     #[builder(default)]
     pub body: Bytes,
--- a/crates/cicadagw-dev/src/measure/mod.rs
+++ b/crates/cicadagw-dev/src/measure/mod.rs
@@ -2,6 +2,7 @@
 
 mod announcers;
 mod baseline;
+pub mod calls;
 mod change;
 mod configuration;
 mod converge;
