--- a/crates/cicadagw-dev/src/measure/calls/latency.rs
+++ b/crates/cicadagw-dev/src/measure/calls/latency.rs
@@ -30,7 +30,7 @@
 };
 
 /// Limits that play no part here.
-const POLICY: &str = r#"{ "concurrency": 1000, "queue": 1000, "timeout": "2000ms" }"#;
+const POLICY: &str = r#"{ "concurrency": "1000", "queue": "1000", "timeout": "2000ms" }"#;
 
 /// Two nodes, and a backend server on the host of the second.
 pub(crate) fn bench() -> io::Result<Bench> {
--- a/crates/cicadagw-dev/src/measure/calls/memory.rs
+++ b/crates/cicadagw-dev/src/measure/calls/memory.rs
@@ -25,7 +25,7 @@
 /// How many bytes are streamed each way.
 const STREAMED: usize = 64 << 20;
 
-const POLICY: &str = r#"{ "concurrency": 1000, "queue": 1000, "timeout": "60000ms" }"#;
+const POLICY: &str = r#"{ "concurrency": "1000", "queue": "1000", "timeout": "60000ms" }"#;
 
 /// Measures both.
 pub(crate) fn measure() -> io::Result<Memory> {
--- a/crates/cicadagw-dev/src/measure/calls/overload.rs
+++ b/crates/cicadagw-dev/src/measure/calls/overload.rs
@@ -26,10 +26,10 @@
 /// The loads, in quarters of the capacity.
 const QUARTERS: [u32; 4] = [2, 4, 6, 8];
 
-const LIMITED: &str = r#"{ "concurrency": 4, "queue": 8, "timeout": "250ms" }"#;
+const LIMITED: &str = r#"{ "concurrency": "4", "queue": "8", "timeout": "250ms" }"#;
 
 const UNLIMITED: &str =
-    r#"{ "attempts": 1, "concurrency": 60000, "queue": 60000, "timeout": "60000ms" }"#;
+    r#"{ "attempts": 1, "concurrency": "60000", "queue": "60000", "timeout": "60000ms" }"#;
 
 /// Measures all loads, with limits and without.
 pub(crate) fn measure(scale: Scale) -> io::Result<Vec<Overload>> {
