Let a restarted root take its lease back from below another node

The new life of the root was often taken by another newcomer before its first look at the leases, and a joined node looks no more, so all waited for the 6 s lease of its earlier life. Ruled out: to refuse children while a node holds nothing, since cut-off newcomers could then not spread news of endpoints (two tests say so). Change: the first look at the lowest lease is taken by joined nodes too, once.

--- a/crates/cicadagw-control/src/ladder.rs
+++ b/crates/cicadagw-control/src/ladder.rs
@@ -20,6 +20,8 @@
     /// When the first look is taken after the start.
     phase: Span,
     is_new: bool,
+    /// Whether the platform has answered the first look at the lowest lease, or failed to.
+    has_looked: bool,
 }
 
 /// What a step of the ladder leads to.
@@ -51,6 +53,7 @@
             phase: Span::new(term % FIRST_LOOK_MAX.get()),
             has_left: false,
             is_new: true,
+            has_looked: false,
             leases: [
                 lease(Rank::Domain, Key::domain_lease(&identity.domain)),
                 lease(Rank::Region, Key::region_lease(&identity.region)),
@@ -103,6 +106,8 @@
     /// Looks at every lease that is wanted; the lowest one is while `wanted`.
     pub(crate) fn tick(&mut self, now: Moment, mut wanted: bool) -> Outcome {
         let mut outcome = Outcome::default();
+        // The lease may still stand from an earlier life of this node, and then all wait for it.
+        wanted |= !self.has_looked;
         wanted &= !self.has_left;
         if wanted && std::mem::take(&mut self.is_new) {
             // Nodes that were started together do not all claim the same lease.
@@ -124,6 +129,7 @@
         rank: Rank,
         answer: Result<Answer, Error>,
     ) -> Outcome {
+        self.has_looked = true;
         let mut outcome = Outcome::default();
         if self.has_left {
             // A read under way must not lead to a claim.
--- a/crates/cicadagw-control/tests/control/takeover.rs
+++ b/crates/cicadagw-control/tests/control/takeover.rs
@@ -4,10 +4,13 @@
 use cicadagw_unit::time::Span;
 use cicadagw_wire::Down;
 
-use crate::fixture::{hello, settings, snapshot};
+use crate::fixture::{hello, seeded, settings, snapshot};
 use crate::session::Session;
 use crate::store::Store;
 
+/// A seed with which a node takes its first look at the leases after its first dial.
+const LATE_LOOK: u64 = 499;
+
 /// The root of everything, which holds `version`.
 fn apex(version: u64) -> Session {
     let mut session = Session::new(&settings(1), Store::holding(version));
@@ -74,3 +77,16 @@
     assert_eq!(session.dump().leases[&Rank::Domain], "unknown");
     assert_eq!(session.calls, 1);
 }
+
+#[test]
+fn a_restarted_holder_takes_its_lease_back_from_below_another_node() {
+    let mut store = Store::holding(1);
+    store.give(Rank::Domain, 1);
+    let mut session = Session::seeded(&seeded(1, &[2]), LATE_LOOK, store);
+
+    session.dials();
+    session.joined(&[2]);
+    session.run(Span::seconds(1));
+
+    assert_eq!(session.dump().leases[&Rank::Domain], "held");
+}
