--- a/crates/cicadagw-dev/src/mesh/traffic.rs
+++ b/crates/cicadagw-dev/src/mesh/traffic.rs
@@ -14,7 +14,7 @@
 use crate::http::block_on;
 
 /// How many calls are sent in a second.
-const RATE: PerSecond = PerSecond::new(200);
+const RATE: PerSecond = PerSecond::new(50);
 
 /// The longest that calls are sent.
 const SPAN: Span = Span::seconds(120);
