--- a/crates/cicadagw-call/src/life.rs
+++ b/crates/cicadagw-call/src/life.rs
@@ -67,7 +67,7 @@
 /// Returns the chart of an endpoint's life.
 pub fn chart() -> &'static Chart {
     static CHART: LazyLock<Chart> = LazyLock::new(|| {
-        let text = include_str!("../charts/backend.jsonc");
+        let text = include_str!("../../../charts/backend.jsonc");
         Chart::load("charts/backend.jsonc", text).expect("the embedded chart is checked by a test")
     });
     &CHART
