Wait for the stop before the next signal in a test; format a chart's path

Cause: a test of the process stand-ins failed once on a busy machine: the process had ended though it was to be frozen. Of two signals that wait together the one with the lower number, the end, is taken first. Ruled out: a longer wait after the signals, which proves nothing. Change: the test waits until the system shows the process as stopped; form only else.

--- a/crates/cicadagw-call/src/attempt.rs
+++ b/crates/cicadagw-call/src/attempt.rs
@@ -88,8 +88,11 @@
 /// Returns the chart of a call.
 pub fn chart() -> &'static Chart {
     static CHART: LazyLock<Chart> = LazyLock::new(|| {
-        Chart::load("charts/call.jsonc", include_str!("../../../charts/call.jsonc"))
-            .expect("the embedded chart is checked by a test")
+        Chart::load(
+            "charts/call.jsonc",
+            include_str!("../../../charts/call.jsonc"),
+        )
+        .expect("the embedded chart is checked by a test")
     });
     &CHART
 }
--- a/crates/cicadagw-dev/tests/process.rs
+++ b/crates/cicadagw-dev/tests/process.rs
@@ -39,11 +39,26 @@
     assert_eq!(status.signal(), Some(SIGTERM));
 }
 
+/// Waits until the system shows the process as stopped: of two signals that wait together, the one
+/// with the lower number comes first.
+fn until_stopped(process: &mut Process) {
+    let path = format!("/proc/{}/stat", process.pid());
+    let is_stopped = |text: String| {
+        text.rsplit(") ")
+            .next()
+            .is_some_and(|rest| rest.starts_with('T'))
+    };
+    while !is_stopped(std::fs::read_to_string(&path).unwrap()) {
+        assert_eq!(process.wait(Span::new(1)), None);
+    }
+}
+
 #[test]
 fn a_frozen_process_ends_when_it_goes_on() {
     let scratch = Scratch::new().unwrap();
     let mut process = sleeper(&scratch);
     process.signal(Signal::Stop).unwrap();
+    until_stopped(&mut process);
     process.signal(Signal::Terminate).unwrap();
 
     let frozen = process.wait(Span::new(50));
