Let the demo send its calls as the proofs do

Cause: the demo and the meshes of the proofs had the same caller thread, written twice. Ruled out: one rate for both, since the proofs must hold on a busy machine. Change: the demo takes the one of the library; the rate is a parameter. Conclusion: one place fewer to mend. The demo's mesh still stands beside the library's.

--- a/crates/cicadagw-dev/examples/demo/main.rs
+++ b/crates/cicadagw-dev/examples/demo/main.rs
@@ -2,7 +2,6 @@
 
 mod mesh;
 mod steps;
-mod traffic;
 
 use std::io;
 use std::process::ExitCode;
--- a/crates/cicadagw-dev/examples/demo/steps.rs
+++ b/crates/cicadagw-dev/examples/demo/steps.rs
@@ -6,13 +6,14 @@
 
 use cicadagw_dev::caller::{Report, Verdict};
 use cicadagw_dev::http::{block_on, until_ok};
+use cicadagw_dev::mesh::Traffic;
 use cicadagw_dev::process::{Meters, Scratch};
+use cicadagw_unit::rate::PerSecond;
 use cicadagw_unit::time::Span;
 use cicadagw_unit::{Version, id};
 use tokio::time::{Duration, interval};
 
 use crate::mesh::{Mesh, Sent};
-use crate::traffic::Traffic;
 
 /// The configuration that is applied first.
 const BEFORE: &str = include_str!("before.jsonc");
@@ -26,6 +27,9 @@
 /// How often a node is asked for its version.
 const POLL: Duration = Duration::from_millis(5);
 
+/// How many calls are sent in a second.
+const RATE: PerSecond = PerSecond::new(200);
+
 /// For how long calls go on before and after the route moves.
 const TRAFFIC: Span = Span::seconds(1);
 
@@ -59,7 +63,7 @@
     }
 
     let calls: Vec<SocketAddr> = mesh.fleet.nodes.iter().map(|node| node.calls).collect();
-    let traffic = Traffic::start(&calls, "/booking")?;
+    let traffic = Traffic::start(&calls, "/booking", RATE)?;
     traffic.go_on(TRAFFIC)?;
     let executions = mesh.backend("orders")?.stats()?.executions;
     let second = ["apply", &after.to_string_lossy()].map(str::to_owned);
--- a/crates/cicadagw-dev/src/mesh/traffic.rs
+++ b/crates/cicadagw-dev/src/mesh/traffic.rs
@@ -13,9 +13,6 @@
 use crate::caller::{Load, Report};
 use crate::http::block_on;
 
-/// How many calls are sent in a second.
-const RATE: PerSecond = PerSecond::new(50);
-
 /// The longest that calls are sent.
 const SPAN: Span = Span::seconds(120);
 
@@ -30,16 +27,16 @@
 }
 
 impl Traffic {
-    /// Starts to send calls for `path` to the nodes at `addresses`, in turn.
+    /// Starts to send calls for `path` to the nodes at `addresses`, in turn, `rate` of them.
     ///
     /// # Errors
     ///
     /// When no thread can be started.
-    pub fn start(addresses: &[SocketAddr], path: &str) -> io::Result<Self> {
+    pub fn start(addresses: &[SocketAddr], path: &str, rate: PerSecond) -> io::Result<Self> {
         let load = Load::builder()
             .addresses(addresses)
             .path(path)
-            .rate(RATE)
+            .rate(rate)
             .span(SPAN)
             .build();
         let end = CancellationToken::new();
@@ -49,7 +46,7 @@
             .name("caller".to_owned())
             .spawn(move || {
                 let report = block_on(load.run(ended));
-                // Nobody is there to hear it when the test has failed.
+                // Nobody is there to hear it when the caller of this has failed.
                 let _ = sender.send(report);
             })?;
         Ok(Self { end, report })
--- a/crates/cicadagw-dev/tests/fault/calls.rs
+++ b/crates/cicadagw-dev/tests/fault/calls.rs
@@ -6,7 +6,9 @@
 use cicadagw_unit::Version;
 use cicadagw_unit::time::Span;
 
-use crate::fixture::{apply, check_answered, check_runs, endpoints, mesh_at_one, switch, told};
+use crate::fixture::{
+    RATE, apply, check_answered, check_runs, endpoints, mesh_at_one, switch, told,
+};
 
 /// For how long calls go on around what happens to them.
 const WHILE: Span = Span::seconds(1);
@@ -28,7 +30,7 @@
         mesh.until_answered("/booking").unwrap();
     }
     let watch = Watch::start(&mesh.fleet.nodes).unwrap();
-    let traffic = Traffic::start(&mesh.calls(), "/booking").unwrap();
+    let traffic = Traffic::start(&mesh.calls(), "/booking", RATE).unwrap();
 
     for change in 0..CHANGES {
         let accepted = match change % 3 {
@@ -50,7 +52,7 @@
 #[test]
 fn a_graceful_restart_of_a_backend_servers_node_loses_no_call() {
     let mut mesh = mesh_with_backends();
-    let traffic = Traffic::start(&callers(&mesh), "/booking").unwrap();
+    let traffic = Traffic::start(&callers(&mesh), "/booking", RATE).unwrap();
 
     traffic.go_on(WHILE).unwrap();
     restart_gracefully(&mut mesh, 0);
@@ -67,7 +69,7 @@
 #[test]
 fn a_graceful_restart_of_a_callers_node_cuts_no_call() {
     let mut mesh = mesh_with_backends();
-    let traffic = Traffic::start(&callers(&mesh)[..1], "/booking").unwrap();
+    let traffic = Traffic::start(&callers(&mesh)[..1], "/booking", RATE).unwrap();
 
     traffic.go_on(WHILE).unwrap();
     restart_gracefully(&mut mesh, 1);
@@ -87,7 +89,7 @@
 #[test]
 fn a_killed_backend_server_doubles_no_call() {
     let mut mesh = mesh_with_backends();
-    let traffic = Traffic::start(&callers(&mesh), "/booking").unwrap();
+    let traffic = Traffic::start(&callers(&mesh), "/booking", RATE).unwrap();
 
     traffic.go_on(WHILE).unwrap();
     mesh.backends[0].process.kill().unwrap();
@@ -104,7 +106,7 @@
 #[test]
 fn a_frozen_backend_server_doubles_no_call() {
     let mut mesh = mesh_with_backends();
-    let traffic = Traffic::start(&callers(&mesh), "/booking").unwrap();
+    let traffic = Traffic::start(&callers(&mesh), "/booking", RATE).unwrap();
 
     traffic.go_on(WHILE).unwrap();
     mesh.backends[0].process.signal(Signal::Stop).unwrap();
@@ -122,7 +124,7 @@
 #[test]
 fn a_killed_node_doubles_no_call() {
     let mut mesh = mesh_with_backends();
-    let traffic = Traffic::start(&callers(&mesh), "/booking").unwrap();
+    let traffic = Traffic::start(&callers(&mesh), "/booking", RATE).unwrap();
 
     traffic.go_on(WHILE).unwrap();
     let mut killed = mesh.fleet.nodes[0].process.take().unwrap();
@@ -148,7 +150,7 @@
     mesh.until_answered("/booking").unwrap();
     mesh.until("with two endpoints", |dump| endpoints(dump) == 2)
         .unwrap();
-    let traffic = Traffic::start(&mesh.calls(), "/booking").unwrap();
+    let traffic = Traffic::start(&mesh.calls(), "/booking", RATE).unwrap();
 
     traffic.go_on(WHILE).unwrap();
     let leaving = &mut mesh.backends[0];
@@ -202,7 +204,7 @@
 
 /// Sends calls once more when the mesh has settled.
 fn answered_after(mesh: &Mesh) -> Report {
-    let traffic = Traffic::start(&callers(mesh), "/booking").unwrap();
+    let traffic = Traffic::start(&callers(mesh), "/booking", RATE).unwrap();
     traffic.go_on(WHILE).unwrap();
     traffic.finish().unwrap()
 }
--- a/crates/cicadagw-dev/tests/fault/fixture.rs
+++ b/crates/cicadagw-dev/tests/fault/fixture.rs
@@ -7,8 +7,12 @@
 use cicadagw_dev::mesh::Mesh;
 use cicadagw_dev::process::Programs;
 use cicadagw_unit::Version;
+use cicadagw_unit::rate::PerSecond;
 use serde_json::{Value, json};
 
+/// How many calls are sent in a second; a busy machine carries that many for every mesh.
+pub(crate) const RATE: PerSecond = PerSecond::new(50);
+
 /// Two failure domains of one region, and one of another.
 pub(crate) const PLACES: [(&str, &str); 3] = [
     ("kochi", "kochi-a"),
--- a/crates/cicadagw-dev/tests/fault/platform.rs
+++ b/crates/cicadagw-dev/tests/fault/platform.rs
@@ -5,7 +5,7 @@
 use cicadagw_unit::time::Span;
 use serde_json::Value;
 
-use crate::fixture::{apply, check_answered, check_runs, endpoints, mesh_at_one};
+use crate::fixture::{RATE, apply, check_answered, check_runs, endpoints, mesh_at_one};
 
 /// How long the platform is down: longer than leases and announcements last.
 const LONGER_THAN_LEASES: Span = Span::seconds(3);
@@ -17,7 +17,7 @@
     mesh.add_backend("orders", 0, &[]).unwrap();
     mesh.until_answered("/booking").unwrap();
     let watch = Watch::start(&mesh.fleet.nodes).unwrap();
-    let traffic = Traffic::start(&mesh.calls(), "/booking").unwrap();
+    let traffic = Traffic::start(&mesh.calls(), "/booking", RATE).unwrap();
 
     down(&mesh, true);
     traffic.go_on(LONGER_THAN_LEASES).unwrap();
