--- a/crates/cicadagw-call/src/admission.rs
+++ b/crates/cicadagw-call/src/admission.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use cicadagw_unit::id;
+use cicadagw_unit::rate::Priority;
 use cicadagw_unit::size::Slots;
 use cicadagw_unit::time::{Moment, Span};
 use smallvec::SmallVec;
@@ -35,8 +36,13 @@
     pub concurrency: Slots,
     /// How many calls wait.
     pub queue: Slots,
+    /// The rank among the calls that wait.
+    pub rank: Priority,
 }
 
+/// Where a waiting call stands: by rank, then by deadline.
+type Key = (Priority, Moment, Ticket);
+
 /// What becomes of a call that arrives.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Verdict {
@@ -62,14 +68,14 @@
     pub late: SmallVec<[Ticket; 2]>,
 }
 
-/// The calls of one backend server: those that run, and a short queue with the earliest deadline
-/// first.
+/// The calls of one backend server: those that run, and a short queue with the first rank first, and
+/// within a rank the earliest deadline.
 #[derive(Clone, Debug)]
 pub struct Admission {
     slots: Slots,
     running: u32,
     running_by_policy: BTreeMap<id::Policy, u32>,
-    queue: BTreeMap<(Moment, Ticket), Limit>,
+    queue: BTreeMap<Key, Limit>,
     typical: Span,
     last: Ticket,
 }
@@ -117,12 +123,12 @@
     pub fn offer(&mut self, now: Moment, deadline: Moment, limit: Limit) -> (Ticket, Verdict) {
         self.last = Ticket(self.last.0 + 1);
         let ticket = self.last;
-        let verdict = self.judge(now, (deadline, ticket), &limit);
+        let verdict = self.judge(now, (limit.rank, deadline, ticket), &limit);
         match verdict {
             Verdict::Run => self.begin(limit.policy),
             Verdict::Wait { shed } => {
-                self.queue.retain(|key, _| Some(key.1) != shed);
-                self.queue.insert((deadline, ticket), limit);
+                self.queue.retain(|key, _| Some(key.2) != shed);
+                self.queue.insert((limit.rank, deadline, ticket), limit);
             }
             Verdict::Shed | Verdict::Late => {}
         }
@@ -155,20 +161,22 @@
     }
 
     /// Takes a call out that waits no longer; tells whether it did wait.
-    pub fn cancel(&mut self, deadline: Moment, ticket: Ticket) -> bool {
-        self.queue.remove(&(deadline, ticket)).is_some()
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        let held = self.queue.len();
+        self.queue.retain(|key, _| key.2 != ticket);
+        self.queue.len() < held
     }
 
     /// Refuses all that wait.
     pub fn close(&mut self) -> Vec<Ticket> {
         std::mem::take(&mut self.queue)
             .into_keys()
-            .map(|(_, ticket)| ticket)
+            .map(|(_, _, ticket)| ticket)
             .collect()
     }
 
-    fn judge(&self, now: Moment, key: (Moment, Ticket), limit: &Limit) -> Verdict {
-        let deadline = key.0;
+    fn judge(&self, now: Moment, key: Key, limit: &Limit) -> Verdict {
+        let deadline = key.1;
         if now >= deadline {
             return Verdict::Late;
         }
@@ -188,7 +196,7 @@
         }
         match rivals.next_back() {
             Some((latest, _)) if *latest > key => Verdict::Wait {
-                shed: Some(latest.1),
+                shed: Some(latest.2),
             },
             _ => Verdict::Shed,
         }
@@ -202,14 +210,15 @@
     /// Starts what may start, earliest deadline first, and refuses what can no longer be in time.
     fn advance(&mut self, now: Moment) -> Release {
         let mut release = Release::default();
-        for ((deadline, ticket), limit) in std::mem::take(&mut self.queue) {
+        for (key, limit) in std::mem::take(&mut self.queue) {
+            let (_, deadline, ticket) = key;
             if deadline <= now {
                 release.late.push(ticket);
             } else if self.has_room(&limit) {
                 self.begin(limit.policy);
                 release.run.push(ticket);
             } else {
-                self.queue.insert((deadline, ticket), limit);
+                self.queue.insert(key, limit);
             }
         }
         release
--- a/crates/cicadagw-call/src/attempt.rs
+++ b/crates/cicadagw-call/src/attempt.rs
@@ -37,7 +37,11 @@
         Answer = "answer",
         /// The target refused since it takes no calls at all.
         Leaving = "leaving",
-        /// The target refused since it has too many calls.
+        /// The backend server answered that it failed.
+        Failed = "failed",
+        /// The target has no room for the call; its backend server was not asked.
+        Full = "full",
+        /// The backend server refused since it has too many calls.
         Shed = "shed",
         /// The target refused for a reason that holds everywhere.
         Refused = "refused",
@@ -82,6 +86,9 @@
 /// attempts; the bound only ends a call that finds nobody at all.
 pub const MOVES_MAX: u8 = 16;
 
+/// How many moves it costs that a target has no room: loads are known, so a few tries tell.
+const FULL_COST: u8 = 4;
+
 /// The chart of a call.
 pub type Chart = cicadagw_chart::Chart<State, Event, Guard, Action>;
 
@@ -133,6 +140,11 @@
         self.state
     }
 
+    /// Tells whether the call may run again, and has an attempt left for it.
+    pub const fn may_repeat(&self) -> bool {
+        self.idempotent && self.left > 0
+    }
+
     /// Takes `event` in and returns what is to be done.
     pub fn step(&mut self, event: Event, facts: Facts) -> &'static [Action] {
         let step = chart().step(self.state, event, |guard| self.holds(guard, facts));
@@ -140,9 +152,14 @@
         if step.actions.contains(&Action::Send) {
             self.left = self.left.saturating_sub(1);
         }
-        if event == Event::Leaving && step.actions.contains(&Action::Choose) {
+        let cost = match event {
+            Event::Leaving => 1,
+            Event::Full => FULL_COST,
+            _ => 0,
+        };
+        if cost > 0 && step.actions.contains(&Action::Choose) {
             self.left += 1;
-            self.moves -= 1;
+            self.moves = self.moves.saturating_sub(cost);
         }
         step.actions
     }
@@ -159,7 +176,7 @@
 }
 
 /// Tells whether a call with `method` may run more than once.
-fn is_idempotent(rule: Idempotency, method: &str) -> bool {
+pub fn is_idempotent(rule: Idempotency, method: &str) -> bool {
     match rule {
         Idempotency::Always => true,
         Idempotency::Never => false,
--- a/crates/cicadagw-call/src/life.rs
+++ b/crates/cicadagw-call/src/life.rs
@@ -73,6 +73,16 @@
     &CHART
 }
 
+/// Which of two announcements is newer; the default, where a backend server does not tell, is
+/// neither.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Order {
+    /// When the backend server started, in milliseconds since the Unix epoch.
+    pub born: u64,
+    /// Counts the announcements since then.
+    pub sequence: u64,
+}
+
 /// What a backend server says of itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Announcement {
@@ -86,6 +96,8 @@
     pub in_flight: Slots,
     /// Whether it drains.
     pub is_draining: bool,
+    /// Which of two announcements is newer.
+    pub order: Order,
     /// The service.
     pub service: id::Service,
     /// How many calls it runs at once.
@@ -109,7 +121,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     backends: BTreeMap<id::Endpoint, Backend>,
-    gone: VecDeque<id::Endpoint>,
+    /// The endpoints that ended, and when each had started.
+    gone: VecDeque<(id::Endpoint, u64)>,
 }
 
 /// One backend server.
@@ -121,15 +134,23 @@
 }
 
 impl Registry {
-    /// Takes in what a backend server says of itself. Another endpoint at the same address is gone.
+    /// Takes in what a backend server says of itself. Another endpoint at the same address is gone;
+    /// so is what ran under the same id before. What is older than what was said before has no
+    /// effect.
     ///
     /// # Errors
     ///
     /// [`Gone`] when its id was used before and is gone.
     pub fn announce(&mut self, now: Moment, said: &Announcement) -> Result<Vec<Effect>, Gone> {
-        if self.gone.contains(&said.endpoint) {
+        let ended = |(endpoint, born): &(id::Endpoint, u64)| {
+            *endpoint == said.endpoint && *born >= said.order.born
+        };
+        if self.gone.iter().any(ended) {
             return Err(Gone);
         }
+        if self.is_overtaken(said) {
+            return Ok(Vec::new());
+        }
         let mut effects = self.end_others(now, said);
         let backend = self
             .backends
@@ -161,6 +182,13 @@
             .then(|| self.apply(now, endpoint, Event::End))
     }
 
+    /// Forgets an endpoint that cannot be reached; it comes back with its next announcement.
+    pub fn lose(&mut self, now: Moment, endpoint: &id::Endpoint) -> Vec<Effect> {
+        let effects = self.apply(now, endpoint, Event::Silence);
+        self.gone.retain(|(gone, _)| gone != endpoint);
+        effects
+    }
+
     /// Ends those that were silent for longer than `renewal`.
     pub fn expire(&mut self, now: Moment, renewal: Span) -> Vec<Effect> {
         let silent: Vec<_> = self
@@ -202,12 +230,26 @@
         self.backends.keys()
     }
 
+    /// Tells whether something newer was heard of the same endpoint, or of another one at its
+    /// address.
+    fn is_overtaken(&self, said: &Announcement) -> bool {
+        self.backends.iter().any(|(endpoint, known)| {
+            let known = &known.said;
+            if *endpoint == said.endpoint {
+                known.order > said.order
+            } else {
+                known.address == said.address && known.order.born > said.order.born
+            }
+        })
+    }
+
     fn end_others(&mut self, now: Moment, said: &Announcement) -> Vec<Effect> {
         let others: Vec<_> = self
             .backends
             .iter()
             .filter(|(endpoint, other)| {
-                **endpoint != said.endpoint && other.said.address == said.address
+                let is_restarted = other.said.order.born < said.order.born;
+                other.said.address == said.address && (**endpoint != said.endpoint || is_restarted)
             })
             .map(|(endpoint, _)| endpoint.clone())
             .collect();
@@ -224,14 +266,15 @@
         };
         backend.step(now, event, &mut effects);
         if backend.state == State::Gone {
-            self.bury(endpoint);
+            self.remove(endpoint);
         }
         effects
     }
 
-    fn bury(&mut self, endpoint: &id::Endpoint) {
-        self.backends.remove(endpoint);
-        self.gone.push_back(endpoint.clone());
+    fn remove(&mut self, endpoint: &id::Endpoint) {
+        let born = self.backends.remove(endpoint);
+        let born = born.map_or(0, |backend| backend.said.order.born);
+        self.gone.push_back((endpoint.clone(), born));
         if self.gone.len() > GONE_MAX {
             self.gone.pop_front();
         }
--- a/crates/cicadagw-call/src/outcome.rs
+++ b/crates/cicadagw-call/src/outcome.rs
@@ -46,8 +46,12 @@
         NoEndpoint = "no-endpoint",
         /// No route is for the call.
         NoRoute = "no-route",
-        /// The backend server is full.
+        /// The backend server itself refused the call.
+        Rejected = "rejected",
+        /// The backend server is full, as its node knows.
         Shed = "shed",
+        /// The request took too long to arrive.
+        TooSlow = "too-slow",
         /// No connection could be made.
         Unreachable = "unreachable",
     }
@@ -64,13 +68,15 @@
             | Self::NoEndpoint
             | Self::NoRoute
             | Self::Unreachable => Event::Leaving,
-            Self::Shed => Event::Shed,
+            Self::Rejected => Event::Shed,
+            Self::Shed => Event::Full,
             Self::BadRequest
             | Self::BodyLimit
             | Self::Deadline
             | Self::HeaderLimit
             | Self::HopLimit
-            | Self::HttpVersion => Event::Refused,
+            | Self::HttpVersion
+            | Self::TooSlow => Event::Refused,
         }
     }
 }
--- a/crates/cicadagw-call/src/route.rs
+++ b/crates/cicadagw-call/src/route.rs
@@ -6,6 +6,7 @@
 use cicadagw_config::{Cluster, Policy, Route, Secret, Snapshot};
 use cicadagw_unit::{Version, id};
 use compact_str::CompactString;
+use smallvec::SmallVec;
 
 /// For how many versions a cluster that was taken away is remembered, for calls that were routed
 /// before.
@@ -42,7 +43,8 @@
 struct Entry {
     name: id::Route,
     route: Route,
-    target: Arc<Target>,
+    /// Where the calls go, and the sum of the weights up to each.
+    targets: SmallVec<[(u64, Arc<Target>); 1]>,
 }
 
 /// Where the calls of a route go, and how they are treated.
@@ -97,8 +99,9 @@
                 .extend(policy.map(|policy| (name.clone(), policy)));
         }
         for (name, route) in &config.routes {
-            if let Some(target) = index.target(&route.cluster, &route.policy) {
-                index.insert(name, route, target);
+            let targets = index.targets(route);
+            if !targets.is_empty() {
+                index.insert(name, route, targets);
             }
         }
         index
@@ -106,11 +109,13 @@
 
     /// Returns the target for a call: longest prefix first, then most conditions, then first name.
     ///
-    /// `has_header` tells whether the request has a header with a value.
+    /// `has_header` tells whether the request has a header with a value; `draw` is a random number
+    /// that picks the part where a route is split.
     pub fn find(
         &self,
         line: Line<'_>,
         has_header: impl Fn(&str, &str) -> bool,
+        draw: u64,
     ) -> Option<&Arc<Target>> {
         let own = self.hosts.get(line.host);
         let path = line.path;
@@ -125,7 +130,7 @@
                     .and_then(|any| any.iter().find(accepts));
                 better(for_host, for_any)
             })
-            .map(|entry| &entry.target)
+            .and_then(|entry| entry.pick(draw))
     }
 
     /// Returns the target of a call that another node has routed with a snapshot of its own, which
@@ -199,7 +204,29 @@
         Some(target)
     }
 
-    fn insert(&mut self, name: &id::Route, route: &Route, target: Arc<Target>) {
+    /// Returns the targets of `route`, each with the sum of the weights up to it.
+    fn targets(&mut self, route: &Route) -> SmallVec<[(u64, Arc<Target>); 1]> {
+        if route.split.is_empty() {
+            let target = self.target(&route.cluster, &route.policy);
+            return target.into_iter().map(|target| (1, target)).collect();
+        }
+        let mut sum = 0;
+        let mut targets = SmallVec::new();
+        for part in route.split.iter().filter(|part| part.weight.get() > 0) {
+            if let Some(target) = self.target(&part.cluster, &route.policy) {
+                sum += u64::from(part.weight.get());
+                targets.push((sum, target));
+            }
+        }
+        targets
+    }
+
+    fn insert(
+        &mut self,
+        name: &id::Route,
+        route: &Route,
+        targets: SmallVec<[(u64, Arc<Target>); 1]>,
+    ) {
         let prefixes = match &route.host {
             Some(host) => self.hosts.entry(lower(host)).or_default(),
             None => &mut self.any_host,
@@ -208,7 +235,7 @@
         entries.push(Entry {
             name: name.clone(),
             route: route.clone(),
-            target,
+            targets,
         });
         entries.sort_by(|left, right| left.rank().cmp(&right.rank()));
         self.longest_prefix = self.longest_prefix.max(route.prefix.len());
@@ -226,6 +253,14 @@
 }
 
 impl Entry {
+    /// Returns the part that `draw` falls on.
+    fn pick(&self, draw: u64) -> Option<&Arc<Target>> {
+        let (sum, _) = self.targets.last()?;
+        let point = draw % sum;
+        let picked = self.targets.iter().find(|(below, _)| point < *below);
+        picked.map(|(_, target)| target)
+    }
+
     /// Orders entries of one prefix: most conditions first, then by name.
     fn rank(&self) -> (std::cmp::Reverse<usize>, &id::Route) {
         let Route {
--- a/crates/cicadagw-call/tests/life.rs
+++ b/crates/cicadagw-call/tests/life.rs
@@ -1,7 +1,7 @@
 //! Endpoints live once: they come, drain, and are gone for good.
 
 use cicadagw_call::Registry;
-use cicadagw_call::life::{Announcement, Effect, Gone, State};
+use cicadagw_call::life::{Announcement, Effect, Gone, Order, State};
 use cicadagw_unit::id;
 use cicadagw_unit::size::Slots;
 use cicadagw_unit::time::{Moment, Span};
@@ -20,6 +20,7 @@
         endpoint: endpoint.parse().unwrap(),
         in_flight: Slots::new(0),
         is_draining,
+        order: Order::default(),
         service: "orders".parse().unwrap(),
         slots: Slots::new(10),
     }
--- a/crates/cicadagw-config/src/check.rs
+++ b/crates/cicadagw-config/src/check.rs
@@ -69,11 +69,19 @@
 
 fn check_routes(config: &Config, faults: &mut Vec<Fault>) {
     for (name, route) in &config.routes {
-        if !config.clusters.contains_key(&route.cluster) {
+        let missing = |cluster: &&id::Cluster| !config.clusters.contains_key(*cluster);
+        for cluster in route.clusters().filter(missing) {
             faults.push(fault(
                 "routes",
                 name,
-                format!("cluster `{}` is not declared", route.cluster),
+                format!("cluster `{cluster}` is not declared"),
+            ));
+        }
+        if !route.split.is_empty() && route.split.iter().all(|part| part.weight.get() == 0) {
+            faults.push(fault(
+                "routes",
+                name,
+                "every weight of the split is 0: no call could be made".to_owned(),
             ));
         }
         if !config.policies.contains_key(&route.policy) {
--- a/crates/cicadagw-config/src/config.rs
+++ b/crates/cicadagw-config/src/config.rs
@@ -4,7 +4,7 @@
 
 use cicadagw_unit::{Digest, id};
 
-use crate::{Cluster, Policy, Preset, Route, Secret};
+use crate::{Cluster, Edge, Policy, Preset, Route, Secret};
 
 /// Every declared object, by its kind and name.
 #[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -12,6 +12,9 @@
 pub struct Config {
     /// What endpoint sets routes may point at.
     pub clusters: BTreeMap<id::Cluster, Cluster>,
+    /// What callers may send.
+    #[serde(skip_serializing_if = "Edge::is_default")]
+    pub edge: Edge,
     /// How calls of a route are treated.
     pub policies: BTreeMap<id::Policy, Policy>,
     /// What may be in force.
--- a/crates/cicadagw-config/src/declared.rs
+++ b/crates/cicadagw-config/src/declared.rs
@@ -3,21 +3,46 @@
 use std::collections::BTreeMap;
 use std::fmt::Display;
 
+use cicadagw_unit::rate::Priority;
 use serde_json::{Map, Value, json};
 
-use crate::{Cluster, Config, Policy, Preset, policy};
+use crate::{Cluster, Config, Edge, Policy, Preset, Route, policy};
 
 /// Returns `config` as it would be declared; [`crate::load`] reads it back.
 ///
 /// The values of secrets are in it.
 pub fn declared(config: &Config) -> Value {
-    json!({
+    let mut declared = json!({
         "clusters": objects(&config.clusters, cluster),
         "policies": objects(&config.policies, policy),
         "presets": objects(&config.presets, preset),
-        "routes": config.routes,
+        "routes": objects(&config.routes, route),
         "secrets": config.secrets,
-    })
+    });
+    if !config.edge.is_default() {
+        declared["edge"] = edge(&config.edge);
+    }
+    declared
+}
+
+fn edge(edge: &Edge) -> Value {
+    let mut fields = Map::new();
+    set(&mut fields, "body", Some(edge.body));
+    set(&mut fields, "header_timeout", Some(edge.header_timeout));
+    set(&mut fields, "headers", Some(edge.headers));
+    set(&mut fields, "idle_timeout", Some(edge.idle_timeout));
+    Value::Object(fields)
+}
+
+fn route(route: &Route) -> Value {
+    let mut value = json!(route);
+    if !route.split.is_empty() {
+        let parts = route.split.iter();
+        let parts =
+            parts.map(|part| json!({ "cluster": part.cluster, "weight": part.weight.to_string() }));
+        value["split"] = parts.collect();
+    }
+    value
 }
 
 fn objects<K: Display, V>(objects: &BTreeMap<K, V>, write: fn(&V) -> Value) -> Value {
@@ -48,6 +73,10 @@
         timeout: Some(policy.timeout),
     });
     fields.insert("idempotency".to_owned(), json!(policy.idempotency));
+    if policy.priority != Priority::default() {
+        set(&mut fields, "priority", Some(policy.priority));
+    }
+    set(&mut fields, "target_latency", policy.target_latency);
     Value::Object(fields)
 }
 
--- a/crates/cicadagw-config/src/delta.rs
+++ b/crates/cicadagw-config/src/delta.rs
@@ -5,7 +5,7 @@
 
 use cicadagw_unit::id;
 
-use crate::{Cluster, Config, Policy, Preset, Route, Secret, Snapshot, Stamp};
+use crate::{Cluster, Config, Edge, Policy, Preset, Route, Secret, Snapshot, Stamp};
 
 /// What leads from one snapshot to a later one.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -20,6 +20,9 @@
     /// The changed clusters.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub clusters: Changes<id::Cluster, Cluster>,
+    /// What callers may send in the later one, where that changed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub edge: Option<Edge>,
     /// The changed policies.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub policies: Changes<id::Policy, Policy>,
@@ -66,6 +69,7 @@
             to: to.stamp,
             preset: to.preset.clone(),
             clusters: changes(&from.config.clusters, &to.config.clusters),
+            edge: (from.config.edge != to.config.edge).then_some(to.config.edge),
             policies: changes(&from.config.policies, &to.config.policies),
             presets: changes(&from.config.presets, &to.config.presets),
             routes: changes(&from.config.routes, &to.config.routes),
@@ -85,6 +89,7 @@
         }
         let mut config: Config = base.config.clone();
         merge(&mut config.clusters, self.clusters);
+        config.edge = self.edge.unwrap_or(config.edge);
         merge(&mut config.policies, self.policies);
         merge(&mut config.presets, self.presets);
         merge(&mut config.routes, self.routes);
--- a/crates/cicadagw-config/src/load.rs
+++ b/crates/cicadagw-config/src/load.rs
@@ -9,7 +9,7 @@
 use cicadagw_unit::id;
 
 use crate::policy::{self, Idempotency};
-use crate::{Cluster, Config, Policy, Preset, Route, Secret, check, route, secret};
+use crate::{Cluster, Config, Edge, Policy, Preset, Route, Secret, check, route, secret};
 
 /// The places of objects, by their kind and name as in [`crate::Fault::object`].
 type Places = BTreeMap<String, Place>;
@@ -25,6 +25,10 @@
         let table = document.table()?;
         let config = Config {
             clusters: objects(&table, "clusters", &mut places, cluster),
+            edge: table
+                .get("edge")
+                .and_then(|value| edge(&value))
+                .unwrap_or_default(),
             policies: objects(&table, "policies", &mut places, policy),
             presets: objects(&table, "presets", &mut places, preset),
             routes: objects(&table, "routes", &mut places, route),
@@ -93,6 +97,7 @@
         .and_then(|value| value.text())
         .map(Into::into);
     let policy = table.need("policy").and_then(|value| value.parsed());
+    let split = table.get("split").and_then(|value| value.list(part));
     let prefix = table.need("prefix").and_then(|value| value.text());
     Some(Route {
         cluster: cluster?,
@@ -101,9 +106,34 @@
         method,
         policy: policy?,
         prefix: prefix?.into(),
+        split: split.unwrap_or_default(),
     })
 }
 
+fn part(value: &Reader<'_, '_>) -> Option<route::Part> {
+    let table = value.table()?;
+    let cluster = table.need("cluster").and_then(|value| value.parsed());
+    let weight = table.need("weight").and_then(|value| value.parsed());
+    table.finish();
+    Some(route::Part {
+        cluster: cluster?,
+        weight: weight?,
+    })
+}
+
+fn edge(value: &Reader<'_, '_>) -> Option<Edge> {
+    let table = value.table()?;
+    let default = Edge::default();
+    let edge = Edge {
+        body: parsed(&table, "body").unwrap_or(default.body),
+        header_timeout: parsed(&table, "header_timeout").unwrap_or(default.header_timeout),
+        headers: parsed(&table, "headers").unwrap_or(default.headers),
+        idle_timeout: parsed(&table, "idle_timeout").unwrap_or(default.idle_timeout),
+    };
+    table.finish();
+    Some(edge)
+}
+
 fn header(value: &Reader<'_, '_>) -> Option<route::Header> {
     let table = value.table()?;
     let name = table.need("name").and_then(|name| name.text());
@@ -147,6 +177,8 @@
     let idempotency = table.get("idempotency").map(|value| idempotency(&value));
     let base = Policy::builder()
         .idempotency(idempotency.flatten().unwrap_or_default())
+        .maybe_priority(parsed(table, "priority"))
+        .maybe_target_latency(parsed(table, "target_latency"))
         .build();
     Some(change.apply(&base))
 }
--- a/crates/cicadagw-config/src/policy.rs
+++ b/crates/cicadagw-config/src/policy.rs
@@ -1,7 +1,7 @@
 //! Service policies.
 
 use bon::Builder;
-use cicadagw_unit::rate::Permille;
+use cicadagw_unit::rate::{Permille, Priority};
 use cicadagw_unit::size::Slots;
 use cicadagw_unit::time::Span;
 
@@ -18,17 +18,33 @@
     /// Which calls may run more than once.
     #[builder(default)]
     pub idempotency: Idempotency,
+    /// The rank of the calls where they wait for a backend server.
+    #[builder(default)]
+    #[serde(default, skip_serializing_if = "is_first")]
+    pub priority: Priority,
     /// How many calls wait for one backend server.
     #[builder(default = Slots::new(20))]
     pub queue: Slots,
     /// How many retries there may be for every thousand calls.
     #[builder(default = Permille::new(200))]
     pub retry_budget: Permille,
+    /// Within which time an answer is worth most; an answer may take as long as `timeout` if there
+    /// is none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub target_latency: Option<Span>,
     /// How long a call may take in all.
     #[builder(default = Span::seconds(2))]
     pub timeout: Span,
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+fn is_first(priority: &Priority) -> bool {
+    *priority == Priority::default()
+}
+
 /// Which calls are idempotent.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -70,8 +86,10 @@
             attempts: self.attempts.unwrap_or(policy.attempts),
             concurrency: self.concurrency.unwrap_or(policy.concurrency),
             idempotency: policy.idempotency,
+            priority: policy.priority,
             queue: self.queue.unwrap_or(policy.queue),
             retry_budget: self.retry_budget.unwrap_or(policy.retry_budget),
+            target_latency: policy.target_latency,
             timeout: self.timeout.unwrap_or(policy.timeout),
         }
     }
--- a/crates/cicadagw-config/src/route.rs
+++ b/crates/cicadagw-config/src/route.rs
@@ -1,6 +1,7 @@
 //! Routes.
 
 use cicadagw_unit::id;
+use cicadagw_unit::rate::Weight;
 use compact_str::CompactString;
 
 /// Which calls go to which cluster, and how they are treated.
@@ -25,6 +26,27 @@
     pub policy: id::Policy,
     /// What the path begins with; it ends at a `/` or at the end of the path.
     pub prefix: CompactString,
+    /// The clusters among which the calls are split; all go to `cluster` if there are none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub split: Vec<Part>,
+}
+
+/// A part of a split.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Part {
+    /// The cluster that the calls go to.
+    pub cluster: id::Cluster,
+    /// How many of the calls go there, relative to the other parts.
+    pub weight: Weight,
+}
+
+impl Route {
+    /// Returns every cluster that calls may go to.
+    pub fn clusters(&self) -> impl Iterator<Item = &id::Cluster> {
+        let parts = self.split.iter().map(|part| &part.cluster);
+        std::iter::once(&self.cluster).chain(parts)
+    }
 }
 
 /// A condition on a request header.
--- /dev/null
+++ b/crates/cicadagw-dialect/src/native.rs
@@ -0,0 +1,145 @@
+//! The product's own dialect; `docs/PROTOCOL.md` describes it.
+
+use bytes::Bytes;
+use cicadagw_call::Load;
+use cicadagw_call::life::{Announcement, Order};
+use cicadagw_finding::Findings;
+use cicadagw_jsonc::{Reader, Table};
+use cicadagw_unit::id;
+use cicadagw_unit::size::Slots;
+use cicadagw_unit::time::Span;
+
+use crate::{Acknowledgement, Dialect, Names, Said, Unheard};
+
+/// How many slots or connections a backend server may announce.
+const SLOTS_MAX: u64 = 100_000;
+
+/// The product's own dialect.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Native;
+
+/// What a backend server is told.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+enum Reply {
+    /// When to announce again.
+    RenewMs(Span),
+    /// The id was used before.
+    Gone(id::Endpoint),
+}
+
+impl Dialect for Native {
+    fn names(&self) -> &Names {
+        &Names {
+            attempt: None,
+            caller: None,
+            deadline: "x-cicadagw-deadline-ms",
+            endpoint: None,
+            hops: Some("x-cicadagw-hops"),
+            load: None,
+            not_run: None,
+            seal: None,
+        }
+    }
+
+    fn asks_ready(&self, path: &str) -> bool {
+        path == "/ready"
+    }
+
+    fn retry_after(&self, wait: Span) -> String {
+        // RFC 9110 knows whole seconds alone.
+        wait.get().div_ceil(1_000).to_string()
+    }
+
+    fn load(&self, _: &str) -> Option<Load> {
+        None
+    }
+
+    fn said(&self, method: &str, path: &str, body: &[u8]) -> Result<Said, Unheard> {
+        match method {
+            "POST" if path == "/announce" => announcement(&String::from_utf8_lossy(body))
+                .map(Said::Announced)
+                .map_err(Unheard::Unreadable),
+            "DELETE" => path
+                .strip_prefix("/announce/")
+                .and_then(|endpoint| endpoint.parse().ok())
+                .map(Said::Ended)
+                .ok_or(Unheard::NotFound),
+            _ => Err(Unheard::NotFound),
+        }
+    }
+
+    fn acknowledge(&self, renew: Span) -> Acknowledgement {
+        answer(200, &Reply::RenewMs(renew))
+    }
+
+    fn refuse_gone(&self, endpoint: &id::Endpoint) -> Acknowledgement {
+        answer(410, &Reply::Gone(endpoint.clone()))
+    }
+
+    fn acknowledge_end(&self, was_known: bool) -> Acknowledgement {
+        Acknowledgement {
+            status: if was_known { 204 } else { 404 },
+            body: Bytes::new(),
+        }
+    }
+}
+
+fn answer(status: u16, reply: &Reply) -> Acknowledgement {
+    let body = serde_json::to_vec(reply).expect("a reply can be written as JSON");
+    Acknowledgement {
+        status,
+        body: body.into(),
+    }
+}
+
+/// Reads an announcement.
+fn announcement(text: &str) -> Result<Announcement, Findings> {
+    cicadagw_jsonc::read("announcement", text, |document| {
+        let table = document.table()?;
+        let address = table.need("address").and_then(|value| value.parsed());
+        let connections = table.need("connections").and_then(|value| slots(&value, 1));
+        let endpoint = table.need("endpoint").and_then(|value| value.parsed());
+        let service = table.need("service").and_then(|value| value.parsed());
+        let slots = table.need("slots").and_then(|value| slots(&value, 1));
+        let is_draining = table.need("state").and_then(|value| is_draining(&value));
+        let in_flight = table.get("load").and_then(|value| in_flight(&value));
+        table.finish();
+        Some(Announcement {
+            address: address?,
+            connections: connections?,
+            endpoint: endpoint?,
+            in_flight: in_flight.unwrap_or_default(),
+            is_draining: is_draining?,
+            order: Order::default(),
+            service: service?,
+            slots: slots?,
+        })
+    })
+}
+
+fn in_flight(value: &Reader<'_, '_>) -> Option<Slots> {
+    let table: Table<'_, '_> = value.table()?;
+    let in_flight = table.need("in_flight").and_then(|value| slots(&value, 0));
+    table.finish();
+    in_flight
+}
+
+fn slots(value: &Reader<'_, '_>, low: u64) -> Option<Slots> {
+    let number = value.number(low, SLOTS_MAX)?;
+    u32::try_from(number).ok().map(Slots::new)
+}
+
+fn is_draining(value: &Reader<'_, '_>) -> Option<bool> {
+    match value.text()? {
+        "ready" => Some(false),
+        "draining" => Some(true),
+        other => {
+            value.report_with_help(
+                format!("`{other}` is not known"),
+                "known here: draining, ready",
+            );
+            None
+        }
+    }
+}
--- a/crates/cicadagw-proxy/src/exchange.rs
+++ b/crates/cicadagw-proxy/src/exchange.rs
@@ -1,15 +1,17 @@
 //! One request sent and its answer's head received.
 
-use actix_web::http::header::{self, HeaderMap};
-use actix_web::http::uri::{Authority, Scheme};
-use actix_web::http::{Method, StatusCode, Uri, Version};
-use awc::error::{ConnectError, SendRequestError};
-use awc::{Client, ClientResponse};
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
 use cicadagw_call::Reason;
+use cicadagw_http::client::{Answer, Loss, Order};
+use cicadagw_http::{Fields, Pool, request_head};
 use tokio::time::{Instant, timeout_at};
 
 use crate::request::Request;
-use crate::upload::Body;
+use crate::upload::Upload;
 
 /// Why there is no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -17,80 +19,59 @@
     /// Nothing of the request went out.
     NotSent(Reason),
     /// The request, or a part of it, may have gone out.
-    Sent(Reason),
+    Sent(Reason, Option<Loss>),
 }
 
 /// Where a request is sent, and until when its answer is awaited.
-pub(crate) struct Destination {
-    pub(crate) client: Client,
-    pub(crate) authority: Authority,
+pub(crate) struct Destination<'d> {
+    pub(crate) pool: &'d Rc<Pool>,
+    /// How long a connection may have been idle.
+    pub(crate) idle_max: Duration,
     pub(crate) until: Instant,
+    /// Set once the other side has said anything.
+    pub(crate) heard: &'d Cell<bool>,
+    /// Which response field repeats the request's id.
+    pub(crate) echo: Option<&'static str>,
 }
 
-/// Sends `request` with `headers` and `body`, and awaits the head of the answer.
+/// Sends `request` with `fields` and `upload`, and awaits the head of the answer.
 pub(crate) async fn exchange(
-    destination: &Destination,
+    destination: &Destination<'_>,
     request: &Request,
-    headers: HeaderMap,
-    body: Body,
-) -> Result<ClientResponse, Failure> {
-    let uri = Uri::builder()
-        .scheme(Scheme::HTTP)
-        .authority(destination.authority.clone())
-        .path_and_query(request.path.clone())
-        .build()
-        .map_err(|_| Failure::NotSent(Reason::BadRequest))?;
-    let client = &destination.client;
-    // Else the client would add a header that the caller did not send.
-    let mut outgoing = client.request(request.method.clone(), uri).no_decompress();
-    *outgoing.headers_mut() = headers;
-    let sent = outgoing.send_body(body);
-    let response = request
-        .wait(timeout_at(destination.until, sent))
-        .await
-        .map_err(|_| Failure::Sent(Reason::Deadline))?
-        .map_err(|error| failure(&error))?;
-    if is_framed(&response, &request.method) {
-        Ok(response)
-    } else {
-        Err(Failure::Sent(Reason::Lost))
-    }
-}
-
-/// Tells failures before the first byte from all others. The client reports a connection that ends
-/// before its answer as `Disconnected`, so this one counts as sent.
-fn failure(error: &SendRequestError) -> Failure {
-    match error {
-        SendRequestError::Url(_) => Failure::NotSent(Reason::BadRequest),
-        SendRequestError::Connect(
-            ConnectError::Io(_)
-            | ConnectError::NoRecords
-            | ConnectError::Resolver(_)
-            | ConnectError::Timeout
-            | ConnectError::Unresolved,
-        ) => Failure::NotSent(Reason::Unreachable),
-        _ => Failure::Sent(Reason::Lost),
+    fields: &Fields,
+    upload: &Upload,
+) -> Result<Answer, Failure> {
+    let opening = destination.pool.open(destination.idle_max);
+    let opened = request.wait(timeout_at(destination.until, opening)).await;
+    let connection = match opened {
+        Ok(Ok(connection)) => connection,
+        Ok(Err(error)) => return Err(not_sent(&error)),
+        Err(_) => return Err(Failure::NotSent(Reason::Unreachable)),
+    };
+    let mut rest = upload.take_rest();
+    if rest.is_none() && !upload.is_replayable() {
+        return Err(Failure::NotSent(Reason::Lost));
     }
+    let order = Order {
+        head: request_head(&request.method, &request.target, fields, upload.framing()),
+        method: &request.method,
+        beginning: upload.beginning(),
+        rest: rest.as_mut().map(|rest| (rest, upload.framing())),
+        heard: destination.heard,
+    };
+    let is_ours = |head: &cicadagw_http::Response| {
+        let echoed = destination.echo.and_then(|name| head.fields.get(name));
+        echoed.is_none_or(|echoed| request.attempt.as_ref() == Some(echoed))
+    };
+    let exchanging = connection.exchange(order, is_ours);
+    request
+        .wait(timeout_at(destination.until, exchanging))
+        .await
+        .map_err(|_| Failure::Sent(Reason::Deadline, None))?
+        .map_err(|loss| Failure::Sent(Reason::Lost, Some(loss)))
 }
 
-/// Tells whether the end of an answer can be told from a cut.
-///
-/// The client reads an answer without a length as empty, though it goes on until the connection
-/// closes.
-fn is_framed(response: &ClientResponse, method: &Method) -> bool {
-    let status = response.status();
-    let headers = response.headers();
-    let has_length = headers.contains_key(header::CONTENT_LENGTH)
-        || headers.contains_key(header::TRANSFER_ENCODING);
-    if status.is_informational() {
-        return false;
-    }
-    has_length || has_no_body(status, method) || response.version() < Version::HTTP_11
-}
-
-/// Tells whether an answer never has a body.
-pub(crate) fn has_no_body(status: StatusCode, method: &Method) -> bool {
-    *method == Method::HEAD
-        || status == StatusCode::NO_CONTENT
-        || status == StatusCode::NOT_MODIFIED
+fn not_sent(error: &io::Error) -> Failure {
+    log::debug!(error:%; "no connection could be made");
+    Failure::NotSent(Reason::Unreachable)
 }
--- a/crates/cicadagw-proxy/src/header.rs
+++ b/crates/cicadagw-proxy/src/header.rs
@@ -1,66 +1,54 @@
-//! The headers of the protocol, and those that end at a hop.
+//! The header fields between nodes.
 
-use actix_web::http::header::{self, HeaderMap, HeaderName};
-use smallvec::SmallVec;
+use cicadagw_dialect::Names;
+use cicadagw_http::Fields;
 
 /// How many milliseconds are left for the call.
-pub(crate) static DEADLINE: HeaderName = HeaderName::from_static("x-cicadagw-deadline-ms");
+pub(crate) const DEADLINE: &str = "x-cicadagw-deadline-ms";
 /// How many hops from node to node the call has made.
-pub(crate) static HOPS: HeaderName = HeaderName::from_static("x-cicadagw-hops");
-/// Which endpoint is meant, from node to node.
-pub(crate) static ENDPOINT: HeaderName = HeaderName::from_static("x-cicadagw-endpoint");
-/// Which cluster the call was routed to, from node to node.
-pub(crate) static CLUSTER: HeaderName = HeaderName::from_static("x-cicadagw-cluster");
-/// Which policy the call is treated by, from node to node.
-pub(crate) static POLICY: HeaderName = HeaderName::from_static("x-cicadagw-policy");
+pub(crate) const HOPS: &str = "x-cicadagw-hops";
+/// Which endpoint is meant.
+pub(crate) const ENDPOINT: &str = "x-cicadagw-endpoint";
+/// Which cluster the call was routed to.
+pub(crate) const CLUSTER: &str = "x-cicadagw-cluster";
+/// Which policy the call is treated by.
+pub(crate) const POLICY: &str = "x-cicadagw-policy";
+/// The service of the host that the call comes from.
+pub(crate) const CALLER: &str = "x-cicadagw-caller";
 /// How the call ended.
-pub(crate) static OUTCOME: HeaderName = HeaderName::from_static("x-cicadagw-outcome");
+pub(crate) const OUTCOME: &str = "x-cicadagw-outcome";
 /// Why the call was not answered.
-pub(crate) static REASON: HeaderName = HeaderName::from_static("x-cicadagw-reason");
-/// How busy the backend server is, from node to node.
-pub(crate) static LOAD: HeaderName = HeaderName::from_static("x-cicadagw-load");
+pub(crate) const REASON: &str = "x-cicadagw-reason";
+/// How busy the backend server is.
+pub(crate) const LOAD: &str = "x-cicadagw-load";
+/// How many milliseconds the backend server took.
+pub(crate) const WORK: &str = "x-cicadagw-work-ms";
 
-/// Headers that are for the next hop alone.
-static HOP_BY_HOP: [HeaderName; 10] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    header::EXPECT,
-];
+/// What the name of every field between nodes begins with.
+const PREFIX: &[u8] = b"x-cicadagw-";
 
-/// Headers that nodes set themselves.
-static OWN: [&HeaderName; 8] = [
-    &DEADLINE, &HOPS, &ENDPOINT, &CLUSTER, &POLICY, &OUTCOME, &REASON, &LOAD,
-];
+/// Returns the fields of a request that go on: neither those of one connection nor those that nodes
+/// set themselves.
+pub(crate) fn request(fields: &Fields, names: &Names) -> Fields {
+    let own = [
+        names.caller,
+        Some(names.deadline),
+        names.endpoint,
+        names.hops,
+    ];
+    fields.end_to_end(|name| is_own(name) || own.into_iter().flatten().any(|own| is(name, own)))
+}
+
+/// Returns the fields of a response that go on.
+pub(crate) fn response(fields: &Fields) -> Fields {
+    fields.end_to_end(is_own)
+}
 
-/// Returns the headers that go on to the next hop; the length goes with the body.
-pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    let named = named_by_connection(headers);
-    let mut kept = HeaderMap::with_capacity(headers.len() + OWN.len());
-    for (name, value) in headers {
-        let ends_here = HOP_BY_HOP.contains(name)
-            || OWN.contains(&name)
-            || *name == header::CONTENT_LENGTH
-            || named.iter().any(|named| named == name);
-        if !ends_here {
-            kept.append(name.clone(), value.clone());
-        }
-    }
-    kept
+fn is_own(name: &[u8]) -> bool {
+    let begin = name.get(..PREFIX.len());
+    begin.is_some_and(|begin| begin.eq_ignore_ascii_case(PREFIX))
 }
 
-/// Returns the headers that `Connection` names.
-fn named_by_connection(headers: &HeaderMap) -> SmallVec<[HeaderName; 2]> {
-    headers
-        .get_all(header::CONNECTION)
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect()
+fn is(name: &[u8], other: &str) -> bool {
+    name.eq_ignore_ascii_case(other.as_bytes())
 }
--- a/crates/cicadagw-proxy/src/ingress.rs
+++ b/crates/cicadagw-proxy/src/ingress.rs
@@ -4,33 +4,43 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use actix_web::dev::Payload;
-use actix_web::http::ConnectionType;
-use actix_web::{HttpRequest, HttpResponse};
 use cicadagw_call::Reason;
 use cicadagw_call::route::Target;
+use cicadagw_http::Body;
+use cicadagw_http::server::Reply;
 use cicadagw_unit::time::Moment;
 use tokio::time::timeout_at;
 
-use crate::header;
-use crate::journey::Journey;
+use crate::door::Door;
 use crate::node::{Node, Plan};
-use crate::reply::End;
+use crate::relay::Relay;
+use crate::reply::{COME_BACK, End, tell_node};
 use crate::request::Request;
-use crate::target::{self, Errand, Outcome};
+use crate::target::{self, Call, Outcome};
 use crate::upload::Upload;
 
-/// Takes a call that has just arrived.
-pub(crate) async fn handle(node: Rc<Node>, raw: HttpRequest, payload: Payload) -> HttpResponse {
+/// Takes a call that has just arrived through `door`.
+pub(crate) async fn handle(
+    node: &Rc<Node>,
+    door: Door,
+    head: cicadagw_http::Request,
+    body: Body,
+) -> Reply {
     let begin = Instant::now();
     let entry = node.enter();
-    let is_from_node = raw.headers().contains_key(&header::ENDPOINT);
-    let Outcome { end, load } = match admit(&node, &raw) {
+    let is_from_node = door.is_from_node(&head.fields);
+    let Outcome {
+        mut end,
+        load,
+        work,
+    } = match admit(node, door, head) {
         Ok(request) => {
-            let outcome = carry(&node, &request, payload).await;
+            let outcome = carry(node, &request, body).await;
             if let End::Answered(_) = &outcome.end {
                 let added = begin.elapsed().saturating_sub(request.waited());
                 node.stats.count_added(added);
+            } else if !is_from_node {
+                note_unanswered(&request, &outcome.end, begin);
             }
             outcome
         }
@@ -39,55 +49,57 @@
     if !is_from_node {
         node.stats.count_outcome(end.outcome());
     }
-    match &end {
-        End::Answered(answer) => {
-            answer.flow.hold_entry(entry);
-            node.watch(answer.flow.watch());
-        }
-        End::NotRun(reason) | End::Unknown(reason) => {
-            log::debug!(reason:%, path = raw.path(); "a call was not answered");
-        }
+    if let End::Answered(answer) = &mut end {
+        answer.hold_entry(entry);
     }
-    let mut response = end.into_response(load.filter(|_| is_from_node));
-    if node.is_stopping() {
-        // The caller is to find another node instead of using this connection again.
-        let head = response.head_mut();
-        head.set_connection_type(ConnectionType::Close);
+    let mut reply = end.into_reply(&node.dialect.retry_after(COME_BACK));
+    if is_from_node {
+        tell_node(&mut reply, load, work);
     }
-    response
+    reply
+}
+
+fn note_unanswered(request: &Request, end: &End, begin: Instant) {
+    let (End::NotRun(reason) | End::Unknown(reason)) = end else {
+        return;
+    };
+    let outcome = end.outcome();
+    let took = begin.elapsed().as_millis();
+    log::info!(id = request.id(), path = request.path(), outcome:%, reason:%, took_ms = u64::try_from(took).unwrap_or(u64::MAX); "a call was not answered");
 }
 
 /// Reads the head of a call and refuses what no node carries.
-fn admit(node: &Node, raw: &HttpRequest) -> Result<Request, Reason> {
-    let request = Request::read(raw, node.clock.now())?;
-    if request.header_size() > node.limits.headers {
+fn admit(node: &Node, door: Door, head: cicadagw_http::Request) -> Result<Request, Reason> {
+    let request = Request::read(head, node.dialect.names(), door, node.clock.now())?;
+    if request.size as u64 > node.limits().headers.get() {
         return Err(Reason::HeaderLimit);
     }
     if request.hops >= node.budget.hops.get() {
         return Err(Reason::HopLimit);
     }
-    if node.is_stopping() {
+    if node.is_refusing() {
         return Err(Reason::Draining);
     }
     Ok(request)
 }
 
-async fn carry(node: &Rc<Node>, request: &Request, payload: Payload) -> Outcome {
+async fn carry(node: &Rc<Node>, request: &Request, body: Body) -> Outcome {
     // The call ends with the configuration that it begins with.
     let plan = node.plan();
-    match steer(node, &plan, request) {
+    match route(node, &plan, request) {
         Ok((target, deadline)) => {
-            let reading = Upload::read(request, payload, &node.limits);
+            let limits = node.limits();
+            let reading = Upload::read(body, &limits);
             let until = node.clock.instant(deadline);
             match request.wait(timeout_at(until, reading)).await {
                 Ok(Ok(upload)) => {
-                    let errand = Errand {
+                    let call = Call {
                         request,
                         target: &target,
                         upload: &upload,
                         deadline,
                     };
-                    serve(node, errand).await
+                    serve(node, call).await
                 }
                 Ok(Err(reason)) => Outcome::not_run(reason),
                 Err(_) => Outcome::not_run(Reason::Deadline),
@@ -98,7 +110,7 @@
 }
 
 /// Finds out where a call goes, and by when it must be answered.
-fn steer(node: &Node, plan: &Plan, request: &Request) -> Result<(Arc<Target>, Moment), Reason> {
+fn route(node: &Node, plan: &Plan, request: &Request) -> Result<(Arc<Target>, Moment), Reason> {
     let index = plan.index.as_ref().ok_or(Reason::NoConfiguration)?;
     let target = match &request.via {
         Some(via) => {
@@ -106,9 +118,11 @@
             index.resolve(&via.cluster, &via.policy, &service)
         }
         None => index
-            .find(request.line(), |name, value| {
-                request.has_header(name, value)
-            })
+            .find(
+                request.line(),
+                |name, value| request.has_header(name, value),
+                node.peers.draw(),
+            )
             .cloned(),
     };
     let target = target.ok_or(Reason::NoRoute)?;
@@ -117,12 +131,9 @@
 }
 
 /// Serves a call, here when another node has chosen the endpoint, and else where the choice falls.
-async fn serve(node: &Rc<Node>, errand: Errand<'_>) -> Outcome {
-    match &errand.request.via {
-        Some(via) => target::attempt(node, &errand, &via.endpoint).await,
-        None => Outcome {
-            end: Journey::new(node, errand).run().await,
-            load: None,
-        },
+async fn serve(node: &Rc<Node>, call: Call<'_>) -> Outcome {
+    match &call.request.via {
+        Some(via) => target::attempt(node, call, &via.endpoint).await,
+        None => Outcome::of(Relay::new(node, call).run().await),
     }
 }
--- /dev/null
+++ b/crates/cicadagw-proxy/src/listener.rs
@@ -0,0 +1,76 @@
+//! What answers the requests of one listener.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use cicadagw_call::Reason;
+use cicadagw_http::server::{Limits, Refusal, Reply, Service};
+use cicadagw_http::{Body, Request};
+
+use crate::door::Door;
+use crate::node::{CONFIRM, Node};
+use crate::reply::End;
+use crate::{announce, ingress};
+
+/// How much larger a head may be than its fields, so that one over the limit is refused in words.
+const HEAD_ROOM: usize = 32 << 10;
+
+/// What answers the requests of one listener.
+pub(crate) struct Listener {
+    node: Rc<Node>,
+    door: Door,
+}
+
+impl Listener {
+    pub(crate) const fn new(node: Rc<Node>, door: Door) -> Self {
+        Self { node, door }
+    }
+}
+
+impl Service for Listener {
+    fn limits(&self) -> Limits {
+        let edge = self.node.edge();
+        let headers = usize::try_from(edge.headers.get()).unwrap_or(usize::MAX);
+        Limits {
+            body: self.node.limits().body.get(),
+            head: headers.saturating_add(HEAD_ROOM),
+            head_time: edge.header_timeout.into(),
+            idle: edge.idle_timeout.into(),
+        }
+    }
+
+    async fn handle(self: Rc<Self>, head: Request, body: Body) -> Reply {
+        match self.door {
+            Door::Announcements => announce::handle(&self.node, &head, body).await,
+            Door::Ready => ready(&self.node, &head),
+            door => ingress::handle(&self.node, door, head, body).await,
+        }
+    }
+
+    fn refuse(&self, refusal: Refusal) -> Reply {
+        let reason = match refusal {
+            Refusal::Malformed => Reason::BadRequest,
+            Refusal::HeadTooLarge => Reason::HeaderLimit,
+            Refusal::TooSlow => Reason::TooSlow,
+        };
+        log::info!(reason:%; "a request was refused before it was read");
+        End::NotRun(reason).into_reply("1")
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.node.is_stopping()
+    }
+
+    fn confirms_after(&self) -> Option<Duration> {
+        (self.door == Door::Nodes).then_some(CONFIRM)
+    }
+}
+
+fn ready(node: &Node, head: &Request) -> Reply {
+    let target = std::str::from_utf8(&head.target).unwrap_or_default();
+    let path = target.split('?').next().unwrap_or_default();
+    if !node.dialect.asks_ready(path) {
+        return Reply::new(404);
+    }
+    Reply::new(if node.is_ready() { 200 } else { 503 })
+}
--- a/crates/cicadagw-proxy/src/node.rs
+++ b/crates/cicadagw-proxy/src/node.rs
@@ -4,11 +4,14 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cicadagw_call::choice::Place;
 use cicadagw_call::life::{Announcement, Effect, Gone, State};
 use cicadagw_call::route::Index;
 use cicadagw_call::{Reason, Registry};
+use cicadagw_config::Edge;
+use cicadagw_dialect::Dialect;
 use cicadagw_endpoint::Local;
 use cicadagw_ring::Sender;
 use cicadagw_settings::{Budget, Timing};
@@ -16,34 +19,37 @@
 use cicadagw_unit::time::Span;
 use cicadagw_view::{Endpoints, Shared, View};
 use tokio::sync::Notify;
-use tokio::time::Instant;
-use tokio_util::sync::CancellationToken;
 
-use crate::answer::Watch;
 use crate::clock::Clock;
 use crate::gate::Gate;
 use crate::outbox::Outbox;
 use crate::peers::Peers;
 use crate::{Limits, Stats, stats};
 
+/// After how long another node is told that its call has arrived, where it is not answered yet.
+pub(crate) const CONFIRM: Duration = Duration::from_millis(100);
+
 /// The state of the duty.
 pub(crate) struct Node {
     pub(crate) budget: Budget,
     pub(crate) clock: Clock,
-    pub(crate) limits: Limits,
+    pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) linger: Span,
     pub(crate) peers: Rc<Peers>,
+    /// The service of this host.
+    pub(crate) service: Option<id::Service>,
     pub(crate) stats: Arc<Stats>,
     pub(crate) timing: Timing,
     gates: RefCell<BTreeMap<id::Endpoint, Rc<Gate>>>,
     idle: Notify,
     in_flight: Cell<usize>,
+    is_refusing: Cell<bool>,
     is_stopping: Cell<bool>,
+    limits: Limits,
     outbox: RefCell<Outbox>,
     plan: RefCell<Plan>,
     registry: RefCell<Registry>,
     view: Shared,
-    watches: RefCell<Vec<Watch>>,
 }
 
 /// What calls are decided by, arranged for calls.
@@ -54,46 +60,48 @@
     /// Which endpoints of the view these are.
     pub(crate) epoch: u64,
     pub(crate) endpoints: Arc<Endpoints>,
+    /// What callers may send.
+    edge: Edge,
     view: Option<Arc<View>>,
 }
 
 /// What a node is made of.
-#[derive(Clone)]
 pub(crate) struct Parts {
     pub(crate) budget: Budget,
     pub(crate) control: Sender<Local>,
-    /// Cancelled once the duty has drained.
-    pub(crate) drained: CancellationToken,
+    pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) limits: Limits,
     pub(crate) linger: Span,
     pub(crate) place: Place,
+    pub(crate) reserve: u64,
     pub(crate) seed: u64,
+    pub(crate) service: Option<id::Service>,
     pub(crate) stats: Arc<Stats>,
     pub(crate) timing: Timing,
-    /// Stops the duty.
-    pub(crate) token: CancellationToken,
     pub(crate) view: Shared,
 }
 
 impl Node {
-    pub(crate) fn new(parts: &Parts) -> Self {
+    pub(crate) fn new(parts: Parts) -> Self {
         Self {
-            budget: parts.budget.clone(),
+            budget: parts.budget,
             clock: Clock::start(),
-            limits: parts.limits,
+            dialect: parts.dialect,
             linger: parts.linger,
-            peers: Rc::new(Peers::new(parts.place.clone(), parts.seed)),
-            stats: parts.stats.clone(),
-            timing: parts.timing.clone(),
+            peers: Rc::new(Peers::new(parts.place, parts.reserve, parts.seed)),
+            service: parts.service,
+            stats: parts.stats,
+            timing: parts.timing,
             gates: RefCell::default(),
             idle: Notify::new(),
             in_flight: Cell::new(0),
+            is_refusing: Cell::new(false),
             is_stopping: Cell::new(false),
-            outbox: RefCell::new(Outbox::new(parts.control.clone())),
+            limits: parts.limits,
+            outbox: RefCell::new(Outbox::new(parts.control)),
             plan: RefCell::default(),
             registry: RefCell::default(),
-            view: parts.view.clone(),
-            watches: RefCell::default(),
+            view: parts.view,
         }
     }
 
@@ -112,6 +120,10 @@
                 .snapshot
                 .as_ref()
                 .map(|snapshot| Rc::new(Index::after(&earlier, snapshot)));
+            plan.edge = view
+                .snapshot
+                .as_ref()
+                .map_or_else(Edge::default, |snapshot| snapshot.config.edge);
         }
         if !Arc::ptr_eq(&plan.endpoints, &view.endpoints) {
             plan.endpoints = view.endpoints.clone();
@@ -169,17 +181,36 @@
         is_known
     }
 
-    /// Takes in an answer that is to be looked after.
-    pub(crate) fn watch(&self, watch: Option<Watch>) {
-        self.watches.borrow_mut().extend(watch);
+    /// Takes note that a backend server cannot be reached; its next announcement brings it back.
+    pub(crate) fn lose(&self, endpoint: &id::Endpoint) {
+        log::warn!(endpoint:%, next = "its next announcement brings it back"; "a backend server of this host cannot be reached");
+        let effects = self.registry.borrow_mut().lose(self.clock.now(), endpoint);
+        self.apply(effects);
+    }
+
+    /// Returns what a call may bring along.
+    pub(crate) fn limits(&self) -> Limits {
+        let edge = self.plan().edge;
+        Limits {
+            body: self.limits.body.min(edge.body),
+            headers: self.limits.headers.min(edge.headers),
+            replay: self.limits.replay,
+        }
     }
 
-    /// Gives up the answers that stand still since their callers do not read.
-    pub(crate) fn check_watches(&self) {
-        let now = Instant::now();
-        let mut watches = std::mem::take(&mut *self.watches.borrow_mut());
-        watches.retain(|watch| watch.check(now));
-        self.watches.borrow_mut().append(&mut watches);
+    /// Returns what callers may send, and how long they may take.
+    pub(crate) fn edge(&self) -> Edge {
+        self.plan().edge
+    }
+
+    /// Tells whether calls are to come here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.plan().index.is_some()
+    }
+
+    /// Tells whether new calls are refused.
+    pub(crate) fn is_refusing(&self) -> bool {
+        self.is_refusing.get()
     }
 
     /// Takes note that this process itself stood still, so that nobody's silence counts.
@@ -194,12 +225,17 @@
         self.apply(effects);
     }
 
-    /// Refuses new work from now on.
+    /// Takes no more work for the backend servers of this host; callers are still served.
     pub(crate) fn stop(&self) {
         self.is_stopping.set(true);
         self.stop_backends();
     }
 
+    /// Refuses new calls from now on.
+    pub(crate) fn refuse(&self) {
+        self.is_refusing.set(true);
+    }
+
     /// Ends all that is left.
     pub(crate) fn end_all(&self) {
         let all: Vec<_> = self.registry.borrow().endpoints().cloned().collect();
@@ -286,6 +322,12 @@
 /// A call under way.
 pub(crate) struct Entry(Rc<Node>);
 
+impl std::fmt::Debug for Entry {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Entry").finish_non_exhaustive()
+    }
+}
+
 impl Drop for Entry {
     fn drop(&mut self) {
         let left = self.0.in_flight.get() - 1;
--- a/crates/cicadagw-proxy/src/peers.rs
+++ b/crates/cicadagw-proxy/src/peers.rs
@@ -4,30 +4,38 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
-use awc::Client;
 use cicadagw_call::choice::{Place, Set, Signal, Summary};
 use cicadagw_call::{Budget, Load};
+use cicadagw_config::Cluster;
 use cicadagw_endpoint::Record;
+use cicadagw_http::Pool;
+use cicadagw_http::pool::Options;
 use cicadagw_unit::id;
 use cicadagw_unit::rate::Permille;
-use cicadagw_unit::size::Slots;
-use cicadagw_unit::time::Moment;
+use cicadagw_unit::size::Bytes;
+use cicadagw_unit::time::{Moment, Span};
 use cicadagw_view::Endpoints;
-use rand::SeedableRng;
 use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 
-use crate::dial;
-
-/// How many connections a node holds to another one.
-const PEER_CONNECTIONS: Slots = Slots::new(512);
+/// How connections to other nodes are made and kept. Making one takes a round trip between regions
+/// at the most; a node that has not acknowledged a byte for longer than the rest is gone or cut off.
+const CONNECTIONS: Options = Options {
+    connect: Duration::from_millis(500),
+    idle: Duration::from_secs(20),
+    unacknowledged: Duration::from_millis(1_500),
+};
 
 /// The services that calls of this node go to, and the connections to other nodes. Services that
 /// no call goes to cost nothing here.
 pub(crate) struct Peers {
     place: Place,
+    /// How many retries the budget of a service saves up.
+    reserve: u64,
     services: RefCell<HashMap<id::Service, Service>>,
-    clients: RefCell<HashMap<SocketAddr, Client>>,
+    pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
     rng: RefCell<StdRng>,
 }
 
@@ -41,11 +49,12 @@
 }
 
 impl Peers {
-    pub(crate) fn new(place: Place, seed: u64) -> Self {
+    pub(crate) fn new(place: Place, reserve: u64, seed: u64) -> Self {
         Self {
             place,
+            reserve,
             services: RefCell::default(),
-            clients: RefCell::default(),
+            pools: RefCell::default(),
             rng: RefCell::new(StdRng::seed_from_u64(seed)),
         }
     }
@@ -61,7 +70,11 @@
         if let Some(service) = services.get_mut(service) {
             service.budget.deposit(share);
         } else {
-            services.entry(service.clone()).or_default();
+            let new = Service {
+                budget: Budget::with_reserve(self.reserve),
+                ..Service::default()
+            };
+            services.insert(service.clone(), new);
         }
     }
 
@@ -78,15 +91,21 @@
         }
     }
 
-    /// Chooses an endpoint of a service among those of `endpoints`, whose number is `epoch`.
+    /// Returns a random number.
+    pub(crate) fn draw(&self) -> u64 {
+        self.rng.borrow_mut().random()
+    }
+
+    /// Chooses an endpoint for a call to `cluster` under `policy` among those of `endpoints`, whose number is `epoch`.
     pub(crate) fn choose(
         &self,
         now: Moment,
-        service: &id::Service,
+        cluster: &Cluster,
         (epoch, endpoints): (u64, &Endpoints),
         tried: &[id::Endpoint],
-        panic_threshold: Permille,
+        policy: &id::Policy,
     ) -> Option<Record> {
+        let service = &cluster.service;
         let mut services = self.services.borrow_mut();
         let held = services.get_mut(service)?;
         if held.epoch != Some(epoch) {
@@ -95,7 +114,9 @@
             held.epoch = Some(epoch);
         }
         let rng = &mut *self.rng.borrow_mut();
-        held.set.choose(now, rng, tried, panic_threshold).cloned()
+        let threshold = cluster.panic_threshold;
+        let chosen = held.set.choose(now, rng, tried, threshold, policy);
+        chosen.cloned()
     }
 
     /// Takes note of how an attempt went.
@@ -124,15 +145,52 @@
         }
     }
 
-    /// Returns the client for the node at `address`.
-    pub(crate) fn client(&self, address: SocketAddr) -> Client {
-        self.clients
+    /// Returns the connections to the node at `address`.
+    pub(crate) fn pool(&self, address: SocketAddr) -> Rc<Pool> {
+        self.pools
             .borrow_mut()
             .entry(address)
-            .or_insert_with(|| dial::client(PEER_CONNECTIONS))
+            .or_insert_with(|| Pool::new(address, CONNECTIONS))
             .clone()
     }
 
+    /// Closes the connections to nodes that were idle for too long.
+    pub(crate) fn prune_idle(&self) {
+        for pool in self.pools.borrow().values() {
+            pool.prune();
+        }
+    }
+
+    /// Returns how long a call under `policy` takes, as far as is known.
+    pub(crate) fn typical(&self, service: &id::Service, policy: &id::Policy) -> Option<Span> {
+        self.services.borrow().get(service)?.set.typical(policy)
+    }
+
+    /// Tells whether a service has an endpoint that is none of `tried`.
+    pub(crate) fn has_other(&self, service: &id::Service, tried: &[id::Endpoint]) -> bool {
+        let services = self.services.borrow();
+        services
+            .get(service)
+            .is_some_and(|service| service.set.has_other(tried))
+    }
+
+    /// Takes note of how long the backend server behind `record` worked on a call.
+    pub(crate) fn measure(
+        &self,
+        now: Moment,
+        record: &Record,
+        policy: &id::Policy,
+        work: Span,
+        size: Bytes,
+    ) {
+        let mut services = self.services.borrow_mut();
+        if let Some(service) = services.get_mut(&record.service) {
+            service
+                .set
+                .measure(now, &record.endpoint, policy, work, size);
+        }
+    }
+
     /// Lets go of connections to nodes, and of services, that `endpoints` no longer name.
     pub(crate) fn prune(&self, endpoints: &Endpoints) {
         let addresses: HashSet<SocketAddr> = endpoints
@@ -140,7 +198,7 @@
             .flatten()
             .map(|record| record.address)
             .collect();
-        self.clients
+        self.pools
             .borrow_mut()
             .retain(|address, _| addresses.contains(address));
         self.services
@@ -160,6 +218,12 @@
     }
 }
 
+impl std::fmt::Debug for Visit {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Visit").finish_non_exhaustive()
+    }
+}
+
 /// A call of this node at an endpoint.
 pub(crate) struct Visit {
     peers: Rc<Peers>,
--- a/crates/cicadagw-proxy/src/request.rs
+++ b/crates/cicadagw-proxy/src/request.rs
@@ -4,27 +4,31 @@
 use std::str::FromStr;
 use std::time::{Duration, Instant};
 
-use actix_web::HttpRequest;
-use actix_web::http::header::{HeaderMap, HeaderName};
-use actix_web::http::uri::PathAndQuery;
-use actix_web::http::{Method, Version, header as http};
+use bytes::Bytes;
 use cicadagw_call::Reason;
 use cicadagw_call::route::Line;
+use cicadagw_dialect::Names;
+use cicadagw_http::Fields;
 use cicadagw_unit::id;
-use cicadagw_unit::size::Bytes;
 use cicadagw_unit::time::{Moment, Span};
 
+use crate::door::Door;
 use crate::header;
 
 /// A call as it arrived.
 #[derive(Debug)]
 pub(crate) struct Request {
-    /// The headers that go on.
-    pub(crate) headers: HeaderMap,
+    /// The fields that go on.
+    pub(crate) fields: Fields,
+    /// The id that the caller gave it.
+    pub(crate) attempt: Option<Bytes>,
+    /// The service of the host that it comes from, as its first node says.
+    pub(crate) caller: Option<id::Service>,
     /// The host, in lower case and without port.
     pub(crate) host: String,
-    pub(crate) method: Method,
-    pub(crate) path: PathAndQuery,
+    pub(crate) method: Bytes,
+    /// The path and the query, as they came.
+    pub(crate) target: Bytes,
     /// How many hops were made before this one.
     pub(crate) hops: u8,
     /// How long the caller waits, when it says so.
@@ -33,10 +37,8 @@
     pub(crate) arrival: Moment,
     /// What the node before has decided.
     pub(crate) via: Option<Via>,
-    /// The size of the body, when it is known; a call without body has none.
-    pub(crate) size: Option<Bytes>,
-    /// Whether the body's size is not known.
-    pub(crate) is_chunked: bool,
+    /// The size of all fields that came, in bytes.
+    pub(crate) size: usize,
     /// How long the caller, other nodes and the backend server were waited for.
     waited: Cell<Duration>,
 }
@@ -50,34 +52,53 @@
 }
 
 impl Request {
-    /// Reads the head of a request that arrived at `arrival`.
+    /// Reads the head of a request that came through `door` at `arrival`.
     ///
     /// # Errors
     ///
-    /// [`Reason::BadRequest`] when a header of the protocol cannot be read or the end of the body is
-    /// not clear, [`Reason::HttpVersion`] when the request is older than HTTP/1.1.
-    pub(crate) fn read(request: &HttpRequest, arrival: Moment) -> Result<Self, Reason> {
-        let headers = request.headers();
-        let is_chunked = headers.contains_key(http::TRANSFER_ENCODING);
-        let size = parsed(headers, &http::CONTENT_LENGTH)?.map(Bytes::new);
-        if request.version() < Version::HTTP_11 {
+    /// [`Reason::BadRequest`] when a field of the protocol cannot be read, [`Reason::HttpVersion`]
+    /// when the request is older than HTTP/1.1.
+    pub(crate) fn read(
+        head: cicadagw_http::Request,
+        names: &Names,
+        door: Door,
+        arrival: Moment,
+    ) -> Result<Self, Reason> {
+        if head.is_old {
             return Err(Reason::HttpVersion);
         }
-        if request.method() == Method::CONNECT || (is_chunked && size.is_some()) {
+        if &head.method[..] == b"CONNECT" || !head.target.starts_with(b"/") {
             return Err(Reason::BadRequest);
         }
-        let path = request.uri().path_and_query().cloned();
+        let fields = &head.fields;
+        let is_from_node = door.is_from_node(fields);
+        let (deadline, hops) = if is_from_node {
+            (header::DEADLINE, Some(header::HOPS))
+        } else {
+            (names.deadline, names.hops)
+        };
+        let hops = match hops {
+            Some(name) => parsed(fields, name)?,
+            None => None,
+        };
         Ok(Self {
-            headers: header::end_to_end(headers),
-            host: host(request),
-            method: request.method().clone(),
-            path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
-            hops: parsed(headers, &header::HOPS)?.unwrap_or(0),
-            left: parsed(headers, &header::DEADLINE)?.map(Span::new),
+            attempt: names.attempt.and_then(|name| fields.get(name).cloned()),
+            caller: match is_from_node {
+                true => parsed(fields, header::CALLER)?,
+                false => None,
+            },
+            host: host(fields),
+            hops: hops.unwrap_or(0),
+            left: parsed(fields, deadline)?.map(Span::new),
             arrival,
-            via: via(headers)?,
-            size,
-            is_chunked,
+            via: match is_from_node {
+                true => Some(via(fields)?),
+                false => None,
+            },
+            size: fields.size(),
+            fields: header::request(fields, names),
+            method: head.method,
+            target: head.target,
             waited: Cell::default(),
         })
     }
@@ -99,42 +120,40 @@
     pub(crate) fn line(&self) -> Line<'_> {
         Line {
             host: &self.host,
-            method: self.method.as_str(),
-            path: self.path.path(),
+            method: text(&self.method),
+            path: self.path(),
         }
     }
 
-    /// Tells whether there is a header `name` with `value`.
-    pub(crate) fn has_header(&self, name: &str, value: &str) -> bool {
-        self.headers
-            .get_all(name)
-            .any(|held| held.as_bytes() == value.as_bytes())
+    /// Returns the path without the query.
+    pub(crate) fn path(&self) -> &str {
+        text(&self.target).split('?').next().unwrap_or_default()
     }
 
-    /// Returns when the call must be answered, for a policy that gives it `timeout`.
-    pub(crate) fn deadline(&self, timeout: Span) -> Moment {
-        self.arrival
-            .after(self.left.map_or(timeout, |left| left.min(timeout)))
+    /// Returns the id that the caller gave the call, for logs.
+    pub(crate) fn id(&self) -> &str {
+        self.attempt.as_deref().map_or("-", text)
+    }
+
+    /// Tells whether there is a field `name` with `value`.
+    pub(crate) fn has_header(&self, name: &str, value: &str) -> bool {
+        self.fields.all(name).any(|held| held == value.as_bytes())
     }
 
-    /// Returns the sum of the headers that go on.
-    pub(crate) fn header_size(&self) -> Bytes {
-        let sum: usize = self
-            .headers
-            .iter()
-            .map(|(name, value)| name.as_str().len() + value.len())
-            .sum();
-        Bytes::new(sum as u64)
+    /// Returns when the call must be answered, for a policy that gives it `timeout`. The node that
+    /// routed a call has looked at the timeout itself.
+    pub(crate) fn deadline(&self, timeout: Span) -> Moment {
+        let time = match (&self.via, self.left) {
+            (Some(_), Some(left)) => left,
+            (None, Some(left)) => left.min(timeout),
+            (_, None) => timeout,
+        };
+        self.arrival.after(time)
     }
 }
 
-fn host(request: &HttpRequest) -> String {
-    let named = request
-        .headers()
-        .get(http::HOST)
-        .and_then(|value| value.to_str().ok())
-        .or_else(|| request.uri().host())
-        .unwrap_or_default();
+fn host(fields: &Fields) -> String {
+    let named = fields.text("host").unwrap_or_default();
     let bare = match named.rfind(':') {
         Some(colon) if !named.ends_with(']') => &named[..colon],
         _ => named,
@@ -142,23 +161,23 @@
     bare.to_ascii_lowercase()
 }
 
-fn via(headers: &HeaderMap) -> Result<Option<Via>, Reason> {
-    let Some(endpoint) = parsed(headers, &header::ENDPOINT)? else {
-        return Ok(None);
-    };
-    let cluster = parsed(headers, &header::CLUSTER)?;
-    let policy = parsed(headers, &header::POLICY)?;
-    Ok(Some(Via {
-        endpoint,
-        cluster: cluster.ok_or(Reason::BadRequest)?,
-        policy: policy.ok_or(Reason::BadRequest)?,
-    }))
+fn via(fields: &Fields) -> Result<Via, Reason> {
+    Ok(Via {
+        endpoint: parsed(fields, header::ENDPOINT)?.ok_or(Reason::BadRequest)?,
+        cluster: parsed(fields, header::CLUSTER)?.ok_or(Reason::BadRequest)?,
+        policy: parsed(fields, header::POLICY)?.ok_or(Reason::BadRequest)?,
+    })
 }
 
-fn parsed<T: FromStr>(headers: &HeaderMap, name: &HeaderName) -> Result<Option<T>, Reason> {
-    let Some(value) = headers.get(name) else {
+fn parsed<T: FromStr>(fields: &Fields, name: &str) -> Result<Option<T>, Reason> {
+    let Some(value) = fields.get(name) else {
         return Ok(None);
     };
-    let text = value.to_str().map_err(|_| Reason::BadRequest)?;
+    let text = std::str::from_utf8(value).map_err(|_| Reason::BadRequest)?;
     text.parse().map(Some).map_err(|_| Reason::BadRequest)
 }
+
+/// Returns `bytes` as text; what is no text matches nothing.
+fn text(bytes: &[u8]) -> &str {
+    std::str::from_utf8(bytes).unwrap_or_default()
+}
--- a/crates/cicadagw-proxy/src/run.rs
+++ b/crates/cicadagw-proxy/src/run.rs
@@ -1,31 +1,21 @@
 //! The calls duty from its start to its end.
 
-use std::cell::RefCell;
 use std::io;
-use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use cicadagw_http::server;
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use crate::door::Door;
+use crate::listener::Listener;
 use crate::node::{Node, Parts};
-use crate::{Setup, announce, ingress, upkeep};
+use crate::{Setup, upkeep};
 
-/// How long an idle connection from a caller or another node is kept.
-const KEEP_ALIVE: Duration = Duration::from_secs(75);
-
-/// How long a connection may take to bring the head of a request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// How long connections may take to close after the last call, in seconds.
-const CLOSE_TIMEOUT_SECONDS: u64 = 2;
-
-thread_local! {
-    /// The state of the duty on its one thread. The server makes one application for each listener,
-    /// and all of them share this.
-    static NODE: RefCell<Option<Rc<Node>>> = const { RefCell::new(None) };
-}
+/// How long the last answers may take to go out after the last call.
+const LAST_ANSWERS: Duration = Duration::from_millis(150);
 
 /// Serves calls and announcements until the token of `setup` is cancelled, then finishes the calls
 /// under way and returns.
@@ -38,69 +28,45 @@
 }
 
 async fn serve(setup: Setup) -> io::Result<()> {
-    let announce_address = setup.announce.local_addr()?;
-    let drained = CancellationToken::new();
-    let parts = Parts {
+    let calls = match setup.nodes {
+        Some(_) => Door::Callers,
+        None => Door::Calls,
+    };
+    let doors = [
+        (Door::Announcements, Some(setup.announce)),
+        (calls, Some(setup.calls)),
+        (Door::Nodes, setup.nodes),
+        (Door::Ready, setup.ready),
+    ];
+    let node = Rc::new(Node::new(Parts {
         budget: setup.budget,
         control: setup.control,
-        drained: drained.clone(),
+        dialect: setup.dialect,
         limits: setup.limits,
         linger: setup.linger,
         place: setup.place,
+        reserve: setup.reserve,
         seed: setup.seed,
+        service: setup.service,
         stats: setup.stats,
         timing: setup.timing,
-        token: setup.token,
         view: setup.view,
-    };
-    let server = HttpServer::new(move || {
-        let node = node(&parts);
-        App::new().default_service(web::to(move |request, payload| {
-            dispatch(node.clone(), announce_address, request, payload)
-        }))
-    })
-    .workers(1)
-    .disable_signals()
-    .h1_allow_half_closed(false)
-    .tcp_nodelay(true)
-    .keep_alive(KEEP_ALIVE)
-    .client_request_timeout(HEAD_TIMEOUT)
-    .shutdown_timeout(CLOSE_TIMEOUT_SECONDS)
-    .listen(setup.calls)?
-    .listen(setup.announce)?
-    .run();
-    let handle = server.handle();
-    let running = actix_web::rt::spawn(server);
-    drained.cancelled().await;
-    handle.stop(true).await;
-    running.await.map_err(io::Error::other)?
-}
-
-async fn dispatch(
-    node: Rc<Node>,
-    announce_address: SocketAddr,
-    request: HttpRequest,
-    payload: web::Payload,
-) -> HttpResponse {
-    if request.app_config().local_addr() == announce_address {
-        announce::handle(&node, &request, payload).await
-    } else {
-        ingress::handle(node, request, payload.into_inner()).await
+    }));
+    let closed = CancellationToken::new();
+    for (door, listener) in doors {
+        if let Some(listener) = listener {
+            let listener = asynchronous(listener)?;
+            let service = Rc::new(Listener::new(node.clone(), door));
+            actix::spawn(server::serve(listener, service, closed.clone()));
+        }
     }
+    upkeep::run(&node, &setup.token).await;
+    closed.cancel();
+    sleep(LAST_ANSWERS).await;
+    Ok(())
 }
 
-/// Returns the state of this thread, made on the first call.
-fn node(parts: &Parts) -> Rc<Node> {
-    NODE.with(|held| {
-        held.borrow_mut()
-            .get_or_insert_with(|| start(parts))
-            .clone()
-    })
-}
-
-fn start(parts: &Parts) -> Rc<Node> {
-    let node = Rc::new(Node::new(parts));
-    let (token, drained) = (parts.token.clone(), parts.drained.clone());
-    actix_web::rt::spawn(upkeep::run(node.clone(), token, drained));
-    node
+fn asynchronous(listener: TcpListener) -> io::Result<tokio::net::TcpListener> {
+    listener.set_nonblocking(true)?;
+    tokio::net::TcpListener::from_std(listener)
 }
--- a/crates/cicadagw-proxy/src/setup.rs
+++ b/crates/cicadagw-proxy/src/setup.rs
@@ -4,10 +4,13 @@
 use std::sync::Arc;
 
 use bon::Builder;
+use cicadagw_call::Budget;
 use cicadagw_call::choice::Place;
+use cicadagw_dialect::{Dialect, Native};
 use cicadagw_endpoint::Local;
 use cicadagw_ring::Sender;
-use cicadagw_settings::{Budget, Timing};
+use cicadagw_settings::Timing;
+use cicadagw_unit::id;
 use cicadagw_unit::size::Bytes;
 use cicadagw_unit::time::Span;
 use cicadagw_view::Shared;
@@ -22,22 +25,34 @@
     pub announce: TcpListener,
     /// Limits from the settings.
     #[builder(default)]
-    pub budget: Budget,
-    /// Where calls are taken, bound.
+    pub budget: cicadagw_settings::Budget,
+    /// Where calls are taken, bound; those of other nodes too, unless `nodes` is there.
     pub calls: TcpListener,
     /// Where backend servers' starts, drains and ends are told.
     pub control: Sender<Local>,
+    /// What callers and backend servers say.
+    #[builder(default = Arc::new(Native))]
+    pub dialect: Arc<dyn Dialect>,
     /// What a call may bring along.
     #[builder(default)]
     pub limits: Limits,
-    /// How long a stopping node still refuses calls in words before it closes its listeners, so
-    /// that the news of its stop gets around.
+    /// How long a stopping node still serves callers, so that they find another node first and the
+    /// news of its stop gets around.
     #[builder(default = Span::seconds(2))]
     pub linger: Span,
+    /// Where the calls of other nodes are taken, bound.
+    pub nodes: Option<TcpListener>,
     /// Where the node stands.
     pub place: Place,
+    /// Where others ask whether the node takes calls, bound.
+    pub ready: Option<TcpListener>,
+    /// How many retries the budget of a service saves up.
+    #[builder(default = Budget::RESERVE)]
+    pub reserve: u64,
     /// What the random choices begin with.
     pub seed: u64,
+    /// The service of this host.
+    pub service: Option<id::Service>,
     /// What is counted, for dumps and metrics.
     pub stats: Arc<Stats>,
     /// Periods and waits from the settings.
--- a/crates/cicadagw-proxy/src/target.rs
+++ b/crates/cicadagw-proxy/src/target.rs
@@ -1,110 +1,234 @@
 //! The second half of a call: from a backend server's own node to the backend server.
 
+use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
-use actix_web::http::header::{HeaderMap, HeaderName, HeaderValue};
+use bytes::Bytes;
 use cicadagw_call::admission::Limit;
 use cicadagw_call::route::Target;
 use cicadagw_call::{Load, Reason};
+use cicadagw_dialect::Names;
+use cicadagw_http::client::Incoming;
+use cicadagw_http::{Fields, Response};
 use cicadagw_unit::id;
-use cicadagw_unit::time::Moment;
+use cicadagw_unit::time::{Moment, Span};
+use tokio::time::timeout;
 
 use crate::answer::Answer;
 use crate::exchange::{Destination, Failure, exchange};
 use crate::gate::{Gate, Slot};
-use crate::header;
 use crate::node::Node;
 use crate::reply::End;
 use crate::request::Request;
 use crate::upload::Upload;
 
+/// How long a connection to a backend server may have been idle for a call that must not run twice:
+/// a server that closes an idle connection as the call is sent leaves in doubt whether it ran.
+const IDLE_MAX_ONCE: Duration = Duration::from_millis(1_500);
+
+/// How long it may have been idle for other calls; the server may name less.
+const IDLE_MAX: Duration = Duration::from_secs(30);
+
+/// How long the body of a refusal is read on.
+const DISCARD_MAX: Duration = Duration::from_millis(20);
+
 /// A call that is on its way.
-pub(crate) struct Errand<'a> {
+#[derive(Clone, Copy)]
+pub(crate) struct Call<'a> {
     pub(crate) target: &'a Target,
     pub(crate) request: &'a Request,
-    pub(crate) upload: &'a Rc<Upload>,
+    pub(crate) upload: &'a Upload,
     pub(crate) deadline: Moment,
 }
 
-/// How an attempt ended, and how busy the backend server was then.
+/// How an attempt ended, and what is known of the backend server since.
+#[derive(Debug)]
 pub(crate) struct Outcome {
     pub(crate) end: End,
+    /// How busy the backend server was.
     pub(crate) load: Option<Load>,
+    /// How long it worked up to the head of its answer.
+    pub(crate) work: Option<Span>,
 }
 
 impl Outcome {
     pub(crate) const fn not_run(reason: Reason) -> Self {
+        Self::of(End::NotRun(reason))
+    }
+
+    pub(crate) const fn of(end: End) -> Self {
         Self {
-            end: End::NotRun(reason),
+            end,
             load: None,
+            work: None,
         }
     }
 }
 
 /// Takes a call to a backend server of this host, once there is a place for it.
-pub(crate) async fn attempt(
-    node: &Rc<Node>,
-    errand: &Errand<'_>,
-    endpoint: &id::Endpoint,
-) -> Outcome {
+pub(crate) async fn attempt(node: &Rc<Node>, call: Call<'_>, endpoint: &id::Endpoint) -> Outcome {
     let gate = match node.gate(endpoint) {
         Ok((gate, _)) => gate,
         Err(reason) => return Outcome::not_run(reason),
     };
-    let policy = &errand.target.policy;
+    let policy = &call.target.policy;
     let limit = Limit {
-        policy: errand.target.policy_name.clone(),
+        policy: call.target.policy_name.clone(),
         concurrency: policy.concurrency,
         queue: policy.queue,
+        rank: policy.priority,
     };
-    let end = match gate.enter(errand.deadline, limit).await {
-        Ok(slot) => send(node, &gate, slot, errand).await,
+    let entering = gate.enter(call.deadline, limit);
+    match call.request.wait(entering).await {
+        Ok(slot) => send(node, &gate, slot, call).await,
         Err(reason) => {
             if reason == Reason::Shed {
                 node.stats.count_shed();
             }
+            Outcome {
+                load: Some(gate.load()),
+                ..Outcome::not_run(reason)
+            }
+        }
+    }
+}
+
+async fn send(node: &Rc<Node>, gate: &Rc<Gate>, slot: Slot, call: Call<'_>) -> Outcome {
+    let names = node.dialect.names();
+    let heard = Cell::new(false);
+    let destination = Destination {
+        pool: &gate.pool,
+        idle_max: if call.may_repeat() {
+            IDLE_MAX
+        } else {
+            IDLE_MAX_ONCE
+        },
+        until: node.clock.instant(call.deadline),
+        heard: &heard,
+        echo: names.attempt,
+    };
+    let begin = node.clock.now();
+    let fields = fields(node, gate, call);
+    let outcome = exchange(&destination, call.request, &fields, call.upload).await;
+    let work = node.clock.now().since(begin);
+    let end = match outcome {
+        Ok(answer) => match judge(names, &answer.head, call.request) {
+            Verdict::Answered => {
+                let mut answer = Answer::new(answer, call.target.policy.timeout.into());
+                answer.hold_slot(slot);
+                End::Answered(Box::new(answer))
+            }
+            Verdict::NotRun(reason) => {
+                discard(answer.body).await;
+                End::NotRun(reason)
+            }
+            Verdict::Unusable(why) => {
+                let status = answer.head.status;
+                log::info!(id = call.request.id(), endpoint:% = gate.endpoint, status, why; "an answer cannot be trusted");
+                End::Unknown(Reason::Lost)
+            }
+        },
+        Err(Failure::NotSent(reason)) => {
+            if reason == Reason::Unreachable {
+                node.lose(&gate.endpoint);
+            }
             End::NotRun(reason)
         }
+        Err(Failure::Sent(reason, loss)) => {
+            if let Some(loss) = loss {
+                log::info!(id = call.request.id(), endpoint:% = gate.endpoint, loss:%; "an answer was lost");
+            }
+            End::Unknown(reason)
+        }
     };
     Outcome {
+        work: matches!(end, End::Answered(_)).then_some(work),
         end,
         load: Some(gate.load()),
     }
 }
 
-async fn send(node: &Rc<Node>, gate: &Gate, slot: Slot, errand: &Errand<'_>) -> End {
-    let destination = Destination {
-        client: gate.client.clone(),
-        authority: gate.authority.clone(),
-        until: node.clock.instant(errand.deadline),
-    };
-    let request = errand.request;
-    let headers = headers(node, errand);
-    match exchange(&destination, request, headers, errand.upload.body()).await {
-        Ok(response) => {
-            let idle_max = errand.target.policy.timeout.into();
-            let answer = Answer::new(response, &request.method, idle_max);
-            answer.flow.hold_slot(slot);
-            End::Answered(Box::new(answer))
+impl Call<'_> {
+    /// Tells whether the call may run more than once.
+    pub(crate) fn may_repeat(&self) -> bool {
+        let method = std::str::from_utf8(&self.request.method).unwrap_or_default();
+        cicadagw_call::attempt::is_idempotent(self.target.policy.idempotency, method)
+    }
+}
+
+/// Returns the fields for the backend server; the secret is among these alone.
+fn fields(node: &Node, gate: &Gate, call: Call<'_>) -> Fields {
+    let names = node.dialect.names();
+    let mut fields = call.request.fields.clone();
+    let left = call.deadline.since(node.clock.now()).get();
+    fields.set(names.deadline, Bytes::from(left.to_string()));
+    if let Some(name) = names.hops {
+        let hops = call.request.hops.saturating_add(1);
+        fields.set(name, Bytes::from(hops.to_string()));
+    }
+    if let Some(name) = names.endpoint {
+        fields.set(name, Bytes::from(gate.endpoint.to_string()));
+    }
+    if let Some(name) = names.caller {
+        let caller = call.request.caller.as_ref().or(node.service.as_ref());
+        if let Some(caller) = caller {
+            fields.set(name, Bytes::from(caller.to_string()));
         }
-        Err(Failure::NotSent(reason)) => End::NotRun(reason),
-        Err(Failure::Sent(reason)) => End::Unknown(reason),
     }
+    if let Some(secret) = &call.target.secret {
+        fields.remove(&secret.header);
+        fields.push(
+            Bytes::copy_from_slice(secret.header.as_bytes()),
+            Bytes::copy_from_slice(secret.value.reveal().as_bytes()),
+        );
+    }
+    fields
 }
 
-/// Returns the headers for the backend server; the secret is among these alone.
-fn headers(node: &Node, errand: &Errand<'_>) -> HeaderMap {
-    let mut headers = errand.request.headers.clone();
-    let left = errand.deadline.since(node.clock.now()).get();
-    headers.insert(header::DEADLINE.clone(), HeaderValue::from(left));
-    let hops = errand.request.hops.saturating_add(1);
-    headers.insert(header::HOPS.clone(), HeaderValue::from(u16::from(hops)));
-    if let Some(secret) = &errand.target.secret
-        && let Ok(name) = HeaderName::from_bytes(secret.header.as_bytes())
-        && let Ok(mut value) = HeaderValue::from_str(secret.value.reveal())
-    {
-        value.set_sensitive(true);
-        headers.insert(name, value);
+/// Reads a short body to its end, so that its connection can be used again.
+async fn discard(mut body: Incoming) {
+    let reading = async { while let Ok(Some(_)) = body.next().await {} };
+    // What is not there yet is not worth waiting for: the connection is closed instead.
+    timeout(DISCARD_MAX, reading).await.ok();
+}
+
+/// What a response of a backend server is worth.
+enum Verdict {
+    /// It is the answer.
+    Answered,
+    /// The request has not run.
+    NotRun(Reason),
+    /// It may have run, and this is not its answer.
+    Unusable(&'static str),
+}
+
+/// Judges a response by what the dialect demands of one.
+fn judge(names: &Names, head: &Response, request: &Request) -> Verdict {
+    let Some(not_run) = names.not_run else {
+        return Verdict::Answered;
+    };
+    let says_not_run = head.fields.has(not_run);
+    match head.status {
+        421 => return Verdict::NotRun(Reason::Gone),
+        400 if says_not_run => return Verdict::NotRun(Reason::BadRequest),
+        _ if says_not_run => return Verdict::NotRun(Reason::Rejected),
+        // To a caller these would mean that the request has not run.
+        408 | 429 | 503 => return Verdict::Unusable("a refusal that does not say not run"),
+        _ => {}
+    }
+    if !(200..300).contains(&head.status) {
+        return Verdict::Answered;
+    }
+    let is_sealed = names.seal.is_none_or(|seal| head.fields.has(seal));
+    let is_echoed = names
+        .attempt
+        .is_none_or(|name| head.fields.get(name) == request.attempt.as_ref());
+    if !is_sealed || !is_echoed {
+        return Verdict::Unusable("a success without its seal or its id");
+    }
+    if head.fields.has("content-encoding") {
+        return Verdict::Unusable("an encoded body that nobody asked for");
     }
-    headers
+    Verdict::Answered
 }
--- a/crates/cicadagw-proxy/src/upkeep.rs
+++ b/crates/cicadagw-proxy/src/upkeep.rs
@@ -1,7 +1,6 @@
 //! What the duty does from time to time, and how it ends.
 
 use std::pin::pin;
-use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until, timeout, timeout_at};
@@ -18,11 +17,10 @@
 /// How long the last news may take to be sent.
 const LAST_NEWS: Duration = Duration::from_secs(1);
 
-/// Looks after the node until `token` is cancelled, then lets it drain and cancels `drained`.
-pub(crate) async fn run(node: Rc<Node>, token: CancellationToken, drained: CancellationToken) {
-    tend_until(&node, token.cancelled()).await;
-    drain(&node).await;
-    drained.cancel();
+/// Looks after the node until `token` is cancelled, and then lets it drain.
+pub(crate) async fn run(node: &Node, token: &CancellationToken) {
+    tend_until(node, token.cancelled()).await;
+    drain(node).await;
 }
 
 /// Looks after the node until `end`.
@@ -46,7 +44,7 @@
 
 fn tend(node: &Node) {
     node.expire();
-    node.check_watches();
+    node.peers.prune_idle();
     node.flush();
     node.publish();
 }
@@ -57,7 +55,9 @@
     node.stop();
     let limit = begin + node.timing.drain.into();
     let idle = async {
+        // Callers find another node first, and the news of the stop gets around.
         sleep_until(begin + node.linger.into()).await;
+        node.refuse();
         timeout_at(limit, node.idle()).await
     };
     if tend_until(node, idle).await.is_err() {
--- a/crates/cicadagw-unit/src/rate.rs
+++ b/crates/cicadagw-unit/src/rate.rs
@@ -17,6 +17,16 @@
     Permille(u16), "share", "permille"
 }
 
+number! {
+    /// The rank of a call; the lowest number goes first.
+    Priority(u8), "priority", ""
+}
+
+number! {
+    /// A share of the calls of a route, relative to the other parts.
+    Weight(u32), "weight", ""
+}
+
 impl Permille {
     /// The whole.
     pub const WHOLE: Self = Self(1_000);
