Refuse a call at arrival when it would miss its target latency

Ruled out: longer queues (the same calls served, all late). Change: a waiting call is judged by the work of its policy, the queue before it, its target and its rank; what cannot start in time is refused at once. Another attempt follows a slow one only if it can be paid for by then.

--- a/crates/cicadagw-call/src/admission.rs
+++ b/crates/cicadagw-call/src/admission.rs
@@ -36,12 +36,21 @@
     pub concurrency: Slots,
     /// How many calls wait.
     pub queue: Slots,
-    /// The rank among the calls that wait.
+    /// The rank of the call: the less urgent, the sooner it is refused.
     pub rank: Priority,
+    /// Until when an answer is worth most; as long as the deadline if there is none.
+    pub target: Option<Moment>,
 }
 
-/// Where a waiting call stands: by rank, then by deadline.
-type Key = (Priority, Moment, Ticket);
+/// A call that waits.
+#[derive(Clone, Debug)]
+struct Waiting {
+    deadline: Moment,
+    limit: Limit,
+}
+
+/// Where a waiting call stands: by the moment up to which its answer is worth most.
+type Key = (Moment, Ticket);
 
 /// What becomes of a call that arrives.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -68,21 +77,36 @@
     pub late: SmallVec<[Ticket; 2]>,
 }
 
-/// The calls of one backend server: those that run, and a short queue with the first rank first, and
-/// within a rank the earliest deadline.
+/// The calls of one backend server: those that run, and a short queue, in which the call goes first
+/// whose answer is worth most for the shortest time.
 #[derive(Clone, Debug)]
 pub struct Admission {
     slots: Slots,
     running: u32,
     running_by_policy: BTreeMap<id::Policy, u32>,
-    queue: BTreeMap<Key, Limit>,
+    queue: BTreeMap<Key, Waiting>,
+    /// How long a call takes, whatever its policy.
     typical: Span,
+    /// How long a call under each policy takes.
+    work: BTreeMap<id::Policy, Span>,
     last: Ticket,
 }
 
 /// The share of a new measurement in the typical time of a call: one in this many.
 const SMOOTHING: u64 = 8;
 
+/// How much of the time up to its target a call of each rank may spend waiting, in thousandths; the
+/// last one holds for all ranks beyond.
+const WAIT_SHARES: [u64; 3] = [1_000, 900, 600];
+
+/// The least time that a call may wait although its target is near or past: about what one more try
+/// at another node would take.
+const WAIT_MIN: Span = Span::new(40);
+
+/// How much of the typical work must fit before the deadline for a call to start, in thousandths:
+/// what runs into its deadline is work for nothing.
+const WORK_SHARE: u64 = 700;
+
 impl Admission {
     /// Creates the admission of a backend server that runs `slots` calls at once.
     pub const fn new(slots: Slots) -> Self {
@@ -92,6 +116,7 @@
             running_by_policy: BTreeMap::new(),
             queue: BTreeMap::new(),
             typical: Span::new(0),
+            work: BTreeMap::new(),
             last: Ticket(0),
         }
     }
@@ -123,12 +148,13 @@
     pub fn offer(&mut self, now: Moment, deadline: Moment, limit: Limit) -> (Ticket, Verdict) {
         self.last = Ticket(self.last.0 + 1);
         let ticket = self.last;
-        let verdict = self.judge(now, (limit.rank, deadline, ticket), &limit);
+        let key = (limit.target.unwrap_or(deadline), ticket);
+        let verdict = self.judge(now, key, deadline, &limit);
         match verdict {
             Verdict::Run => self.begin(limit.policy),
             Verdict::Wait { shed } => {
-                self.queue.retain(|key, _| Some(key.2) != shed);
-                self.queue.insert((limit.rank, deadline, ticket), limit);
+                self.queue.retain(|key, _| Some(key.1) != shed);
+                self.queue.insert(key, Waiting { deadline, limit });
             }
             Verdict::Shed | Verdict::Late => {}
         }
@@ -137,13 +163,9 @@
 
     /// Takes note that a running call of `policy` has ended after `spent`.
     pub fn finish(&mut self, now: Moment, policy: &id::Policy, spent: Span) -> Release {
-        let old = self.typical.get();
-        let sum = old * (SMOOTHING - 1) + spent.get();
-        self.typical = Span::new(if old == 0 {
-            spent.get()
-        } else {
-            sum / SMOOTHING
-        });
+        self.typical = smooth(self.typical, spent);
+        let work = self.work.entry(policy.clone()).or_default();
+        *work = smooth(*work, spent);
         self.abandon(now, policy)
     }
 
@@ -163,7 +185,7 @@
     /// Takes a call out that waits no longer; tells whether it did wait.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
         let held = self.queue.len();
-        self.queue.retain(|key, _| key.2 != ticket);
+        self.queue.retain(|key, _| key.1 != ticket);
         self.queue.len() < held
     }
 
@@ -171,32 +193,40 @@
     pub fn close(&mut self) -> Vec<Ticket> {
         std::mem::take(&mut self.queue)
             .into_keys()
-            .map(|(_, _, ticket)| ticket)
+            .map(|(_, ticket)| ticket)
             .collect()
     }
 
-    fn judge(&self, now: Moment, key: Key, limit: &Limit) -> Verdict {
-        let deadline = key.1;
+    fn judge(&self, now: Moment, key: Key, deadline: Moment, limit: &Limit) -> Verdict {
         if now >= deadline {
             return Verdict::Late;
         }
-        if self.has_room(limit) {
+        let room = self.has_room(limit);
+        let work = self.work(&limit.policy);
+        if self.typical.get() > 0 && now.after(share(work, WORK_SHARE)) >= deadline {
+            return Verdict::Shed;
+        }
+        if room && self.queue.is_empty() {
             return Verdict::Run;
         }
         let ahead = self.queue.range(..key).count();
-        if now.after(self.wait(ahead, limit)) >= deadline {
+        let wait = if room { Span::new(0) } else { self.wait(ahead, limit) };
+        if now.after(wait).after(work) >= deadline || wait > patience(now, work, limit) {
             return Verdict::Shed;
         }
+        if room {
+            return Verdict::Run;
+        }
         let mut rivals = self
             .queue
             .iter()
-            .filter(|(_, held)| held.policy == limit.policy);
+            .filter(|(_, held)| held.limit.policy == limit.policy);
         if rivals.clone().count() < limit.queue.get() as usize {
             return Verdict::Wait { shed: None };
         }
         match rivals.next_back() {
             Some((latest, _)) if *latest > key => Verdict::Wait {
-                shed: Some(latest.2),
+                shed: Some(latest.1),
             },
             _ => Verdict::Shed,
         }
@@ -210,15 +240,14 @@
     /// Starts what may start, earliest deadline first, and refuses what can no longer be in time.
     fn advance(&mut self, now: Moment) -> Release {
         let mut release = Release::default();
-        for (key, limit) in std::mem::take(&mut self.queue) {
-            let (_, deadline, ticket) = key;
-            if deadline <= now {
-                release.late.push(ticket);
-            } else if self.has_room(&limit) {
-                self.begin(limit.policy);
-                release.run.push(ticket);
+        for (key, waiting) in std::mem::take(&mut self.queue) {
+            if waiting.deadline <= now.after(self.least_work(&waiting.limit.policy)) {
+                release.late.push(key.1);
+            } else if self.has_room(&waiting.limit) {
+                self.begin(waiting.limit.policy);
+                release.run.push(key.1);
             } else {
-                self.queue.insert(key, limit);
+                self.queue.insert(key, waiting);
             }
         }
         release
@@ -230,10 +259,42 @@
             && of_policy.is_none_or(|count| *count < limit.concurrency.get())
     }
 
-    /// Returns how long a call with `ahead` calls before it waits and runs, as far as is known.
+    /// Returns how long a call with `ahead` calls before it waits, as far as is known: a place is free
+    /// each time that one of those that run ends.
     fn wait(&self, ahead: usize, limit: &Limit) -> Span {
         let room = self.slots.get().min(limit.concurrency.get()).max(1);
-        let rounds = (ahead as u64 + 1).div_ceil(u64::from(room));
-        self.typical.times(rounds)
+        let ends = ahead as u64 + 1;
+        Span::new(self.typical.get() * ends / u64::from(room))
+    }
+
+    /// Returns how long a call under `policy` runs, as far as is known.
+    fn work(&self, policy: &id::Policy) -> Span {
+        self.work.get(policy).copied().unwrap_or(self.typical)
+    }
+
+    /// Returns how much time must be left for a call under `policy` to start.
+    fn least_work(&self, policy: &id::Policy) -> Span {
+        share(self.work(policy), WORK_SHARE)
+    }
+}
+
+/// Returns how long a call may wait that then works for `work`.
+fn patience(now: Moment, work: Span, limit: &Limit) -> Span {
+    let Some(target) = limit.target else {
+        return Span::new(u64::MAX);
+    };
+    let spare = target.since(now).get().saturating_sub(work.get());
+    let rank = usize::from(limit.rank.get()).min(WAIT_SHARES.len() - 1);
+    share(Span::new(spare), WAIT_SHARES[rank]).max(WAIT_MIN)
+}
+
+fn share(span: Span, thousandths: u64) -> Span {
+    Span::new(span.get() * thousandths / 1_000)
+}
+
+fn smooth(old: Span, new: Span) -> Span {
+    if old.get() == 0 {
+        return new;
     }
+    Span::new((old.get() * (SMOOTHING - 1) + new.get()) / SMOOTHING)
 }
--- a/crates/cicadagw-call/tests/admission.rs
+++ b/crates/cicadagw-call/tests/admission.rs
@@ -23,6 +23,7 @@
         concurrency: Slots::new(10),
         queue: Slots::new(QUEUE),
         rank: Priority::default(),
+        target: None,
     }
 }
 
@@ -104,6 +105,7 @@
         concurrency: Slots::new(1),
         queue: Slots::new(0),
         rank: Priority::default(),
+        target: None,
     };
     let (_, first) = admission.offer(at(0), at(900), narrow());
 
--- a/crates/cicadagw-proxy/src/header.rs
+++ b/crates/cicadagw-proxy/src/header.rs
@@ -5,6 +5,8 @@
 
 /// How many milliseconds are left for the call.
 pub(crate) const DEADLINE: &str = "x-cicadagw-deadline-ms";
+/// How many milliseconds are left until the answer is worth less.
+pub(crate) const TARGET: &str = "x-cicadagw-target-ms";
 /// How many hops from node to node the call has made.
 pub(crate) const HOPS: &str = "x-cicadagw-hops";
 /// Which endpoint is meant.
--- a/crates/cicadagw-proxy/src/relay.rs
+++ b/crates/cicadagw-proxy/src/relay.rs
@@ -1,6 +1,7 @@
 //! The attempts of a call, from its own node to the nodes of the chosen endpoints.
 
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -170,15 +171,17 @@
         };
         self.sends += 1;
         let visit = self.node.peers.visit(&record);
-        let Outcome { end, load, work } = match self.patience(attempt) {
-            Some(patience) => {
-                let trying = self.attempt(&record, attempt);
-                match timeout(patience.into(), trying).await {
+        let Outcome { end, load, work } = {
+            let mut trying = pin!(self.attempt(&record, attempt));
+            match self.patience(attempt) {
+                Some(patience) => match timeout(patience.into(), &mut trying).await {
                     Ok(outcome) => outcome,
-                    Err(_) => Outcome::of(End::Unknown(Reason::Lost)),
-                }
+                    Err(_) if self.can_follow(attempt) => Outcome::of(End::Unknown(Reason::Lost)),
+                    // Nobody else can be asked by now, so this one may still answer.
+                    Err(_) => trying.await,
+                },
+                None => trying.await,
             }
-            None => self.attempt(&record, attempt).await,
         };
         let end = self.settled(end).await;
         let (event, signal) = read(&end);
@@ -215,22 +218,27 @@
 
     /// Returns how long an attempt may take if another one can follow it.
     fn patience(&self, attempt: &Attempt) -> Option<Span> {
-        let target = self.call.target;
-        let service = &target.cluster.service;
-        let peers = &self.node.peers;
-        let can_follow = attempt.may_repeat()
-            && self.call.upload.is_replayable()
-            && peers.is_funded(service)
-            && peers.has_other(service, &self.tried);
-        if !can_follow {
+        if !self.can_follow(attempt) {
             return None;
         }
-        let typical = peers.typical(service, &target.policy_name)?;
+        let target = self.call.target;
+        let service = &target.cluster.service;
+        let typical = self.node.peers.typical(service, &target.policy_name)?;
         let patience = PATIENCE_MIN.get() + typical.get() * PATIENCE;
         let left = self.call.deadline.since(self.node.clock.now());
         (patience + typical.get() < left.get()).then(|| Span::new(patience))
     }
 
+    /// Tells whether another attempt can follow the one under way.
+    fn can_follow(&self, attempt: &Attempt) -> bool {
+        let service = &self.call.target.cluster.service;
+        let peers = &self.node.peers;
+        attempt.may_repeat()
+            && self.call.upload.is_replayable()
+            && peers.is_funded(service)
+            && peers.has_other(service, &self.tried)
+    }
+
     async fn attempt(&self, record: &Record, attempt: &Attempt) -> Outcome {
         if self.node.peers.is_here(record) {
             target::attempt(self.node, self.call, &record.endpoint).await
@@ -253,13 +261,13 @@
         };
         let fields = self.fields(record);
         let exchanging = exchange(&destination, call.request, &fields, call.upload);
-        let mut exchanging = std::pin::pin!(exchanging);
+        let mut exchanging = pin!(exchanging);
         let answer = tokio::select! {
             answer = &mut exchanging => answer,
             () = sleep(SILENCE_MAX) => {
                 if !heard.get() {
                     self.note_silence(record);
-                    if attempt.may_repeat() {
+                    if self.can_follow(attempt) {
                         return Outcome::of(End::Unknown(Reason::Lost));
                     }
                 }
@@ -306,6 +314,10 @@
         let given = left - HOP_MARGIN.get().min(left / 4);
         let hops = call.request.hops.saturating_add(1);
         set(&mut fields, header::DEADLINE, &given);
+        if let Some(target) = call.target_time() {
+            let left = target.since(self.node.clock.now()).get();
+            set(&mut fields, header::TARGET, &left);
+        }
         set(&mut fields, header::HOPS, &hops);
         set(&mut fields, header::ENDPOINT, &record.endpoint);
         set(&mut fields, header::CLUSTER, &call.target.name);
--- a/crates/cicadagw-proxy/src/request.rs
+++ b/crates/cicadagw-proxy/src/request.rs
@@ -33,6 +33,8 @@
     pub(crate) hops: u8,
     /// How long the caller waits, when it says so.
     pub(crate) left: Option<Span>,
+    /// How long its answer is worth most, as its first node says.
+    pub(crate) target_left: Option<Span>,
     /// When it arrived.
     pub(crate) arrival: Moment,
     /// What the node before has decided.
@@ -90,6 +92,7 @@
             host: host(fields),
             hops: hops.unwrap_or(0),
             left: parsed(fields, deadline)?.map(Span::new),
+            target_left: parsed(fields, header::TARGET)?.map(Span::new),
             arrival,
             via: match is_from_node {
                 true => Some(via(fields)?),
--- a/crates/cicadagw-proxy/src/target.rs
+++ b/crates/cicadagw-proxy/src/target.rs
@@ -78,6 +78,7 @@
         concurrency: policy.concurrency,
         queue: policy.queue,
         rank: policy.priority,
+        target: call.target_time(),
     };
     let entering = gate.enter(call.deadline, limit);
     match call.request.wait(entering).await {
@@ -150,6 +151,16 @@
 }
 
 impl Call<'_> {
+    /// Returns until when the answer is worth most.
+    pub(crate) fn target_time(&self) -> Option<Moment> {
+        let request = self.request;
+        let latency = match request.via {
+            Some(_) => request.target_left,
+            None => self.target.policy.target_latency,
+        };
+        latency.map(|latency| request.arrival.after(latency))
+    }
+
     /// Tells whether the call may run more than once.
     pub(crate) fn may_repeat(&self) -> bool {
         let method = std::str::from_utf8(&self.request.method).unwrap_or_default();
