Make a second attempt beside a slow one, not in its place

Ruled out: no second attempts at all (a silent node would hold its calls to their deadline). Change: relay keeps the attempts of a call side by side (trial.rs), and the first answer counts; silence of a node and unusual slowness start one more attempt if the budget pays for it.

--- a/crates/cicadagw-call/src/attempt.rs
+++ b/crates/cicadagw-call/src/attempt.rs
@@ -145,6 +145,11 @@
         self.idempotent && self.left > 0
     }
 
+    /// Takes note of an attempt that is made beside the one under way.
+    pub const fn count_beside(&mut self) {
+        self.left = self.left.saturating_sub(1);
+    }
+
     /// Takes `event` in and returns what is to be done.
     pub fn step(&mut self, event: Event, facts: Facts) -> &'static [Action] {
         let step = chart().step(self.state, event, |guard| self.holds(guard, facts));
--- a/crates/cicadagw-call/src/choice.rs
+++ b/crates/cicadagw-call/src/choice.rs
@@ -249,12 +249,6 @@
         }
     }
 
-    /// Tells whether there is an endpoint that is none of `tried`.
-    pub fn has_other(&self, tried: &[id::Endpoint]) -> bool {
-        let is_other = |member: &Member| !tried.contains(&member.record.endpoint);
-        self.members.iter().any(is_other)
-    }
-
     /// Returns how long a call under `policy` takes, as far as is known.
     pub fn typical(&self, policy: &id::Policy) -> Option<Span> {
         let kind = self.kinds.get(policy)?;
--- a/crates/cicadagw-proxy/src/lib.rs
+++ b/crates/cicadagw-proxy/src/lib.rs
@@ -22,6 +22,7 @@
 mod setup;
 pub mod stats;
 mod target;
+mod trial;
 mod upkeep;
 mod upload;
 
--- a/crates/cicadagw-proxy/src/peers.rs
+++ b/crates/cicadagw-proxy/src/peers.rs
@@ -180,14 +180,6 @@
         self.services.borrow().get(service)?.set.typical(policy)
     }
 
-    /// Tells whether a service has an endpoint that is none of `tried`.
-    pub(crate) fn has_other(&self, service: &id::Service, tried: &[id::Endpoint]) -> bool {
-        let services = self.services.borrow();
-        services
-            .get(service)
-            .is_some_and(|service| service.set.has_other(tried))
-    }
-
     /// Takes note of how long the backend server behind `record` worked on a call.
     pub(crate) fn measure(
         &self,
