Retry a failed answer only where another endpoint seldom fails

Change: a failure is tried again only if an endpoint that was not tried fails in less than a fifth of its calls. The calls duty ends a second before the platform's grace is over.

--- a/crates/cicadagw-call/src/admission.rs
+++ b/crates/cicadagw-call/src/admission.rs
@@ -210,7 +210,11 @@
             return Verdict::Run;
         }
         let ahead = self.queue.range(..key).count();
-        let wait = if room { Span::new(0) } else { self.wait(ahead, limit) };
+        let wait = if room {
+            Span::new(0)
+        } else {
+            self.wait(ahead, limit)
+        };
         if now.after(wait).after(work) >= deadline || wait > patience(now, work, limit) {
             return Verdict::Shed;
         }
--- a/crates/cicadagw-call/src/choice.rs
+++ b/crates/cicadagw-call/src/choice.rs
@@ -75,6 +75,9 @@
 /// After which time half of what an endpoint was slower or faster than others is forgotten.
 const PACE_HALF_LIFE: Span = Span::seconds(4);
 
+/// The share of failures, in thousandths, below which an endpoint counts as sound.
+const FAILING_SOUND: u64 = 200;
+
 /// How many endpoints of a tier are compared: a random few, so that nodes with the same news do not
 /// all take the same one.
 const SAMPLE: usize = 4;
@@ -249,6 +252,14 @@
         }
     }
 
+    /// Tells whether there is an endpoint, none of `tried`, that seldom fails.
+    pub fn has_sound(&self, now: Moment, tried: &[id::Endpoint]) -> bool {
+        self.members.iter().any(|member| {
+            let is_sound = member.failing.get(now) < FAILING_SOUND;
+            is_sound && member.is_reachable(now) && !tried.contains(&member.record.endpoint)
+        })
+    }
+
     /// Returns how long a call under `policy` takes, as far as is known.
     pub fn typical(&self, policy: &id::Policy) -> Option<Span> {
         let kind = self.kinds.get(policy)?;
--- a/crates/cicadagw-node/src/peering/node.rs
+++ b/crates/cicadagw-node/src/peering/node.rs
@@ -26,7 +26,7 @@
 const LINGER: Span = Span::new(2_800);
 
 /// What is left of the time for draining when the calls duty ends, for the end of the process.
-const END_MARGIN: Span = Span::new(600);
+const END_MARGIN: Span = Span::new(1_100);
 
 /// Runs a node until `stop` is cancelled, and then lets it leave gracefully.
 ///
--- a/crates/cicadagw-proxy/src/peers.rs
+++ b/crates/cicadagw-proxy/src/peers.rs
@@ -180,6 +180,19 @@
         self.services.borrow().get(service)?.set.typical(policy)
     }
 
+    /// Tells whether a service has an endpoint, none of `tried`, that seldom fails.
+    pub(crate) fn has_sound(
+        &self,
+        now: Moment,
+        service: &id::Service,
+        tried: &[id::Endpoint],
+    ) -> bool {
+        let services = self.services.borrow();
+        services
+            .get(service)
+            .is_some_and(|service| service.set.has_sound(now, tried))
+    }
+
     /// Takes note of how long the backend server behind `record` worked on a call.
     pub(crate) fn measure(
         &self,
--- a/crates/cicadagw-proxy/src/relay.rs
+++ b/crates/cicadagw-proxy/src/relay.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cicadagw_call::Reason;
 use cicadagw_call::attempt::{Action, Attempt, Event, Facts};
 use cicadagw_call::choice::Signal;
-use cicadagw_call::Reason;
 use cicadagw_endpoint::Record;
 use cicadagw_unit::id;
 use cicadagw_unit::size::Bytes;
@@ -63,7 +63,7 @@
         loop {
             let facts = Facts {
                 replayable: self.call.upload.is_replayable(),
-                funded: peers.is_funded(service) && self.is_worthwhile(),
+                funded: peers.is_funded(service) && self.is_worthwhile() && self.may_help(event),
             };
             let actions = attempt.step(event, facts);
             if actions.is_empty() {
@@ -115,6 +115,14 @@
         self.typical().is_none_or(|typical| left > typical)
     }
 
+    /// Tells whether another endpoint may do better after `event`. Where most answers are failures,
+    /// the cause lies behind all endpoints, and a retry only repeats the calls that they make.
+    fn may_help(&self, event: Event) -> bool {
+        let now = self.node.clock.now();
+        let service = &self.call.target.cluster.service;
+        event != Event::Failed || self.node.peers.has_sound(now, service, &self.tried)
+    }
+
     /// Chooses an endpoint among those that take work now.
     fn choose(&mut self) -> Event {
         let now = self.node.clock.now();
@@ -141,13 +149,9 @@
     fn pick(&self, now: Moment, plan: &Plan, tried: &[id::Endpoint]) -> Option<Record> {
         let target = self.call.target;
         let endpoints = (plan.epoch, &*plan.endpoints);
-        self.node.peers.choose(
-            now,
-            &target.cluster,
-            endpoints,
-            tried,
-            &target.policy_name,
-        )
+        self.node
+            .peers
+            .choose(now, &target.cluster, endpoints, tried, &target.policy_name)
     }
 
     /// Makes an attempt at the chosen endpoint. If it takes unusually long, and the call may run more
