--- a/crates/cicadagw-call/src/attempt.rs
+++ b/crates/cicadagw-call/src/attempt.rs
@@ -87,7 +87,7 @@
 pub const MOVES_MAX: u8 = 16;
 
 /// How many moves it costs that a target has no room: loads are known, so a few tries tell.
-const FULL_COST: u8 = 4;
+const FULL_COST: u8 = 8;
 
 /// The chart of a call.
 pub type Chart = cicadagw_chart::Chart<State, Event, Guard, Action>;
--- a/crates/cicadagw-call/src/choice.rs
+++ b/crates/cicadagw-call/src/choice.rs
@@ -47,6 +47,10 @@
 /// links between failure domains are billed, those between regions are billed four times as high.
 const KIB_US: [u64; TIERS] = [0, 0, 2_500, 10_000];
 
+/// How large answers may be that come from another region while the own one has an endpoint, in bytes:
+/// a few larger ones fill the link between regions for everyone.
+const FAR_BYTES_MAX: u64 = 48 << 10;
+
 /// How much a full endpoint adds to a call by its load alone, in microseconds. It grows with the
 /// square of the load, as backend servers slow down when they are nearly full.
 const BUSY_US: u64 = 20_000;
@@ -220,6 +224,9 @@
             tiers = self.usable(tried, |_| true);
         }
         let kind = self.kinds.get(policy).copied().unwrap_or_default();
+        if kind.bytes >= FAR_BYTES_MAX && self.has_near(now) {
+            tiers[TIERS - 1].clear();
+        }
         let candidates = tiers.iter().enumerate().flat_map(|(tier, members)| {
             let sampled = sample(members, rng);
             sampled.into_iter().map(move |member| (tier, member))
@@ -344,6 +351,13 @@
         })
     }
 
+    /// Tells whether an endpoint of the own region can be reached, be it busy or not.
+    fn has_near(&self, now: Moment) -> bool {
+        let near = self.tiers[..TIERS - 1].iter().flatten();
+        near.map(|&index| &self.members[index])
+            .any(|member| member.is_reachable(now) && member.is_healthy(now))
+    }
+
     fn panics(&self, now: Moment, threshold: Permille) -> bool {
         let healthy = self.members.iter().filter(|member| member.is_healthy(now));
         // Multiplied out, since a rounded share of a small set would be too few.
