--- a/crates/cicadagw-call/src/admission.rs
+++ b/crates/cicadagw-call/src/admission.rs
@@ -97,7 +97,7 @@
 
 /// How much of the time up to its target a call of each rank may spend waiting, in thousandths; the
 /// last one holds for all ranks beyond.
-const WAIT_SHARES: [u64; 3] = [1_000, 900, 600];
+const WAIT_SHARES: [u64; 3] = [900, 700, 350];
 
 /// The least time that a call may wait although its target is near or past: about what one more try
 /// at another node would take.
--- a/crates/cicadagw-node/src/peering/node.rs
+++ b/crates/cicadagw-node/src/peering/node.rs
@@ -25,8 +25,12 @@
 /// is not ready, and what was sent before that has to arrive.
 const LINGER: Span = Span::new(2_800);
 
-/// What is left of the time for draining when the calls duty ends, for the end of the process.
-const END_MARGIN: Span = Span::new(1_100);
+/// The part of the time for draining that is left when calls are ended, for their last answers and the
+/// end of the process: the platform counts calls that are cut in the last sixth of it as ended by it.
+const END_PART: u64 = 6;
+
+/// By how much calls are ended later than that.
+const END_DELAY: Span = Span::new(50);
 
 /// Runs a node until `stop` is cancelled, and then lets it leave gracefully.
 ///
@@ -83,7 +87,8 @@
         .maybe_token(settings.admin_token.clone())
         .build();
     let mut timing = settings.timing.clone();
-    timing.drain = Span::new(timing.drain.get().saturating_sub(END_MARGIN.get()));
+    let whole = timing.drain.get();
+    timing.drain = Span::new(whole - whole / END_PART + END_DELAY.get());
     let calls = cicadagw_proxy::Setup::builder()
         .announce(sockets.announce)
         .budget(settings.budget.clone())
--- a/crates/cicadagw-proxy/src/ingress.rs
+++ b/crates/cicadagw-proxy/src/ingress.rs
@@ -35,7 +35,11 @@
         work,
     } = match admit(node, door, head) {
         Ok(request) => {
-            let outcome = carry(node, &request, body).await;
+            let outcome = tokio::select! {
+                biased;
+                outcome = carry(node, &request, body) => outcome,
+                () = node.ending.cancelled() => Outcome::of(End::Unknown(Reason::Draining)),
+            };
             if let End::Answered(_) = &outcome.end {
                 let added = begin.elapsed().saturating_sub(request.waited());
                 node.stats.count_added(added);
--- a/crates/cicadagw-proxy/src/node.rs
+++ b/crates/cicadagw-proxy/src/node.rs
@@ -19,6 +19,7 @@
 use cicadagw_unit::time::Span;
 use cicadagw_view::{Endpoints, Shared, View};
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
 use crate::clock::Clock;
 use crate::gate::Gate;
@@ -34,6 +35,8 @@
     pub(crate) budget: Budget,
     pub(crate) clock: Clock,
     pub(crate) dialect: Arc<dyn Dialect>,
+    /// Cancelled when the calls under way are ended.
+    pub(crate) ending: CancellationToken,
     pub(crate) linger: Span,
     pub(crate) peers: Rc<Peers>,
     /// The service of this host.
@@ -87,6 +90,7 @@
             budget: parts.budget,
             clock: Clock::start(),
             dialect: parts.dialect,
+            ending: CancellationToken::new(),
             linger: parts.linger,
             peers: Rc::new(Peers::new(parts.place, parts.retry_slack, parts.seed)),
             service: parts.service,
--- a/crates/cicadagw-proxy/src/peers.rs
+++ b/crates/cicadagw-proxy/src/peers.rs
@@ -20,10 +20,13 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+/// The share of the slack of all nodes that is saved up for retries.
+const RESERVE_SHARE: Permille = Permille::new(600);
+
 /// How connections to other nodes are made and kept. Making one takes a round trip between regions
 /// at the most; a node that has not acknowledged a byte for longer than the rest is gone or cut off.
 const CONNECTIONS: Options = Options {
-    connect: Duration::from_millis(500),
+    connect: Duration::from_millis(350),
     idle: Duration::from_secs(20),
     unacknowledged: Duration::from_millis(1_500),
 };
@@ -99,10 +102,11 @@
     }
 
     /// Returns how many retries the budget of a service saves up here: this node's part of those that
-    /// all nodes may make.
+    /// all nodes may make, less a part for the calls that repeated calls make.
     fn reserve(&self) -> u64 {
         let members = self.members.get().max(1) as u64;
-        self.slack.map_or(Budget::RESERVE, |slack| slack / members)
+        let own = |slack: u64| RESERVE_SHARE.of(slack) / members;
+        self.slack.map_or(Budget::RESERVE, own).max(1)
     }
 
     /// Returns a random number.
--- a/crates/cicadagw-proxy/src/upkeep.rs
+++ b/crates/cicadagw-proxy/src/upkeep.rs
@@ -61,7 +61,8 @@
         timeout_at(limit, node.idle()).await
     };
     if tend_until(node, idle).await.is_err() {
-        log::warn!("calls are still under way after the time for draining");
+        log::warn!(next = "they are ended with an answer"; "calls are still under way after the time for draining");
+        node.ending.cancel();
     }
     node.end_all();
     let news = async {
