--- a/crates/cicadagw-call/src/route.rs
+++ b/crates/cicadagw-call/src/route.rs
@@ -1,5 +1,6 @@
 //! Which route a call takes.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
@@ -45,8 +46,14 @@
     route: Route,
     /// Where the calls go, and the sum of the weights up to each.
     targets: SmallVec<[(u64, Arc<Target>); 1]>,
+    /// Where the next call falls within the whole, in parts of 2^64; none before the first call.
+    turn: Cell<Option<u64>>,
 }
 
+/// By how much the turn of a split moves on with each call: the golden ratio, in parts of 2^64, by
+/// which any number of calls in a row is spread evenly.
+const TURN: u64 = 0x9E37_79B9_7F4A_7C15;
+
 /// Where the calls of a route go, and how they are treated.
 #[derive(Debug)]
 pub struct Target {
@@ -109,8 +116,8 @@
 
     /// Returns the target for a call: longest prefix first, then most conditions, then first name.
     ///
-    /// `has_header` tells whether the request has a header with a value; `draw` is a random number
-    /// that picks the part where a route is split.
+    /// `has_header` tells whether the request has a header with a value. Where a route is split, its
+    /// calls go to its parts in turn, by their weights; `draw` is a random number at which they begin.
     pub fn find(
         &self,
         line: Line<'_>,
@@ -236,6 +243,7 @@
             name: name.clone(),
             route: route.clone(),
             targets,
+            turn: Cell::new(None),
         });
         entries.sort_by(|left, right| left.rank().cmp(&right.rank()));
         self.longest_prefix = self.longest_prefix.max(route.prefix.len());
@@ -253,11 +261,16 @@
 }
 
 impl Entry {
-    /// Returns the part that `draw` falls on.
+    /// Returns the part whose turn it is; the first turn is at `draw`.
     fn pick(&self, draw: u64) -> Option<&Arc<Target>> {
         let (sum, _) = self.targets.last()?;
-        let point = draw % sum;
-        let picked = self.targets.iter().find(|(below, _)| point < *below);
+        let turn = self.turn.get().unwrap_or(draw);
+        self.turn.set(Some(turn.wrapping_add(TURN)));
+        let point = (u128::from(turn) * u128::from(*sum)) >> 64;
+        let picked = self
+            .targets
+            .iter()
+            .find(|(below, _)| point < u128::from(*below));
         picked.map(|(_, target)| target)
     }
 
--- /dev/null
+++ b/crates/cicadagw-http/tests/support/mod.rs
@@ -0,0 +1,193 @@
+//! A service that answers as the path says, and raw connections.
+
+#![allow(
+    dead_code,
+    unreachable_pub,
+    reason = "each test file uses a part of these modules"
+)]
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cicadagw_http::server::{Limits, Refusal, Reply, Service, serve};
+use cicadagw_http::{Body, Request};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::LocalSet;
+use tokio_util::sync::CancellationToken;
+
+/// Runs `test` on one thread with its tasks, as a duty does.
+pub async fn local<T>(test: impl Future<Output = T>) -> T {
+    LocalSet::new().run_until(test).await
+}
+
+/// A service that answers `/hold/NAME` once NAME is let, and everything else with its path and body.
+pub struct Script {
+    pub limits: Cell<Limits>,
+    pub is_leaving: Cell<bool>,
+    pub confirms_after: Cell<Option<Duration>>,
+    /// Requests that were dropped before they were answered.
+    pub dropped: Rc<Cell<usize>>,
+    pub began: Notify,
+    gates: RefCell<BTreeMap<String, Rc<Notify>>>,
+}
+
+/// Counts a request that is dropped before it is answered.
+struct Guard {
+    dropped: Rc<Cell<usize>>,
+    is_answered: bool,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            self.dropped.set(self.dropped.get() + 1);
+        }
+    }
+}
+
+impl Script {
+    pub fn new() -> Rc<Self> {
+        Rc::new(Self {
+            limits: Cell::new(Limits {
+                body: 1 << 20,
+                head: 8 << 10,
+                head_time: Duration::from_secs(5),
+                idle: Duration::from_secs(5),
+            }),
+            is_leaving: Cell::default(),
+            confirms_after: Cell::default(),
+            dropped: Rc::default(),
+            began: Notify::new(),
+            gates: RefCell::default(),
+        })
+    }
+
+    /// Serves on a free port.
+    pub async fn start(self: &Rc<Self>) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::task::spawn_local(serve(listener, self.clone(), CancellationToken::new()));
+        address
+    }
+
+    pub fn let_go(&self, name: &str) {
+        self.gate(name).notify_one();
+    }
+
+    fn gate(&self, name: &str) -> Rc<Notify> {
+        let mut gates = self.gates.borrow_mut();
+        gates.entry(name.to_owned()).or_default().clone()
+    }
+}
+
+impl Service for Script {
+    fn limits(&self) -> Limits {
+        self.limits.get()
+    }
+
+    async fn handle(self: Rc<Self>, head: Request, body: Body) -> Reply {
+        let mut guard = Guard {
+            dropped: self.dropped.clone(),
+            is_answered: false,
+        };
+        self.began.notify_one();
+        let path = String::from_utf8(head.target.to_vec()).unwrap();
+        if let Some(name) = path.strip_prefix("/hold/") {
+            self.gate(name).notified().await;
+        }
+        let mut reply = Reply::new(200);
+        if path == "/unread" {
+            reply.status = 413;
+        } else {
+            let mut text = path.into_bytes();
+            text.push(b' ');
+            text.extend(collect(body).await);
+            reply.body = Body::Whole(text.into());
+        }
+        guard.is_answered = true;
+        reply
+    }
+
+    fn refuse(&self, refusal: Refusal) -> Reply {
+        Reply::new(match refusal {
+            Refusal::Malformed => 400,
+            Refusal::HeadTooLarge => 431,
+            Refusal::TooSlow => 408,
+        })
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.is_leaving.get()
+    }
+
+    fn confirms_after(&self) -> Option<Duration> {
+        self.confirms_after.get()
+    }
+}
+
+async fn collect(body: Body) -> Vec<u8> {
+    match body {
+        Body::Empty => Vec::new(),
+        Body::Whole(bytes) => bytes.to_vec(),
+        Body::Parts { mut parts, .. } => {
+            let mut whole = Vec::new();
+            while let Some(part) = parts.next().await.unwrap() {
+                whole.extend_from_slice(&part);
+            }
+            whole
+        }
+    }
+}
+
+/// Sends `bytes` and returns everything that comes until the connection ends.
+pub async fn talk(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(bytes).await.unwrap();
+    rest(&mut stream).await
+}
+
+/// Returns everything that comes until the connection ends.
+pub async fn rest(stream: &mut TcpStream) -> String {
+    let mut all = Vec::new();
+    stream.read_to_end(&mut all).await.unwrap();
+    String::from_utf8_lossy(&all).into_owned()
+}
+
+/// A server that reads one request head and writes `answer`, again and again, then closes or stays.
+pub async fn answering(answers: Vec<Vec<u8>>, stays: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::task::spawn_local(async move {
+        let mut answers = answers.into_iter();
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            for answer in answers.by_ref() {
+                if !read_head(&mut stream).await {
+                    break;
+                }
+                stream.write_all(&answer).await.unwrap();
+                if !stays {
+                    break;
+                }
+            }
+        }
+    });
+    address
+}
+
+async fn read_head(stream: &mut TcpStream) -> bool {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte).await {
+            Ok(1) => head.push(byte[0]),
+            _ => return false,
+        }
+    }
+    true
+}
