Let three nodes of a region follow the store and tell the others

Ruled out: one follower with a lease (its loss or a store that turns it away is found out late), fewer calls by a longer rest (the bound of 2.5 s). Change: the first three nodes of a region, one of each failure domain first, follow and say so; a node that does not hear three before it follows too, as does one that has no configuration after 1.2 s. A new version goes on from node to node, three at a time. Lists may be stale.

--- a/crates/cicadagw-gossip/src/core.rs
+++ b/crates/cicadagw-gossip/src/core.rs
@@ -14,6 +14,7 @@
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 
+use crate::followers::{self, Followers};
 use crate::message::{MEMBERS_MAX, STAMPS_MAX};
 use crate::outbound::Outbound;
 use crate::register::{Register, Step};
@@ -32,8 +33,8 @@
 /// The least time between two fetches of a configuration from other nodes.
 const FETCH_EVERY: Span = Span::new(200);
 
-/// After which time without an answer a fetch counts as lost.
-const FETCH_MAX: Span = Span::seconds(2);
+/// After which time without an answer a fetch counts as lost, and another node may be asked.
+const FETCH_MAX: Span = Span::new(500);
 
 /// What a node is set up with.
 #[derive(Builder, Clone, Debug)]
@@ -62,8 +63,11 @@
     digest_due: Moment,
     effects: Vec<Effect>,
     endpoints: Arc<Endpoints>,
+    beacon_due: Moment,
     fetch_due: Moment,
     fetch_until: Option<Moment>,
+    followers: Followers,
+    is_follower: bool,
     is_platform_away: bool,
     outbound: Outbound,
     own: Member,
@@ -94,7 +98,10 @@
             effects: Vec::new(),
             endpoints: Arc::default(),
             fetch_due: Moment::default(),
+            beacon_due: Moment::default(),
             fetch_until: None,
+            followers: Followers::new(Moment::default()),
+            is_follower: false,
             is_platform_away: false,
             outbound: Outbound::default(),
             own,
@@ -134,17 +141,22 @@
     }
 
     fn tick(&mut self, now: Moment) {
-        if let Some(call) = self.source.tick(now, &mut self.rng) {
+        let is_empty = self.snapshot.is_none();
+        self.is_follower = self
+            .followers
+            .includes(now, &self.table, &self.own, is_empty);
+        if self.is_follower
+            && let Some(call) = self.source.tick(now, &mut self.rng)
+        {
             self.effects.push(Effect::Call(call));
         }
+        self.beacon(now);
         match self.register.tick(now) {
             Some(Step::Write { create }) => self.effects.push(Effect::Call(Call::Register {
                 member: Box::new(self.own.clone()),
                 create,
             })),
-            Some(Step::List { stale }) => {
-                self.effects.push(Effect::Call(Call::Members { stale }));
-            }
+            Some(Step::List) => self.effects.push(Effect::Call(Call::Members)),
             None => {}
         }
         self.push(now);
@@ -162,6 +174,24 @@
         }
     }
 
+    /// Says to every node of the region that this one follows, if it does.
+    fn beacon(&mut self, now: Moment) {
+        if now < self.beacon_due || !self.is_follower || !self.source.is_following() {
+            return;
+        }
+        let others: Vec<SocketAddr> = self
+            .table
+            .iter()
+            .filter(|member| member.region == self.own.region && member.node != self.own.node)
+            .map(|member| member.gossip)
+            .collect();
+        self.beacon_due = now.after(followers::beacon_period(others.len()));
+        for other in others {
+            let digest = self.digest();
+            self.effects.push(Effect::Send(other, digest));
+        }
+    }
+
     fn local(&mut self, now: Moment, local: &Local) {
         let held = self.own.backend.as_ref();
         let is_held = held.is_some_and(|backend| backend.endpoint == local.endpoint);
@@ -201,8 +231,12 @@
             Message::Digest {
                 from,
                 digest,
+                follows,
                 version,
-            } => self.digested(now, &from, digest, version),
+            } => {
+                self.followers.hear(now, &from, follows);
+                self.digested(now, &from, digest, version);
+            }
             Message::Have {
                 from,
                 after,
@@ -359,9 +393,11 @@
             }
             Reply::Members(outcome) => {
                 let is_answered = outcome.is_ok();
-                self.register.listed(now, is_answered, &mut self.rng);
                 self.note_platform(&outcome);
                 self.listed(now, outcome.unwrap_or_else(|_| Vec::new()));
+                let others = self.table.iter().count() - 1;
+                self.register
+                    .listed(now, is_answered, others, &mut self.rng);
             }
             Reply::Configuration(outcome) => self.configuration(now, outcome),
             Reply::Fetched(outcome) => {
@@ -403,10 +439,21 @@
         }
         self.snapshot = Some(snapshot);
         self.publish();
+        self.pass_on();
         let note = Note::Adopted { version, from_node };
         self.effects.push(Effect::Note(note));
     }
 
+    /// Tells some nodes of a version that is new here; each tells others in turn.
+    fn pass_on(&mut self) {
+        let children = followers::children(&self.table, &self.own);
+        let random = self.random_peer();
+        for to in children.into_iter().chain(random) {
+            let digest = self.digest();
+            self.effects.push(Effect::Send(to, digest));
+        }
+    }
+
     /// Takes the nodes in that the platform lists. What it says of them is older than what they say
     /// themselves, so only those that are not known yet count.
     fn listed(&mut self, now: Moment, members: Vec<Member>) {
@@ -469,6 +516,7 @@
         Message::Digest {
             from: self.own.node.clone(),
             digest: self.table.digest(),
+            follows: self.is_follower && self.source.is_following(),
             version: self.version(),
         }
     }
--- a/crates/cicadagw-gossip/src/event.rs
+++ b/crates/cicadagw-gossip/src/event.rs
@@ -38,11 +38,8 @@
         /// Whether the object is to be created.
         create: bool,
     },
-    /// List the nodes.
-    Members {
-        /// Whether the list may be seconds old.
-        stale: bool,
-    },
+    /// List the nodes; the list may be seconds old.
+    Members,
     /// Read the configuration.
     Read,
     /// Wait for a configuration after `after`.
--- a/crates/cicadagw-gossip/src/lib.rs
+++ b/crates/cicadagw-gossip/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod core;
 mod event;
+mod followers;
 mod member;
 pub mod message;
 mod outbound;
--- a/crates/cicadagw-gossip/src/message.rs
+++ b/crates/cicadagw-gossip/src/message.rs
@@ -39,6 +39,8 @@
         from: id::Node,
         /// The digest of its table.
         digest: u64,
+        /// Whether it follows the configuration at the platform.
+        follows: bool,
         /// The version that it holds; zero when it holds none.
         version: Version,
     },
--- a/crates/cicadagw-gossip/src/register.rs
+++ b/crates/cicadagw-gossip/src/register.rs
@@ -15,6 +15,16 @@
 /// How often the nodes are listed again, to find those whose news was lost.
 const LIST_EVERY: Span = Span::seconds(20);
 
+/// The wait between the registration and the first list, so that nodes that start together find each
+/// other in it.
+const LIST_FIRST: Span = Span::new(300);
+
+/// How many lists are asked for soon after the start: one that may be old costs a tenth of another.
+const LISTS_FIRST: u32 = 3;
+
+/// The wait between these.
+const LIST_AGAIN: Span = Span::new(700);
+
 /// What is to be asked of the platform next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Step {
@@ -23,11 +33,8 @@
         /// Whether the object is to be created.
         create: bool,
     },
-    /// List the nodes.
-    List {
-        /// Whether the list may be seconds old.
-        stale: bool,
-    },
+    /// List the nodes; the list may be seconds old.
+    List,
 }
 
 /// The registration of this node.
@@ -35,7 +42,7 @@
 pub(crate) struct Register {
     due: Moment,
     failures: u32,
-    is_listed: bool,
+    lists: u32,
     is_under_way: bool,
     is_written: bool,
     /// Whether the object is believed not to be there.
@@ -48,7 +55,7 @@
         Self {
             due: Moment::new(0),
             failures: 0,
-            is_listed: false,
+            lists: 0,
             is_under_way: false,
             is_written: false,
             create,
@@ -62,9 +69,7 @@
         }
         self.is_under_way = true;
         Some(if self.is_written {
-            Step::List {
-                stale: self.is_listed,
-            }
+            Step::List
         } else {
             Step::Write {
                 create: self.create,
@@ -72,15 +77,14 @@
         })
     }
 
-    /// Takes the answer to a write; the list follows at once, so that of two nodes the later one
-    /// finds the earlier one.
+    /// Takes the answer to a write; the list follows.
     pub(crate) fn written(&mut self, now: Moment, outcome: &Result<(), Error>, rng: &mut impl Rng) {
         self.is_under_way = false;
         match outcome {
             Ok(()) => {
                 self.is_written = true;
                 self.failures = 0;
-                self.due = now;
+                self.due = now.after(LIST_FIRST);
             }
             // The object is there although it was believed not to be, or the other way round.
             Err(Error::Conflict) if self.failures == 0 => {
@@ -97,16 +101,27 @@
         }
     }
 
-    /// Takes the answer to a list.
-    pub(crate) fn listed(&mut self, now: Moment, is_answered: bool, rng: &mut impl Rng) {
+    /// Takes the answer to a list; `others` are the other nodes known by then.
+    pub(crate) fn listed(
+        &mut self,
+        now: Moment,
+        is_answered: bool,
+        others: usize,
+        rng: &mut impl Rng,
+    ) {
         self.is_under_way = false;
-        if is_answered {
-            self.is_listed = true;
-            self.failures = 0;
-            self.due = now.after(jittered(LIST_EVERY, rng));
-        } else {
-            self.back_off(now, rng);
+        if !is_answered {
+            return self.back_off(now, rng);
         }
+        self.failures = 0;
+        self.lists += 1;
+        // A first list may be older than the other nodes.
+        let every = if others == 0 || self.lists < LISTS_FIRST {
+            LIST_AGAIN
+        } else {
+            LIST_EVERY
+        };
+        self.due = now.after(jittered(every, rng));
     }
 
     fn back_off(&mut self, now: Moment, rng: &mut impl Rng) {
--- a/crates/cicadagw-gossip/src/source.rs
+++ b/crates/cicadagw-gossip/src/source.rs
@@ -59,9 +59,9 @@
 /// The chart of the following.
 pub type Chart = cicadagw_chart::Chart<State, Event, Guard, Action>;
 
-/// The least time between an answer and the next call: with the wait of the call itself and the way
-/// of the answer, a change is in force well within the 2.5 s that operators expect.
-const REST: Span = Span::new(800);
+/// The least time between an answer and the next call: with the way from node to node behind it, a
+/// change is in force well within the 2.5 s that operators expect.
+const REST: Span = Span::new(500);
 
 /// How long the platform may hold a call back for a change. Platforms keep about 20 s of history, and
 /// a silent connection is found out no sooner.
@@ -108,6 +108,11 @@
         self.state
     }
 
+    /// Tells whether the platform has answered and the last call did not fail.
+    pub const fn is_following(&self) -> bool {
+        self.failures == 0 && matches!(self.state, State::Followed | State::Following)
+    }
+
     /// Tells whether the last call failed.
     pub const fn is_away(&self) -> bool {
         self.failures > 0
--- a/crates/cicadagw-node/src/peering/gossip.rs
+++ b/crates/cicadagw-node/src/peering/gossip.rs
@@ -128,7 +128,7 @@
         let error = || Error::Unavailable("too many calls are under way".to_owned());
         Some(match call {
             Call::Register { .. } => Reply::Registered(Err(error())),
-            Call::Members { .. } => Reply::Members(Err(error())),
+            Call::Members => Reply::Members(Err(error())),
             Call::Read | Call::Follow { .. } => Reply::Configuration(Err(error())),
             Call::Fetch(_) => Reply::Fetched(Err(error())),
         })
--- a/crates/cicadagw-node/src/peering/platform.rs
+++ b/crates/cicadagw-node/src/peering/platform.rs
@@ -69,8 +69,8 @@
                 let outcome = self.register(&member, create).await;
                 Reply::Registered(self.counted(Operation::Put, outcome))
             }
-            Call::Members { stale } => {
-                let outcome = self.members(stale).await;
+            Call::Members => {
+                let outcome = self.members().await;
                 Reply::Members(self.counted(Operation::Get, outcome))
             }
             Call::Read => {
@@ -100,13 +100,11 @@
         written.map(|_| ())
     }
 
-    async fn members(&self, stale: bool) -> Result<Vec<Member>, Error> {
-        let freshness = if stale {
-            Freshness::Stale
-        } else {
-            Freshness::Newest
-        };
-        let objects = self.client.objects(Key::NODE_PREFIX, freshness).await?;
+    async fn members(&self) -> Result<Vec<Member>, Error> {
+        let objects = self
+            .client
+            .objects(Key::NODE_PREFIX, Freshness::Stale)
+            .await?;
         Ok(objects.iter().filter_map(member).collect())
     }
 
