--- a/crates/cicadagw-http/tests/parse.rs
+++ b/crates/cicadagw-http/tests/parse.rs
@@ -1,5 +1,10 @@
 //! However a message is split on its way, it reads the same; whatever comes, nothing panics.
 
+#![allow(
+    clippy::needless_pass_by_value,
+    reason = "the checker passes its values on"
+)]
+
 use bytes::BytesMut;
 use cicadagw_chart::Name;
 use cicadagw_http::life::{Event, State, chart};
--- a/crates/cicadagw-jsonc/src/table.rs
+++ b/crates/cicadagw-jsonc/src/table.rs
@@ -71,7 +71,12 @@
 
     /// Reports the names that nobody asked for.
     pub fn finish(self) {
-        let mut known = self.known.into_inner();
+        self.report_unknown();
+    }
+
+    /// Reports the names that nobody asked for, while the table is still read by reference.
+    pub fn report_unknown(&self) {
+        let mut known = self.known.borrow().clone();
         known.sort_unstable();
         for property in &self.object.properties {
             let name = property.name.as_str();
--- a/crates/cicadagw-platform/src/encoding/mod.rs
+++ b/crates/cicadagw-platform/src/encoding/mod.rs
@@ -1,11 +1,11 @@
 //! How calls and their answers stand on the wire.
 
 mod call;
-mod encoding;
+mod edge;
 mod native;
 pub mod path;
 pub mod tag;
 
 pub use call::{Answer, Call, Effect, Method};
-pub use encoding::Encoding;
+pub use edge::Encoding;
 pub use native::Native;
--- a/crates/cicadagw-platform/src/encoding/native.rs
+++ b/crates/cicadagw-platform/src/encoding/native.rs
@@ -5,7 +5,7 @@
 use smallvec::smallvec;
 
 use super::call::{Answer, Call, Effect, Method};
-use super::encoding::Encoding;
+use super::edge::Encoding;
 use super::{path, tag};
 use crate::{Condition, Error, Freshness, Key, Object, Position, Revision};
 
--- a/crates/cicadagw-proxy/src/request.rs
+++ b/crates/cicadagw-proxy/src/request.rs
@@ -85,18 +85,20 @@
         };
         Ok(Self {
             attempt: names.attempt.and_then(|name| fields.get(name).cloned()),
-            caller: match is_from_node {
-                true => parsed(fields, header::CALLER)?,
-                false => None,
+            caller: if is_from_node {
+                parsed(fields, header::CALLER)?
+            } else {
+                None
             },
             host: host(fields),
             hops: hops.unwrap_or(0),
             left: parsed(fields, deadline)?.map(Span::new),
             target_left: parsed(fields, header::TARGET)?.map(Span::new),
             arrival,
-            via: match is_from_node {
-                true => Some(via(fields)?),
-                false => None,
+            via: if is_from_node {
+                Some(via(fields)?)
+            } else {
+                None
             },
             size: fields.size(),
             fields: header::request(fields, names),
--- a/crates/cicadagw-settings/src/load.rs
+++ b/crates/cicadagw-settings/src/load.rs
@@ -51,7 +51,7 @@
         .and_then(|value| peers(&value, Key::Platform));
     let peering = table
         .get(Section::Peering.name())
-        .and_then(|value| peering(&value));
+        .map(|value| peering(&value));
     let rack = need(table, Key::Rack);
     let region = need(table, Key::Region);
     let budget = table
@@ -74,7 +74,7 @@
         link: link?,
         log: level.unwrap_or_default(),
         node: node?,
-        peering: peering.unwrap_or_default(),
+        peering: peering.unwrap_or_default().into_option()?,
         platform: platform?.into(),
         rack: rack?,
         region: region?,
@@ -132,27 +132,53 @@
 }
 
 /// Reads a table of which nothing or all must be there.
-fn peering(value: &Reader<'_, '_>) -> Option<Option<Peering>> {
-    let table = value.table()?;
-    if table.entries().next().is_none() {
-        table.finish();
-        return Some(None);
+fn peering(value: &Reader<'_, '_>) -> Whole {
+    match value.table() {
+        Some(table) if table.entries().next().is_none() => Whole::Nothing,
+        Some(table) => {
+            filled(&table).map_or(Whole::Faulty, |peering| Whole::All(Box::new(peering)))
+        }
+        None => Whole::Faulty,
     }
-    let dialect = need(&table, Key::Dialect);
+}
+
+/// A table of which nothing or all must be there.
+#[derive(Default)]
+enum Whole {
+    #[default]
+    Nothing,
+    All(Box<Peering>),
+    Faulty,
+}
+
+impl Whole {
+    /// Returns what is there; none when it is faulty.
+    #[expect(clippy::option_option, reason = "a faulty table is not an absent one")]
+    fn into_option(self) -> Option<Option<Peering>> {
+        match self {
+            Self::Nothing => Some(None),
+            Self::All(peering) => Some(Some(*peering)),
+            Self::Faulty => None,
+        }
+    }
+}
+
+fn filled(table: &Table<'_, '_>) -> Option<Peering> {
+    let dialect = need(table, Key::Dialect);
     let first_start = table
         .need(Key::FirstStart.name())
         .and_then(|value| value.boolean());
     let link_rate = table
         .need(Key::LinkRate.name())
         .and_then(|value| rate(&value));
-    let metrics = need_address(&table, Key::Metrics);
-    let nodes = need_address(&table, Key::Nodes);
-    let ready = need_address(&table, Key::Ready);
+    let metrics = need_address(table, Key::Metrics);
+    let nodes = need_address(table, Key::Nodes);
+    let ready = need_address(table, Key::Ready);
     let retry_slack = table.need(Key::RetrySlack.name());
-    let retry_slack = retry_slack.and_then(|_| count(&table, Key::RetrySlack));
-    let service = need(&table, Key::Service);
-    table.finish();
-    Some(Some(Peering {
+    let retry_slack = retry_slack.and_then(|_| count(table, Key::RetrySlack));
+    let service = need(table, Key::Service);
+    table.report_unknown();
+    Some(Peering {
         dialect: dialect?,
         first_start: first_start?,
         link_rate: link_rate?,
@@ -161,7 +187,7 @@
         ready: ready?,
         retry_slack: u32::try_from(retry_slack?).ok()?,
         service: service?,
-    }))
+    })
 }
 
 fn rate(value: &Reader<'_, '_>) -> Option<Throughput> {
