--- a/crates/cicadactl/src/main.rs
+++ b/crates/cicadactl/src/main.rs
@@ -19,6 +19,10 @@
 const WAIT: Span = Span::seconds(10);
 
 fn main() -> ExitCode {
+    if std::env::args().nth(1).as_deref() == Some("--version") {
+        anstream::println!("cicadactl {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
     let flags = match Cicadactl::from_env() {
         Ok(flags) => flags,
         Err(error) if error.is_help() => error.exit(),
--- a/crates/cicadagw-call/src/admission.rs
+++ b/crates/cicadagw-call/src/admission.rs
@@ -163,15 +163,26 @@
 
     /// Takes note that a running call of `policy` has ended after `spent`.
     pub fn finish(&mut self, now: Moment, policy: &id::Policy, spent: Span) -> Release {
+        self.measure(policy, spent);
+        self.end(now, policy)
+    }
+
+    /// Takes note that a running call of `policy` has ended without an answer after `spent`. It would
+    /// have taken longer: that tells something only if it took longer than others already.
+    pub fn abandon(&mut self, now: Moment, policy: &id::Policy, spent: Span) -> Release {
+        if spent > self.work(policy) {
+            self.measure(policy, spent);
+        }
+        self.end(now, policy)
+    }
+
+    fn measure(&mut self, policy: &id::Policy, spent: Span) {
         self.typical = smooth(self.typical, spent);
         let work = self.work.entry(policy.clone()).or_default();
         *work = smooth(*work, spent);
-        self.abandon(now, policy)
     }
 
-    /// Takes note that a running call of `policy` has ended without an answer, which says nothing of
-    /// the time that calls take.
-    pub fn abandon(&mut self, now: Moment, policy: &id::Policy) -> Release {
+    fn end(&mut self, now: Moment, policy: &id::Policy) -> Release {
         self.running = self.running.saturating_sub(1);
         if let Some(count) = self.running_by_policy.get_mut(policy) {
             *count = count.saturating_sub(1);
--- a/crates/cicadagw-call/tests/admission.rs
+++ b/crates/cicadagw-call/tests/admission.rs
@@ -54,7 +54,7 @@
     let (_, later) = admission.offer(at(0), at(800), limit());
     let (sooner, _) = admission.offer(at(1), at(500), limit());
 
-    let release = admission.abandon(at(2), &policy("wide"));
+    let release = admission.abandon(at(2), &policy("wide"), Span::new(0));
 
     assert_eq!(later, Verdict::Wait { shed: None });
     assert_eq!(release.run.as_slice(), [sooner]);
@@ -66,7 +66,7 @@
     let (late, _) = admission.offer(at(0), at(100), limit());
     let (next, _) = admission.offer(at(0), at(800), limit());
 
-    let release = admission.abandon(at(100), &policy("wide"));
+    let release = admission.abandon(at(100), &policy("wide"), Span::new(0));
 
     assert_eq!(release.late.as_slice(), [late]);
     assert_eq!(release.run.as_slice(), [next]);
@@ -83,6 +83,48 @@
     assert_eq!(verdict, Verdict::Shed);
 }
 
+#[test]
+fn calls_that_never_end_tell_how_long_calls_take() {
+    let mut admission = busy();
+    admission.abandon(at(400), &policy("wide"), Span::new(400));
+    admission.offer(at(400), at(9_000), limit());
+
+    let (_, verdict) = admission.offer(at(400), at(500), limit());
+
+    assert_eq!(verdict, Verdict::Shed);
+}
+
+#[test]
+fn calls_that_are_given_up_early_tell_nothing() {
+    let mut admission = busy();
+    admission.finish(at(400), &policy("wide"), Span::new(400));
+    admission.abandon(at(401), &policy("wide"), Span::new(1));
+    admission.offer(at(401), at(9_000), limit());
+    admission.offer(at(401), at(9_000), limit());
+
+    let (_, verdict) = admission.offer(at(401), at(701), limit());
+
+    assert_eq!(verdict, Verdict::Shed);
+}
+
+#[test]
+fn a_call_that_would_miss_its_target_does_not_wait() {
+    let mut admission = busy();
+    admission.finish(at(400), &policy("wide"), Span::new(400));
+    admission.offer(at(400), at(9_000), limit());
+    let soon = |rank| Limit {
+        rank: Priority::new(rank),
+        target: Some(at(1_100)),
+        ..limit()
+    };
+
+    let (_, urgent) = admission.offer(at(400), at(9_000), soon(0));
+    let (_, patient) = admission.offer(at(400), at(9_000), soon(2));
+
+    assert_eq!(urgent, Verdict::Wait { shed: None });
+    assert_eq!(patient, Verdict::Shed);
+}
+
 #[test]
 fn a_full_queue_gives_up_the_latest_deadline() {
     let mut admission = busy();
--- a/crates/cicadagw-proxy/src/gate.rs
+++ b/crates/cicadagw-proxy/src/gate.rs
@@ -13,7 +13,7 @@
 use cicadagw_http::pool::Options;
 use cicadagw_unit::id;
 use cicadagw_unit::size::Slots;
-use cicadagw_unit::time::Moment;
+use cicadagw_unit::time::{Moment, Span};
 use tokio::sync::oneshot;
 use tokio::time::timeout_at;
 
@@ -139,9 +139,9 @@
         }
     }
 
-    fn abandon(&self, policy: &id::Policy) {
+    fn abandon(&self, policy: &id::Policy, spent: Span) {
         let now = self.clock.now();
-        let release = self.admission.borrow_mut().abandon(now, policy);
+        let release = self.admission.borrow_mut().abandon(now, policy, spent);
         self.pass_on(release);
     }
 }
@@ -160,7 +160,7 @@
         let did_wait = self.gate.admission.borrow_mut().cancel(self.ticket);
         // A grant that nobody took is a slot that nobody else would give back.
         if !did_wait && self.receiver.try_recv() == Ok(Grant::Run) {
-            self.gate.abandon(self.policy);
+            self.gate.abandon(self.policy, Span::new(0));
         }
     }
 }
@@ -197,12 +197,12 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        let now = self.gate.clock.now();
+        let spent = now.since(self.started);
         if !self.is_finished {
-            self.gate.abandon(&self.policy);
+            self.gate.abandon(&self.policy, spent);
             return;
         }
-        let now = self.gate.clock.now();
-        let spent = now.since(self.started);
         let mut admission = self.gate.admission.borrow_mut();
         let release = admission.finish(now, &self.policy, spent);
         drop(admission);
--- /dev/null
+++ b/crates/cicadagw-proxy/tests/dialect.rs
@@ -0,0 +1,270 @@
+//! What a dialect demands of answers is kept, whatever backend servers and callers send.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cicadagw_call::Load;
+use cicadagw_dialect::{Acknowledgement, Dialect, Names, Native, Said, Unheard};
+use cicadagw_unit::id;
+use cicadagw_unit::time::Span;
+use support::caller::{Answer, Call, get, post};
+use support::mesh::{Mesh, Node};
+use support::scripted::{Scripted, answer, sealed};
+
+/// A dialect with names of its own; announcements are the product's.
+struct Strict;
+
+impl Dialect for Strict {
+    fn names(&self) -> &Names {
+        &Names {
+            attempt: Some("t-id"),
+            caller: Some("t-caller"),
+            deadline: "t-left",
+            endpoint: Some("t-endpoint"),
+            hops: None,
+            load: None,
+            not_run: Some("t-not-run"),
+            seal: Some("t-seal"),
+        }
+    }
+
+    fn asks_ready(&self, path: &str) -> bool {
+        path == "/ready"
+    }
+
+    fn retry_after(&self, wait: Span) -> String {
+        format!("0.{:03}", wait.get())
+    }
+
+    fn load(&self, _: &str) -> Option<Load> {
+        None
+    }
+
+    fn said(&self, method: &str, path: &str, body: &[u8]) -> Result<Said, Unheard> {
+        Native.said(method, path, body)
+    }
+
+    fn acknowledge(&self, renew: Span) -> Acknowledgement {
+        Native.acknowledge(renew)
+    }
+
+    fn refuse_gone(&self, endpoint: &id::Endpoint) -> Acknowledgement {
+        Native.refuse_gone(endpoint)
+    }
+
+    fn acknowledge_end(&self, _: bool) -> Acknowledgement {
+        Acknowledgement {
+            status: 200,
+            body: Bytes::new(),
+        }
+    }
+}
+
+/// A mesh with the dialect, a node for callers and one before the first backend server.
+struct Bench {
+    mesh: Mesh,
+    near: Node,
+    far: Node,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let mut mesh = Mesh::new();
+        mesh.speak(Arc::new(Strict));
+        let (near, far) = (mesh.node("near"), mesh.node("far"));
+        Self { mesh, near, far }
+    }
+
+    /// Announces a backend server at the far node.
+    async fn add(&mut self, endpoint: &str, backend: &Scripted) {
+        let said = self.far.announce(endpoint, backend.address, "ready").await;
+        assert_eq!(said.status, 200);
+        self.mesh.hear(&self.far).await;
+    }
+
+    async fn call(&self, call: Call) -> Answer {
+        call.header("t-id", "a1").send(self.near.calls).await
+    }
+}
+
+async fn bench(script: support::scripted::Script) -> (Bench, Scripted) {
+    let mut bench = Bench::new();
+    let backend = Scripted::start(script).await;
+    bench.add("orders-1", &backend).await;
+    (bench, backend)
+}
+
+#[tokio::test]
+async fn a_success_without_its_seal_is_not_passed_on() {
+    let (bench, _) = bench(|_| Some(answer("200 OK", "t-id: a1\r\n", "forged"))).await;
+
+    let got = bench.call(post("/orders", "x")).await;
+
+    assert_eq!((got.status, got.outcome()), (502, "unknown"));
+}
+
+#[tokio::test]
+async fn an_answer_to_another_request_is_passed_over() {
+    let (bench, _) = bench(|request| {
+        let late = answer("200 OK", "t-id: old\r\nt-seal: s\r\n", "stale");
+        Some(late + &sealed(request)?)
+    })
+    .await;
+
+    let got = bench.call(post("/orders", "x")).await;
+
+    assert_eq!((got.status, got.text()), (200, "own"));
+}
+
+#[tokio::test]
+async fn an_encoded_body_that_nobody_asked_for_is_not_the_answer() {
+    let (bench, _) = bench(|_| {
+        let head = "t-id: a1\r\nt-seal: s\r\ncontent-encoding: gzip\r\n";
+        Some(answer("200 OK", head, "zip"))
+    })
+    .await;
+
+    let got = bench.call(post("/orders", "x")).await;
+
+    assert_eq!((got.status, got.outcome()), (502, "unknown"));
+}
+
+#[tokio::test]
+async fn a_refusal_that_says_not_run_is_tried_elsewhere() {
+    let (mut bench, refusing) =
+        bench(|_| Some(answer("503 Busy", "t-not-run: 1\r\n", ""))).await;
+    let willing = Scripted::start(sealed).await;
+    bench.add("orders-2", &willing).await;
+
+    for _ in 0..4 {
+        let got = bench.call(post("/orders", "x")).await;
+
+        assert_eq!((got.status, got.text()), (200, "own"));
+    }
+    assert_eq!(willing.received().len(), 4);
+    assert!(refusing.received().len() <= 4);
+}
+
+#[tokio::test]
+async fn a_refusal_that_does_not_say_not_run_is_not_passed_on_as_one() {
+    for status in ["408 Late", "429 Many", "503 Busy"] {
+        let mut bench = Bench::new();
+        let script: support::scripted::Script = match &status[..3] {
+            "408" => |_| Some(answer("408 Late", "", "")),
+            "429" => |_| Some(answer("429 Many", "", "")),
+            _ => |_| Some(answer("503 Busy", "", "")),
+        };
+        let backend = Scripted::start(script).await;
+        bench.add("orders-1", &backend).await;
+
+        let got = bench.call(post("/orders", "x")).await;
+
+        assert_eq!((got.status, got.outcome()), (502, "unknown"), "{status}");
+    }
+}
+
+#[tokio::test]
+async fn another_backend_server_at_the_address_did_not_run_it() {
+    let (bench, backend) = bench(|_| Some(answer("421 Misdirected", "", ""))).await;
+
+    let got = bench.call(post("/orders", "x")).await;
+
+    assert_eq!((got.status, got.outcome()), (503, "not-run"));
+    assert_eq!(backend.received()[0].headers["t-endpoint"], "orders-1");
+}
+
+#[tokio::test]
+async fn a_failure_is_tried_again_only_if_it_may_run_again() {
+    let (mut bench, failing) = bench(|_| Some(answer("500 Bad", "t-id: a1\r\n", "no"))).await;
+    let willing = Scripted::start(sealed).await;
+
+    let written = bench.call(post("/orders", "x")).await;
+    bench.add("orders-2", &willing).await;
+    let read = bench.call(get("/orders")).await;
+
+    assert_eq!((written.status, written.text()), (500, "no"));
+    assert_eq!((read.status, read.text()), (200, "own"));
+    assert!(failing.received().len() <= 2);
+}
+
+#[tokio::test]
+async fn the_node_names_the_service_of_the_caller_and_what_time_is_left() {
+    let (bench, backend) = bench(sealed).await;
+    let call = post("/orders", "x")
+        .header("t-caller", "forged")
+        .header("t-endpoint", "forged")
+        .header("t-left", "900");
+
+    bench.call(call).await;
+
+    let headers = &backend.received()[0].headers;
+    assert_eq!(headers["t-caller"], "shop");
+    assert_eq!(headers["t-endpoint"], "orders-1");
+    let left: u64 = headers["t-left"].parse().unwrap();
+    assert!((1..=900).contains(&left), "{left}");
+    assert!(headers.keys().all(|name| !name.starts_with("x-cicadagw-")));
+}
+
+#[tokio::test]
+async fn a_request_that_hangs_is_answered_by_another_endpoint() {
+    let (mut bench, hanging) = bench(|_| None).await;
+    let willing = Scripted::start(sealed).await;
+    bench.add("orders-2", &willing).await;
+
+    for _ in 0..6 {
+        let got = bench.call(get("/orders")).await;
+
+        assert_eq!((got.status, got.text()), (200, "own"));
+    }
+    assert!(!hanging.received().is_empty());
+}
+
+#[tokio::test]
+async fn a_call_that_would_miss_its_target_is_refused_at_once_and_told_when_to_come_back() {
+    let mut bench = Bench::new();
+    bench.mesh.configure(2, support::mesh::TARGETED);
+    let backend = Scripted::start(|_| None).await;
+    bench.add("orders-1", &backend).await;
+    // One call holds the only place for good, after one has shown how long calls take.
+    let held = post("/slow", "x").header("t-id", "a0").header("t-left", "400");
+    held.send(bench.near.calls).await;
+    let holding = post("/slow", "x").header("t-id", "a2");
+    let _held = holding.begin(bench.near.calls).await;
+    while backend.received().len() < 2 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let begin = Instant::now();
+
+    let got = bench.call(post("/slow", "x").header("t-left", "300")).await;
+
+    assert_eq!((got.status, got.outcome()), (503, "not-run"));
+    assert_eq!(got.headers["retry-after"], "0.200");
+    assert!(begin.elapsed() < Duration::from_millis(250), "{:?}", begin.elapsed());
+    assert_eq!(backend.received().len(), 2);
+}
+
+#[tokio::test]
+async fn a_stopping_node_still_serves_its_callers_and_says_that_it_is_not_ready() {
+    let mut mesh = Mesh::new();
+    mesh.speak(Arc::new(Strict));
+    mesh.linger(Span::seconds(20));
+    let (near, far) = (mesh.node("near"), mesh.node("far"));
+    let backend = Scripted::start(sealed).await;
+    far.announce("orders-1", backend.address, "ready").await;
+    mesh.hear(&far).await;
+    let before = get("/ready").send(near.ready).await;
+
+    near.stop();
+    let mut ready = get("/ready").send(near.ready).await;
+    while ready.status == 200 {
+        ready = get("/ready").send(near.ready).await;
+    }
+    let served = post("/orders", "x").header("t-id", "a1").send(near.calls).await;
+
+    assert_eq!((before.status, ready.status), (200, 503));
+    assert_eq!((served.status, served.text()), (200, "own"));
+    assert_eq!(served.headers["connection"], "close");
+}
--- a/crates/cicadagw-proxy/tests/support/backend.rs
+++ b/crates/cicadagw-proxy/tests/support/backend.rs
@@ -201,7 +201,7 @@
 }
 
 /// Reads one request with its body; `None` at the end of the connection.
-async fn read(stream: &mut BufReader<TcpStream>) -> Option<Received> {
+pub async fn read(stream: &mut BufReader<TcpStream>) -> Option<Received> {
     let mut request = Received::default();
     let line = line(stream).await?;
     let mut words = line.split(' ');
--- a/crates/cicadagw-proxy/tests/support/mesh.rs
+++ b/crates/cicadagw-proxy/tests/support/mesh.rs
@@ -7,6 +7,7 @@
 
 use cicadagw_call::choice::Place;
 use cicadagw_config::{Snapshot, load};
+use cicadagw_dialect::{Dialect, Native};
 use cicadagw_endpoint::{Local, Record, State};
 use cicadagw_proxy::{Limits, Setup, Stats, run};
 use cicadagw_ring::{Receiver, channel};
@@ -37,12 +38,24 @@
   "presets": { "ordinary": {} },
 }"#;
 
+/// A route whose calls are to be answered soon, at one place.
+pub const TARGETED: &str = r#"{
+  "routes": { "slow": { "prefix": "/slow", "cluster": "orders", "policy": "slow" } },
+  "clusters": { "orders": { "service": "orders" } },
+  "policies": {
+    "slow": { "timeout": "30000ms", "concurrency": "1", "target_latency": "200ms", "idempotency": "never" },
+  },
+  "presets": { "ordinary": {} },
+}"#;
+
 /// How much news the ring to the control duty holds.
 pub const RING: u16 = 16;
 
 /// Nodes that share one view, and the endpoints that were told of.
 pub struct Mesh {
     pub view: Shared,
+    dialect: Arc<dyn Dialect>,
+    linger: Span,
     records: BTreeMap<id::Endpoint, Record>,
     snapshot: Arc<Snapshot>,
 }
@@ -51,6 +64,7 @@
 pub struct Node {
     pub calls: SocketAddr,
     pub announce: SocketAddr,
+    pub ready: SocketAddr,
     pub stats: Arc<Stats>,
     name: id::Node,
     control: Receiver<Local>,
@@ -62,6 +76,8 @@
     pub fn new() -> Self {
         let mesh = Self {
             view: Shared::default(),
+            dialect: Arc::new(Native),
+            linger: Span::new(0),
             records: BTreeMap::new(),
             snapshot: snapshot(1, CONFIG),
         };
@@ -75,10 +91,22 @@
         self.publish();
     }
 
+    /// Lets the nodes that are started from now on speak `dialect`.
+    pub fn speak(&mut self, dialect: Arc<dyn Dialect>) {
+        self.dialect = dialect;
+    }
+
+    /// Lets them serve callers for `span` once they are told to stop.
+    pub fn linger(&mut self, span: Span) {
+        self.linger = span;
+    }
+
     /// Starts a node.
     pub fn node(&self, name: &str) -> Node {
         let calls = TcpListener::bind("127.0.0.1:0").unwrap();
         let announce = TcpListener::bind("127.0.0.1:0").unwrap();
+        let ready = TcpListener::bind("127.0.0.1:0").unwrap();
+        let ready_address = ready.local_addr().unwrap();
         let (sender, control) = channel("control", RING.into());
         let token = CancellationToken::new();
         let stats = Arc::<Stats>::default();
@@ -96,13 +124,16 @@
                 body: Bytes::new(64 << 20),
                 ..Limits::default()
             })
-            .linger(Span::new(0))
+            .dialect(self.dialect.clone())
+            .linger(self.linger)
             .place(Place {
                 domain: "kochi-a".parse().unwrap(),
                 node: name.clone(),
                 region: "kochi".parse().unwrap(),
             })
+            .ready(ready)
             .seed(7)
+            .service("shop".parse().unwrap())
             .stats(stats.clone())
             .timing(Timing {
                 renewal: Span::seconds(600),
@@ -114,6 +145,7 @@
         Node {
             calls: addresses.0,
             announce: addresses.1,
+            ready: ready_address,
             stats,
             name,
             control,
--- a/crates/cicadagw-proxy/tests/support/mod.rs
+++ b/crates/cicadagw-proxy/tests/support/mod.rs
@@ -9,3 +9,4 @@
 pub mod backend;
 pub mod caller;
 pub mod mesh;
+pub mod scripted;
--- a/crates/cicadagw/src/commands/mod.rs
+++ b/crates/cicadagw/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod error;
 mod read;
+mod reload;
 mod run;
 
 pub(crate) use check::check;
--- a/crates/cicadagw/src/commands/run.rs
+++ b/crates/cicadagw/src/commands/run.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use cicadagw_crockworks::{Crockworks, Objects};
 use cicadagw_node::Adapter;
@@ -12,6 +13,10 @@
 
 use super::Error;
 use super::read::read;
+use super::reload::Reload;
+
+/// How often the settings are looked at: the file may change without a signal.
+const LOOK: Duration = Duration::from_secs(5);
 
 /// Runs the node with the settings at `path` until it is told to stop.
 pub(crate) fn run(path: &Path) -> Result<(), Error> {
@@ -19,7 +24,8 @@
     cicadagw_log::install(settings.log, &settings.node)
         .map_err(|error| Error::Runtime(std::io::Error::other(error)))?;
     let stop = CancellationToken::new();
-    listen_for_signals(stop.clone())?;
+    let reload = Reload::new(path.to_owned(), settings.clone());
+    listen_for_signals(stop.clone(), reload)?;
     match &settings.peering {
         Some(peering) => {
             let adapter = adapter(peering.dialect);
@@ -41,15 +47,21 @@
     }
 }
 
-/// Starts the thread that waits for the signals to stop.
-fn listen_for_signals(stop: CancellationToken) -> Result<(), Error> {
+/// Starts the thread that waits for the signals to stop, and for other settings.
+fn listen_for_signals(stop: CancellationToken, mut reload: Reload) -> Result<(), Error> {
     let wait = move || {
         actix::System::new().block_on(async {
             let mut terminate = signal(SignalKind::terminate())?;
             let mut interrupt = signal(SignalKind::interrupt())?;
-            tokio::select! {
-                _ = terminate.recv() => {}
-                _ = interrupt.recv() => {}
+            let mut hangup = signal(SignalKind::hangup())?;
+            let mut looks = tokio::time::interval(LOOK);
+            loop {
+                tokio::select! {
+                    _ = terminate.recv() => break,
+                    _ = interrupt.recv() => break,
+                    _ = hangup.recv() => reload.look(),
+                    _ = looks.tick() => reload.look(),
+                }
             }
             log::info!(next = "calls in flight are finished"; "told to stop");
             stop.cancel();
--- a/crates/cicadagw/src/main.rs
+++ b/crates/cicadagw/src/main.rs
@@ -6,6 +6,10 @@
 use flags::{Cicadagw, CicadagwCmd};
 
 fn main() -> miette::Result<()> {
+    if std::env::args().nth(1).as_deref() == Some("--version") {
+        anstream::println!("cicadagw {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
     match Cicadagw::from_env_or_exit().subcommand {
         CicadagwCmd::Check(check) => commands::check(&check.settings)?,
         CicadagwCmd::Run(run) => commands::run(&run.settings)?,
