Split what grew: the HTTP server, the choice of endpoints, the gossip decisions

Change: server into connections, queue, reader, writer and the edge; choice into set, member and fading averages; gossip into what is decided and what nodes tell each other.

--- /dev/null
+++ b/crates/cicadagw-call/src/choice/fading.rs
@@ -0,0 +1,45 @@
+//! Running averages that fade.
+
+use cicadagw_unit::time::{Moment, Span};
+
+/// The share of a new measurement in a running average: one in this many.
+const SMOOTHING: u64 = 8;
+
+/// A running average that returns to its base while nothing is measured.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Fading {
+    value: u64,
+    base: u64,
+    at: Moment,
+    half_life: Span,
+}
+
+impl Fading {
+    pub(super) const fn new(base: u64, half_life: Span) -> Self {
+        Self {
+            value: base,
+            base,
+            at: Moment::new(0),
+            half_life,
+        }
+    }
+
+    pub(super) fn get(&self, now: Moment) -> u64 {
+        let halvings = (now.since(self.at).get() / self.half_life.get()).min(63);
+        if self.value >= self.base {
+            self.base + ((self.value - self.base) >> halvings)
+        } else {
+            self.base - ((self.base - self.value) >> halvings)
+        }
+    }
+
+    pub(super) fn learn(&mut self, now: Moment, value: u64) {
+        self.value = smooth(self.get(now), value);
+        self.at = now;
+    }
+}
+
+/// Returns the running average `old` with `new` taken in.
+pub(super) const fn smooth(old: u64, new: u64) -> u64 {
+    (old * (SMOOTHING - 1) + new) / SMOOTHING
+}
--- a/crates/cicadagw-platform/src/encoding/call.rs
+++ b/crates/cicadagw-platform/src/encoding/call.rs
@@ -1,5 +1,6 @@
 //! Calls and their answers, apart from the library that carries them.
 
+use awc::http::StatusCode;
 use bytes::Bytes;
 use compact_str::CompactString;
 use smallvec::SmallVec;
@@ -91,6 +92,9 @@
     fn reason(&self) -> String {
         let length = self.body.len().min(REASON_MAX);
         let text = String::from_utf8_lossy(&self.body[..length]);
-        format!("{}: {text}", self.status)
+        match StatusCode::from_u16(self.status) {
+            Ok(status) => format!("{status}: {text}"),
+            Err(_) => format!("{}: {text}", self.status),
+        }
     }
 }
