Let short answers out without waiting for their turn

Cause: every answer to another node took its turn behind the parts of large ones, checks of a few hundred bytes too. Ruled out: a second queue for short answers (they need no pacing at all). Change: the first 16 KiB of an answer go out at once.

--- a/crates/cicadagw-proxy/src/answer.rs
+++ b/crates/cicadagw-proxy/src/answer.rs
@@ -17,6 +17,10 @@
 use crate::pacer::Pacer;
 use crate::peers::Visit;
 
+/// How much of an answer goes out without waiting for its turn, in bytes: a short one is not to wait
+/// behind the parts of large ones.
+const SHORT: usize = 16 << 10;
+
 /// An answer whose head has come.
 #[derive(Debug)]
 pub(crate) struct Answer {
@@ -141,6 +145,7 @@
                 return;
             }
         }
+        let mut passed = 0;
         while let Some(rest) = &mut self.rest {
             let next = tokio::select! {
                 () = sender.unwanted() => return,
@@ -148,7 +153,10 @@
             };
             match next {
                 Ok(Ok(Some(part))) => {
-                    if let Some(pacer) = &self.pacer {
+                    passed += part.len();
+                    if passed > SHORT
+                        && let Some(pacer) = &self.pacer
+                    {
                         pacer.turn(part.len()).await;
                     }
                     if sender.send(part).await.is_err() {
