--- a/crates/cicadagw-control/src/roll.rs
+++ b/crates/cicadagw-control/src/census.rs
@@ -1,35 +1,35 @@
-//! Roll calls, by which a root finds out which nodes of its failure domain are gone.
+//! Censuses, by which a root finds out which nodes of its failure domain are gone.
 
 use std::collections::BTreeSet;
 
 use cicadagw_unit::id;
 use cicadagw_unit::time::{Moment, Span};
 
-/// How long fewer nodes may report than there are records of, before a roll is called.
+/// How long fewer nodes may report than there are records of, before a census is taken.
 const PATIENCE: Span = Span::seconds(5);
 
 /// How long the nodes have to answer.
 const ANSWER_TIME: Span = Span::seconds(3);
 
-/// What a roll call has come to.
+/// What a census has come to.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Outcome {
     /// Nothing is to be done.
     Nothing,
-    /// The roll is to be called.
+    /// A census is to be taken.
     Call,
     /// These nodes answered; all others are gone.
     Present(BTreeSet<id::Node>),
 }
 
-/// The roll call of a root.
+/// The census of a root.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Roll {
+pub(crate) struct Census {
     missing_since: Option<Moment>,
     called: Option<(Moment, BTreeSet<id::Node>)>,
 }
 
-impl Roll {
+impl Census {
     /// Looks at whether all of the `recorded` serving nodes are among the `reported` ones.
     pub(crate) fn tick(&mut self, now: Moment, recorded: usize, reported: usize) -> Outcome {
         if let Some((at, present)) = &mut self.called {
--- a/crates/cicadagw-control/src/core.rs
+++ b/crates/cicadagw-control/src/core.rs
@@ -15,13 +15,13 @@
 use rand::rngs::SmallRng;
 
 use crate::adopt::Holder;
+use crate::census::Census;
 use crate::charts::Charts;
+use crate::election::Election;
 use crate::endpoints::Registry;
 use crate::fetch::Fetch;
-use crate::ladder::Ladder;
 use crate::links::Children;
 use crate::platform::{self, Purpose};
-use crate::roll::Roll;
 use crate::uplink::Uplink;
 use crate::{Dump, Effect, Event, Identity, Rank, directory, status};
 
@@ -33,11 +33,11 @@
     pub(crate) holder: Holder,
     pub(crate) endpoints: Arc<Endpoints>,
     pub(crate) registry: Registry,
-    pub(crate) ladder: Ladder,
+    pub(crate) election: Election,
     pub(crate) uplink: Uplink,
     pub(crate) children: Children,
     pub(crate) fetch: Fetch,
-    pub(crate) roll: Roll,
+    pub(crate) census: Census,
     pub(crate) status: status::Writer,
     pub(crate) directory: directory::Writer,
     pub(crate) present: Vec<id::Node>,
@@ -61,11 +61,11 @@
             holder: Holder::new(charts.adopt),
             endpoints: Arc::default(),
             registry: Registry::new(identity.clone()),
-            ladder: Ladder::new(&charts.lease, &identity, seed, settings.timing.lease),
+            election: Election::new(&charts.lease, &identity, seed, settings.timing.lease),
             uplink: Uplink::new(charts.uplink, identity.member.link),
             children: Children::default(),
             fetch: Fetch::default(),
-            roll: Roll::default(),
+            census: Census::default(),
             status: status::Writer::default(),
             directory: directory::Writer::default(),
             present: Vec::new(),
@@ -119,7 +119,7 @@
             highest_seen: self.holder.highest_seen(),
             identity: self.identity.clone(),
             leases: self
-                .ladder
+                .election
                 .states()
                 .map(|(rank, state)| (rank, state.to_string()))
                 .collect(),
@@ -141,15 +141,15 @@
         }
         self.registry.tick(now, timing.renewal.times(2));
         self.spread();
-        self.answer_roll_call();
+        self.answer_census();
         self.look_at_root_duties(now);
         self.send_signs_of_life(now);
     }
 
     /// Gives the leases back at once, so that nobody has to wait for them to lapse.
     fn leave(&mut self, now: Moment) {
-        let was_root = self.ladder.rank().is_some();
-        let outcome = self.ladder.leave(now);
+        let was_root = self.election.rank().is_some();
+        let outcome = self.election.leave(now);
         self.climb(now, outcome);
         if was_root {
             self.dismiss_children();
@@ -158,13 +158,13 @@
 
     /// Tells whether nothing stands above this node.
     pub(crate) fn is_apex(&self) -> bool {
-        self.ladder.rank() == Some(Rank::Fleet)
+        self.election.rank() == Some(Rank::Fleet)
     }
 
     fn platform(&mut self, now: Moment, reply: platform::Reply) {
         match reply.purpose {
             Purpose::Lease(rank) => {
-                let outcome = self.ladder.reply(now, rank, reply.outcome);
+                let outcome = self.election.reply(now, rank, reply.outcome);
                 self.climb(now, outcome);
                 self.ask_superior();
             }
--- a/crates/cicadagw-control/src/ladder.rs
+++ b/crates/cicadagw-control/src/election.rs
@@ -13,7 +13,7 @@
 
 /// The leases of a node, from its failure domain up to the fleet.
 #[derive(Clone, Debug)]
-pub(crate) struct Ladder {
+pub(crate) struct Election {
     /// Whether the node stops.
     has_left: bool,
     leases: [(Rank, Lease); 3],
@@ -24,14 +24,14 @@
     has_looked: bool,
 }
 
-/// What a step of the ladder leads to.
+/// What a step of the election leads to.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Outcome {
     pub(crate) calls: Vec<Call>,
     pub(crate) changes: Vec<(Rank, Change)>,
 }
 
-impl Ladder {
+impl Election {
     pub(crate) fn new(
         rules: &lease::Rules,
         identity: &Identity,
@@ -66,7 +66,7 @@
     pub(crate) fn leave(&mut self, now: Moment) -> Outcome {
         self.has_left = true;
         let mut outcome = Outcome::default();
-        // The highest first: whoever follows on the lowest rung finds the others free.
+        // The highest first: whoever follows on the lowest rank finds the others free.
         for (rank, lease) in self.leases.iter_mut().rev() {
             outcome.add(*rank, lease.leave(now));
         }
--- a/crates/cicadagw-control/src/endpoints.rs
+++ b/crates/cicadagw-control/src/endpoints.rs
@@ -17,7 +17,7 @@
 /// How long a gone endpoint is remembered, so that old news does not revive it.
 const GONE_MEMORY: Span = Span::seconds(600);
 
-/// How long a node that refuted its burial is not buried again.
+/// How long a node that refuted its end is not ended again.
 const REFUTED_MEMORY: Span = Span::seconds(60);
 
 /// Where news came from; it is not sent back there.
@@ -39,7 +39,7 @@
     orphans: BTreeMap<id::Endpoint, Moment>,
     /// Endpoints that this node ended in this life; they never come back.
     ended: BTreeSet<id::Endpoint>,
-    /// Nodes that refuted a burial, and when.
+    /// Nodes that refuted their end, and when.
     refuted: BTreeMap<id::Node, Moment>,
     changed: bool,
     /// The digests of the table, until it changes.
@@ -124,7 +124,7 @@
     }
 
     /// Marks the endpoints of a node of the failure domain as gone, unless it lately refuted that.
-    pub(crate) fn bury(&mut self, now: Moment, node: &id::Node) {
+    pub(crate) fn end_node(&mut self, now: Moment, node: &id::Node) {
         if self.refuted.contains_key(node) {
             return;
         }
--- a/crates/cicadagw-control/src/lib.rs
+++ b/crates/cicadagw-control/src/lib.rs
@@ -3,22 +3,22 @@
 //! [`Core::step`] is a plain function of state, event and time; it returns effects and does no I/O.
 
 mod adopt;
+mod census;
 mod charts;
 mod child;
 mod core;
 mod directory;
 mod dump;
 mod effect;
+mod election;
 mod endpoints;
 mod event;
 mod fetch;
 mod heartbeat;
 mod identity;
-mod ladder;
 mod lease;
 mod links;
 pub mod platform;
-mod roll;
 mod root;
 mod status;
 mod sync;
--- a/crates/cicadagw-control/src/root.rs
+++ b/crates/cicadagw-control/src/root.rs
@@ -6,31 +6,31 @@
 use cicadagw_unit::time::Moment;
 use cicadagw_wire::{Directory, Down, Member, Up};
 
-use crate::{Core, Effect, roll};
+use crate::{Core, Effect, census};
 
 impl Core {
-    /// Passes on which nodes answered a roll call.
-    pub(crate) fn answer_roll_call(&mut self) {
+    /// Passes on which nodes answered a census.
+    pub(crate) fn answer_census(&mut self) {
         let present = std::mem::take(&mut self.present);
         if present.is_empty() {
             return;
         }
-        if self.ladder.rank().is_some() {
-            self.roll.answer(present);
+        if self.election.rank().is_some() {
+            self.census.answer(present);
         } else {
             self.up(Up::Present(present));
         }
     }
 
-    pub(crate) fn call_roll(&mut self) {
+    pub(crate) fn take_census(&mut self) {
         let sessions = self.children.sessions_in(&self.identity.domain);
-        self.down(sessions, Down::RollCall);
+        self.down(sessions, Down::Census);
     }
 
     /// Does what falls to the root of a failure domain.
     pub(crate) fn look_at_root_duties(&mut self, now: Moment) {
-        if self.ladder.rank().is_none() {
-            self.roll.reset();
+        if self.election.rank().is_none() {
+            self.census.reset();
             self.status.reset();
             self.directory.reset();
             return;
@@ -38,10 +38,10 @@
         let report = self.report();
         let recorded = self.registry.serving_nodes().len();
         let reported = usize::try_from(report.serving).unwrap_or(usize::MAX);
-        match self.roll.tick(now, recorded, reported) {
-            roll::Outcome::Nothing => {}
-            roll::Outcome::Call => self.call_roll(),
-            roll::Outcome::Present(present) => self.bury_absent(now, &present),
+        match self.census.tick(now, recorded, reported) {
+            census::Outcome::Nothing => {}
+            census::Outcome::Call => self.take_census(),
+            census::Outcome::Present(present) => self.end_absent(now, &present),
         }
         let period = self.settings.timing.status;
         let write = self
@@ -51,7 +51,7 @@
         self.write_directory(now);
     }
 
-    pub(crate) fn bury_absent(&mut self, now: Moment, present: &BTreeSet<id::Node>) {
+    pub(crate) fn end_absent(&mut self, now: Moment, present: &BTreeSet<id::Node>) {
         let own = &self.identity.member.node;
         let absent: Vec<_> = self
             .registry
@@ -60,7 +60,7 @@
             .filter(|node| node != own && !present.contains(node))
             .collect();
         for node in absent {
-            self.registry.bury(now, &node);
+            self.registry.end_node(now, &node);
         }
     }
 
--- a/crates/cicadagw-control/src/sync.rs
+++ b/crates/cicadagw-control/src/sync.rs
@@ -28,9 +28,9 @@
                 }
             }
             Down::Endpoints(records) => self.registry.learn(now, Source::Link(session), records),
-            Down::RollCall => {
+            Down::Census => {
                 self.present.push(self.identity.member.node.clone());
-                self.call_roll();
+                self.take_census();
             }
             Down::Whole(snapshot) => self.offer(now, *snapshot),
             Down::Delta(delta) if delta.to.version <= self.holder.stamp().version => {}
@@ -83,7 +83,7 @@
     /// Watches the platform while nothing stands above this node, or nothing was found for long.
     pub(crate) fn watch(&mut self, now: Moment) {
         let silence = self.settings.timing.silence();
-        let patience = match (self.ladder.rank(), self.holder.held()) {
+        let patience = match (self.election.rank(), self.holder.held()) {
             (Some(Rank::Fleet), _) => Span::default(),
             // Until a lost root is followed by another one, those that hung below it must not miss
             // a change; a node that lost another parent has climbed past it by then.
--- a/crates/cicadagw-control/src/tree.rs
+++ b/crates/cicadagw-control/src/tree.rs
@@ -10,7 +10,7 @@
 use rand::seq::SliceRandom;
 
 use crate::lease::Change;
-use crate::{Core, Effect, Note, ladder, links, uplink};
+use crate::{Core, Effect, Note, election, links, uplink};
 
 /// How many nodes of its failure domain a node asks in one round, besides the seeds.
 const NEAR_CANDIDATES_MAX: usize = 8;
@@ -21,7 +21,7 @@
 impl Core {
     pub(crate) fn look_at_leases(&mut self, now: Moment) {
         let lonely = self.uplink.orphaned(now).is_some();
-        let outcome = self.ladder.tick(now, lonely);
+        let outcome = self.election.tick(now, lonely);
         self.climb(now, outcome);
     }
 
@@ -33,7 +33,7 @@
         }
     }
 
-    pub(crate) fn climb(&mut self, now: Moment, outcome: ladder::Outcome) {
+    pub(crate) fn climb(&mut self, now: Moment, outcome: election::Outcome) {
         self.effects
             .extend(outcome.calls.into_iter().map(Effect::Platform));
         for (rank, change) in outcome.changes {
@@ -41,7 +41,7 @@
                 Change::Gained => Note::Gained(rank),
                 Change::Lost => Note::Lost(rank),
             }));
-            let superior = self.ladder.superior().map(|member| member.link);
+            let superior = self.election.superior().map(|member| member.link);
             let outcome = self.uplink.rise(now, superior, &mut self.random);
             self.apply(now, outcome);
             self.send_path();
@@ -50,7 +50,7 @@
 
     pub(crate) fn look_at_uplink(&mut self, now: Moment) {
         // A root of all that the platform no longer confirms may have been followed by another one.
-        let wanted = !self.is_apex() || !self.ladder.is_fresh(now);
+        let wanted = !self.is_apex() || !self.election.is_fresh(now);
         if !wanted && self.uplink.joined().is_some() {
             let outcome = self.uplink.rise(now, None, &mut self.random);
             self.apply(now, outcome);
@@ -81,7 +81,7 @@
             self.send_report(now);
         }
         if outcome.parted {
-            self.ladder.look_at_once(now);
+            self.election.look_at_once(now);
             self.stay_near();
             self.effects
                 .push(Effect::Note(Note::Parted("the link is gone".to_owned())));
@@ -91,9 +91,9 @@
 
     /// Collects the nodes that can be asked to become the parent, the best first.
     pub(crate) fn refill(&mut self, now: Moment) {
-        let superior = self.ladder.superior().map(|member| member.link);
+        let superior = self.election.superior().map(|member| member.link);
         self.uplink.add_candidates(superior);
-        if self.ladder.rank().is_some() {
+        if self.election.rank().is_some() {
             return self.add_far_candidates(now);
         }
         let nodes = self.registry.serving_nodes();
@@ -109,13 +109,13 @@
     ///
     /// Below them it would be served, but nobody in its failure domain might look at the lease.
     fn stay_near(&mut self) {
-        if self.ladder.rank().is_some() {
+        if self.election.rank().is_some() {
             return;
         }
         let nodes = self.registry.serving_nodes();
         let mut near: BTreeSet<SocketAddr> = nodes.values().map(|record| record.link).collect();
         near.extend(&self.settings.seeds);
-        near.extend(self.ladder.superior().map(|member| member.link));
+        near.extend(self.election.superior().map(|member| member.link));
         self.uplink
             .retain_candidates(|address| near.contains(address));
     }
@@ -240,7 +240,7 @@
     /// Tells whether the node that sent `hello` had better be the parent, since it holds more and
     /// nobody else brings this one up.
     fn should_be_below(&self, hello: &Hello) -> bool {
-        let is_alone = self.uplink.joined().is_none() && self.ladder.rank().is_none();
+        let is_alone = self.uplink.joined().is_none() && self.election.rank().is_none();
         is_alone && hello.held.version > self.holder.stamp().version
     }
 
@@ -265,7 +265,7 @@
     /// Makes the holder of the next lease the first to be asked, once it is known.
     pub(crate) fn ask_superior(&mut self) {
         if self.uplink.joined().is_none()
-            && let Some(superior) = self.ladder.superior()
+            && let Some(superior) = self.election.superior()
         {
             self.uplink.prefer(superior.link);
         }
--- a/crates/cicadagw-control/tests/control/news.rs
+++ b/crates/cicadagw-control/tests/control/news.rs
@@ -1,4 +1,4 @@
-//! News of endpoints: announced, draining, gone, refuted, and found dead by a roll call.
+//! News of endpoints: announced, draining, gone, refuted, and found dead by a census.
 
 use cicadagw_endpoint::{Record, State};
 use cicadagw_unit::Digest;
@@ -146,7 +146,7 @@
 }
 
 #[test]
-fn a_roll_call_buries_the_dead() {
+fn a_census_buries_the_dead() {
     let mut session = apex();
     session.joining(1, hello(2, 1));
     session.up(
@@ -175,12 +175,12 @@
 }
 
 #[test]
-fn a_node_answers_a_roll_call_for_those_below_it() {
+fn a_node_answers_a_census_for_those_below_it() {
     let mut session = follower();
     session.joining(1, hello(3, 0));
     session.forget();
 
-    session.down(Down::RollCall);
+    session.down(Down::Census);
     session.up(1, Up::Present(vec![member(3).node, member(4).node]));
     session.run(Span::new(100));
 
@@ -198,7 +198,7 @@
     }
     let forgotten = known(&session, "e3");
 
-    // A failure domain that was cut off since before the burial returns.
+    // A failure domain that was cut off since before the end returns.
     session.up(1, Up::Endpoints(vec![record(3, "e3", 1, State::Ready)]));
     for _ in 0..10 {
         session.run(Span::seconds(1));
@@ -212,13 +212,13 @@
 #[test]
 fn two_records_of_one_sequence_number_end_up_as_one() {
     let drained = record(3, "e3", 2, State::Draining);
-    let buried = record(3, "e3", 2, State::Gone);
+    let ended = record(3, "e3", 2, State::Gone);
     let mut first = follower();
     let mut second = follower();
 
     first.down(Down::Endpoints(vec![drained.clone()]));
-    first.down(Down::Endpoints(vec![buried.clone()]));
-    second.down(Down::Endpoints(vec![buried]));
+    first.down(Down::Endpoints(vec![ended.clone()]));
+    second.down(Down::Endpoints(vec![ended]));
     second.down(Down::Endpoints(vec![drained]));
 
     assert_eq!(state(&first, "e3"), Some(State::Gone));
@@ -254,7 +254,7 @@
     session.joining(1, hello(2, 1));
     session.up(1, Up::Endpoints(vec![record(3, "e3", 1, State::Ready)]));
     run_with_child(&mut session, 10);
-    let buried = known(&session, "e3");
+    let ended = known(&session, "e3");
 
     // The node lives, but hangs below another root for now.
     session.up(1, Up::Endpoints(vec![record(3, "e3", 3, State::Ready)]));
@@ -262,7 +262,7 @@
     let refuted = known(&session, "e3");
     run_with_child(&mut session, 60);
 
-    assert_eq!(buried, Some(record(3, "e3", 2, State::Gone)));
+    assert_eq!(ended, Some(record(3, "e3", 2, State::Gone)));
     assert_eq!(refuted, Some(record(3, "e3", 3, State::Ready)));
     assert_eq!(state(&session, "e3"), Some(State::Gone));
 }
--- a/crates/cicadagw-control/tests/control/render.rs
+++ b/crates/cicadagw-control/tests/control/render.rs
@@ -103,7 +103,7 @@
         Down::Digests(digests) => format!("digests of {}", digests.len()),
         Down::Endpoints(news) => format!("endpoints {}", records(news)),
         Down::Path(nodes) => format!("path {}", path(nodes)),
-        Down::RollCall => "roll call".to_owned(),
+        Down::Census => "census".to_owned(),
         Down::Whole(snapshot) => format!("whole {}", snapshot.stamp.version),
     }
 }
--- a/crates/cicadagw-link/src/codec.rs
+++ b/crates/cicadagw-link/src/codec.rs
@@ -51,7 +51,7 @@
         Down::Delta(_) | Down::Digests(_) | Down::Endpoints(_) | Down::Path(_) | Down::Whole(_) => {
             pack_large(message)
         }
-        Down::Beat(_) | Down::RollCall => plain(message),
+        Down::Beat(_) | Down::Census => plain(message),
     }
 }
 
--- a/crates/cicadagw-link/src/traffic.rs
+++ b/crates/cicadagw-link/src/traffic.rs
@@ -17,7 +17,7 @@
     Endpoints,
     /// Signs of life of a child.
     Reports,
-    /// The shape of the tree: paths and roll calls.
+    /// The shape of the tree: paths and censuses.
     Tree,
 }
 
@@ -49,7 +49,7 @@
             Down::Beat(_) => Self::Beats,
             Down::Delta(_) | Down::Whole(_) => Self::Configuration,
             Down::Digests(_) | Down::Endpoints(_) => Self::Endpoints,
-            Down::Path(_) | Down::RollCall => Self::Tree,
+            Down::Path(_) | Down::Census => Self::Tree,
         }
     }
 }
--- a/crates/cicadagw-link/tests/codec.rs
+++ b/crates/cicadagw-link/tests/codec.rs
@@ -25,7 +25,7 @@
             0 => beat(u64::arbitrary(g)),
             1 => Down::Endpoints((0..count).map(record).collect()),
             2 => Down::Path(Box::new((0..count).map(member).collect())),
-            3 => Down::RollCall,
+            3 => Down::Census,
             4 => Down::Digests(digests(count)),
             5 => Down::Whole(Box::new(snapshot(count))),
             _ => {
--- a/crates/cicadagw-proxy/src/ingress.rs
+++ b/crates/cicadagw-proxy/src/ingress.rs
@@ -11,7 +11,7 @@
 use cicadagw_unit::time::Moment;
 use tokio::time::timeout_at;
 
-use crate::door::Door;
+use crate::listen::Kind;
 use crate::node::{Node, Plan};
 use crate::relay::Relay;
 use crate::reply::{COME_BACK, End, tell_node};
@@ -19,21 +19,21 @@
 use crate::target::{self, Call, Outcome};
 use crate::upload::Upload;
 
-/// Takes a call that has just arrived through `door`.
+/// Takes a call that has just arrived through `kind`.
 pub(crate) async fn handle(
     node: &Rc<Node>,
-    door: Door,
+    kind: Kind,
     head: cicadagw_http::Request,
     body: Body,
 ) -> Reply {
     let begin = Instant::now();
     let entry = node.enter();
-    let is_from_node = door.is_from_node(&head.fields);
+    let is_from_node = kind.is_from_node(&head.fields);
     let Outcome {
         mut end,
         load,
         work,
-    } = match admit(node, door, head) {
+    } = match admit(node, kind, head) {
         Ok(request) => {
             let outcome = tokio::select! {
                 biased;
@@ -76,8 +76,8 @@
 }
 
 /// Reads the head of a call and refuses what no node carries.
-fn admit(node: &Node, door: Door, head: cicadagw_http::Request) -> Result<Request, Reason> {
-    let request = Request::read(head, node.dialect.names(), door, node.clock.now())?;
+fn admit(node: &Node, kind: Kind, head: cicadagw_http::Request) -> Result<Request, Reason> {
+    let request = Request::read(head, node.dialect.names(), kind, node.clock.now())?;
     if request.size as u64 > node.limits().headers.get() {
         return Err(Reason::HeaderLimit);
     }
--- a/crates/cicadagw-proxy/src/lib.rs
+++ b/crates/cicadagw-proxy/src/lib.rs
@@ -6,11 +6,11 @@
 mod announce;
 mod answer;
 mod clock;
-mod door;
 mod exchange;
 mod gate;
 mod header;
 mod ingress;
+mod listen;
 mod listener;
 mod node;
 mod outbox;
--- a/crates/cicadagw-proxy/src/door.rs
+++ b/crates/cicadagw-proxy/src/listen.rs
@@ -6,7 +6,7 @@
 
 /// Who comes in by a listener.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Door {
+pub(crate) enum Kind {
     /// Callers and other nodes, told apart by what they send.
     Calls,
     /// Callers alone.
@@ -19,7 +19,7 @@
     Ready,
 }
 
-impl Door {
+impl Kind {
     /// Tells whether a request with `fields` was routed by another node.
     pub(crate) fn is_from_node(self, fields: &Fields) -> bool {
         match self {
--- a/crates/cicadagw-proxy/src/listener.rs
+++ b/crates/cicadagw-proxy/src/listener.rs
@@ -8,7 +8,7 @@
 use cicadagw_http::server::{Limits, Refusal, Reply, Service};
 use cicadagw_http::{Body, Request};
 
-use crate::door::Door;
+use crate::listen::Kind;
 use crate::node::{CONFIRM, Node};
 use crate::reply::End;
 use crate::{announce, header, ingress};
@@ -22,12 +22,12 @@
 /// What answers the requests of one listener.
 pub(crate) struct Listener {
     node: Rc<Node>,
-    door: Door,
+    kind: Kind,
 }
 
 impl Listener {
-    pub(crate) const fn new(node: Rc<Node>, door: Door) -> Self {
-        Self { node, door }
+    pub(crate) const fn new(node: Rc<Node>, kind: Kind) -> Self {
+        Self { node, kind }
     }
 }
 
@@ -44,11 +44,11 @@
     }
 
     async fn handle(self: Rc<Self>, head: Request, body: Body) -> Reply {
-        match self.door {
-            Door::Announcements => announce::handle(&self.node, &head, body).await,
-            Door::Ready => ready(&self.node, &head),
-            Door::Nodes if wants_snapshot(&head) => snapshot(&self.node),
-            door => ingress::handle(&self.node, door, head, body).await,
+        match self.kind {
+            Kind::Announcements => announce::handle(&self.node, &head, body).await,
+            Kind::Ready => ready(&self.node, &head),
+            Kind::Nodes if wants_snapshot(&head) => snapshot(&self.node),
+            kind => ingress::handle(&self.node, kind, head, body).await,
         }
     }
 
@@ -67,7 +67,7 @@
     }
 
     fn confirms_after(&self) -> Option<Duration> {
-        (self.door == Door::Nodes).then_some(CONFIRM)
+        (self.kind == Kind::Nodes).then_some(CONFIRM)
     }
 }
 
--- a/crates/cicadagw-proxy/src/request.rs
+++ b/crates/cicadagw-proxy/src/request.rs
@@ -12,8 +12,8 @@
 use cicadagw_unit::id;
 use cicadagw_unit::time::{Moment, Span};
 
-use crate::door::Door;
 use crate::header;
+use crate::listen::Kind;
 
 /// A call as it arrived.
 #[derive(Debug)]
@@ -54,7 +54,7 @@
 }
 
 impl Request {
-    /// Reads the head of a request that came through `door` at `arrival`.
+    /// Reads the head of a request that came through `kind` at `arrival`.
     ///
     /// # Errors
     ///
@@ -63,7 +63,7 @@
     pub(crate) fn read(
         head: cicadagw_http::Request,
         names: &Names,
-        door: Door,
+        kind: Kind,
         arrival: Moment,
     ) -> Result<Self, Reason> {
         if head.is_old {
@@ -73,7 +73,7 @@
             return Err(Reason::BadRequest);
         }
         let fields = &head.fields;
-        let is_from_node = door.is_from_node(fields);
+        let is_from_node = kind.is_from_node(fields);
         let (deadline, hops) = if is_from_node {
             (header::DEADLINE, Some(header::HOPS))
         } else {
--- a/crates/cicadagw-proxy/src/run.rs
+++ b/crates/cicadagw-proxy/src/run.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use crate::door::Door;
+use crate::listen::Kind;
 use crate::listener::Listener;
 use crate::node::{Node, Parts};
 use crate::{Setup, upkeep};
@@ -29,14 +29,14 @@
 
 async fn serve(setup: Setup) -> io::Result<()> {
     let calls = match setup.nodes {
-        Some(_) => Door::Callers,
-        None => Door::Calls,
+        Some(_) => Kind::Callers,
+        None => Kind::Calls,
     };
-    let doors = [
-        (Door::Announcements, Some(setup.announce)),
+    let kinds = [
+        (Kind::Announcements, Some(setup.announce)),
         (calls, Some(setup.calls)),
-        (Door::Nodes, setup.nodes),
-        (Door::Ready, setup.ready),
+        (Kind::Nodes, setup.nodes),
+        (Kind::Ready, setup.ready),
     ];
     let node = Rc::new(Node::new(Parts {
         budget: setup.budget,
@@ -54,10 +54,10 @@
         view: setup.view,
     }));
     let closed = CancellationToken::new();
-    for (door, listener) in doors {
+    for (kind, listener) in kinds {
         if let Some(listener) = listener {
             let listener = asynchronous(listener)?;
-            let service = Rc::new(Listener::new(node.clone(), door));
+            let service = Rc::new(Listener::new(node.clone(), kind));
             actix::spawn(server::serve(listener, service, closed.clone()));
         }
     }
--- a/crates/cicadagw-wire/src/down.rs
+++ b/crates/cicadagw-wire/src/down.rs
@@ -24,7 +24,7 @@
     /// The nodes from the root down to the parent, both included.
     Path(Box<Path>),
     /// Every node of the failure domain is to say that it is there.
-    RollCall,
+    Census,
     /// The whole snapshot that the parent holds.
     Whole(Box<Snapshot>),
 }
--- a/crates/cicadagw-wire/src/up.rs
+++ b/crates/cicadagw-wire/src/up.rs
@@ -11,7 +11,7 @@
 pub enum Up {
     /// News of endpoints.
     Endpoints(Vec<Record>),
-    /// Nodes below that answer a roll call.
+    /// Nodes below that answer a census.
     Present(Vec<id::Node>),
     /// The child lives; how it and those below it stand.
     Report(Box<Report>),
