Log what tidying could not do; give the spreading of news its own file

Ruled out: giving the error back to the session, which has accepted the change by then and could do nothing with it.

--- a/crates/cicadagw-accept/src/run.rs
+++ b/crates/cicadagw-accept/src/run.rs
@@ -56,7 +56,9 @@
         }
         Effect::Tidy { parts, dropped } => {
             // The change is accepted whatever becomes of this; the next one tidies again.
-            let _ = tidy::tidy(store, &parts, dropped.as_ref()).await;
+            if let Err(error) = tidy::tidy(store, &parts, dropped.as_ref()).await {
+                log::warn!(error:%; "parts of earlier contents were not tidied up");
+            }
             Next::Nothing
         }
         Effect::End(outcome) => Next::End(outcome),
--- a/crates/cicadagw-gossip/src/core/decide.rs
+++ b/crates/cicadagw-gossip/src/core/decide.rs
@@ -9,10 +9,9 @@
 use cicadagw_platform::{Error, Revision};
 use cicadagw_unit::time::{Moment, Span};
 use cicadagw_unit::{Version, id};
-use cicadagw_view::{Endpoints, View};
+use cicadagw_view::Endpoints;
+use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rand::seq::IteratorRandom;
-use rand::{RngExt, SeedableRng};
 
 use crate::followers::{self, Followers};
 use crate::outbound::Outbound;
@@ -26,9 +25,6 @@
 /// As `DIGEST_EVERY`, while the platform does not answer: other nodes are the only source then.
 const DIGEST_EVERY_AWAY: Span = Span::new(250);
 
-/// How many digests of four go to nodes of the own region: the links to others are narrow.
-const NEAR_OF_FOUR: u32 = 3;
-
 /// What a node is set up with.
 #[derive(Builder, Clone, Debug)]
 pub struct Setup {
@@ -302,16 +298,6 @@
         self.effects.push(Effect::Note(note));
     }
 
-    /// Tells some nodes of a version that is new here; each tells others in turn.
-    fn pass_on(&mut self) {
-        let children = followers::children(&self.table, &self.own);
-        let random = self.random_peer();
-        for to in children.into_iter().chain(random) {
-            let digest = self.digest();
-            self.effects.push(Effect::Send(to, digest));
-        }
-    }
-
     /// Takes the nodes in that the platform lists. What it says of them is older than what they say
     /// themselves, so only those that are not known yet count.
     fn listed(&mut self, now: Moment, members: Vec<Member>) {
@@ -330,63 +316,6 @@
         }
     }
 
-    /// Tells every other node of a change of this one.
-    pub(super) fn tell_all(&mut self, now: Moment) {
-        self.own.stamp.1 += 1;
-        self.table.merge(&self.own);
-        let others = self
-            .table
-            .iter()
-            .filter(|member| member.node != self.own.node);
-        for member in others {
-            self.outbound.add(now, &member.node);
-        }
-        self.push(now);
-        self.publish();
-    }
-
-    /// Sends the newest news of this node to those that have not acknowledged it.
-    fn push(&mut self, now: Moment) {
-        for node in self.outbound.due(now) {
-            let Some(member) = self.table.get(&node) else {
-                continue;
-            };
-            let push = Message::Push {
-                from: self.own.node.clone(),
-                members: vec![self.own.clone()],
-                wants_ack: true,
-            };
-            self.effects.push(Effect::Send(member.gossip, push));
-        }
-    }
-
-    /// Returns another node, mostly one of the own region.
-    pub(super) fn random_peer(&mut self) -> Option<SocketAddr> {
-        let is_near_turn = self.rng.random_range(0..4) < NEAR_OF_FOUR;
-        let own = &self.own;
-        let others = || self.table.iter().filter(|member| member.node != own.node);
-        let near = others()
-            .filter(|member| is_near_turn == (member.region == own.region))
-            .choose(&mut self.rng);
-        let peer = match near {
-            Some(peer) => Some(peer),
-            None => others().choose(&mut self.rng),
-        };
-        peer.map(|peer| peer.gossip)
-    }
-
-    pub(super) fn publish(&mut self) {
-        let endpoints = self.table.endpoints();
-        if *self.endpoints != endpoints {
-            self.endpoints = Arc::new(endpoints);
-        }
-        self.effects.push(Effect::Publish(View {
-            snapshot: self.snapshot.clone(),
-            endpoints: self.endpoints.clone(),
-            members: self.table.iter().count(),
-        }));
-    }
-
     /// Takes note of whether the platform answers.
     fn note_platform<T>(&mut self, outcome: &Result<T, Error>) {
         let away = match outcome {
--- a/crates/cicadagw-gossip/src/core/mod.rs
+++ b/crates/cicadagw-gossip/src/core/mod.rs
@@ -2,5 +2,6 @@
 
 mod decide;
 mod exchange;
+mod spread;
 
 pub use decide::{Core, Setup};
