Use an address that no process can hold where a test needs a closed one

The test closed a listener and used its port. A process that another test thread was starting at that moment held a copy of the listener until it replaced its image, so the connection was taken and reset. Ruled out: another listener at that address, since no test listens at that IP number; the client, since it reports what the system says. Change: the address is port 1, which the system hands out to nobody; the same in three other tests.

--- a/crates/cicadactl/tests/command/shell.rs
+++ b/crates/cicadactl/tests/command/shell.rs
@@ -149,10 +149,10 @@
     address
 }
 
-/// Returns an address at which nothing listens; no test listens at that IP number.
+/// Returns an address at which nothing listens: a system hands port 1 out to nobody. A port that was
+/// open a moment ago can still be held by a process that another test is starting.
 pub(crate) fn closed_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.99.2:0").unwrap();
-    listener.local_addr().unwrap()
+    SocketAddr::from(([127, 0, 99, 2], 1))
 }
 
 fn listener() -> TcpListener {
--- a/crates/cicadagw-dev/tests/platform.rs
+++ b/crates/cicadagw-dev/tests/platform.rs
@@ -25,10 +25,9 @@
     Client::builder().addresses(addresses).answer(LONG).build()
 }
 
-/// Returns an address at which nothing listens; no test listens at that IP number.
+/// Returns an address at which nothing listens: a system hands port 1 out to nobody.
 fn closed_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.99.1:0").unwrap();
-    listener.local_addr().unwrap()
+    SocketAddr::from(([127, 0, 99, 1], 1))
 }
 
 /// Returns the address of a platform that gives `answer` to one call and ends the connection.
--- a/crates/cicadagw-http/tests/client.rs
+++ b/crates/cicadagw-http/tests/client.rs
@@ -187,9 +187,8 @@
 #[tokio::test]
 async fn where_nobody_listens_nothing_was_sent() {
     local(async {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        drop(listener);
+        // A system hands port 1 out to nobody.
+        let address = std::net::SocketAddr::from(([127, 0, 99, 1], 1));
 
         let opened = pool(address).open(OPTIONS.idle).await;
 
--- a/crates/cicadagw-proxy/tests/failure.rs
+++ b/crates/cicadagw-proxy/tests/failure.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 
 use support::backend::{Backend, Conduct, body};
 use support::caller::{Answer, call, get, head, post};
@@ -30,10 +30,9 @@
     }
 }
 
-/// An address at which nobody listens.
+/// Returns an address at which nothing listens: a system hands port 1 out to nobody.
 fn nowhere() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    SocketAddr::from(([127, 0, 99, 1], 1))
 }
 
 #[tokio::test]
