Let brief calls and calls that can meet their targets go first

Cause: waiting calls went by the end of their target latency. Under sustained load the first in the queue were those whose targets were past already: they took the places of calls that could still be answered in time, and calls that running requests make waited behind them until those requests failed. Change: a call's place is set by when it must start to meet its target. Calls whose declared latency is at most a quarter of the longest here go first, then those in time, then late ones; a late one is refused halfway between target and deadline unless there is room.

--- a/crates/cicadagw-call/src/admission.rs
+++ b/crates/cicadagw-call/src/admission/core.rs
@@ -1,82 +1,15 @@
-//! Which call a backend server may start, and which waits or is refused.
+//! The calls of one backend server.
 
 use std::collections::BTreeMap;
 
 use cicadagw_unit::id;
-use cicadagw_unit::rate::Priority;
 use cicadagw_unit::size::Slots;
 use cicadagw_unit::time::{Moment, Span};
-use smallvec::SmallVec;
 
+use super::place::{Key, Limit, Waiting};
+use super::verdict::{Release, Ticket, Verdict};
 use crate::Load;
 
-/// Names one call at one backend server; never used twice.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Eq,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    serde::Deserialize,
-    serde::Serialize,
-)]
-#[serde(transparent)]
-pub struct Ticket(u64);
-
-/// How many calls of a policy one backend server may run and have waiting.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Limit {
-    /// The policy.
-    pub policy: id::Policy,
-    /// How many calls run at once.
-    pub concurrency: Slots,
-    /// How many calls wait.
-    pub queue: Slots,
-    /// The rank of the call: the less urgent, the sooner it is refused.
-    pub rank: Priority,
-    /// Until when an answer is worth most; as long as the deadline if there is none.
-    pub target: Option<Moment>,
-}
-
-/// A call that waits.
-#[derive(Clone, Debug)]
-struct Waiting {
-    deadline: Moment,
-    limit: Limit,
-}
-
-/// Where a waiting call stands: by the moment up to which its answer is worth most.
-type Key = (Moment, Ticket);
-
-/// What becomes of a call that arrives.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Verdict {
-    /// It starts at once.
-    Run,
-    /// It waits, and its place may have been another call's.
-    Wait {
-        /// The call that is refused in its stead.
-        shed: Option<Ticket>,
-    },
-    /// It is refused: the queue is full, or the call would not be answered in time here.
-    Shed,
-    /// It is refused: its time is over.
-    Late,
-}
-
-/// What becomes of waiting calls after one has ended.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Release {
-    /// Those that start now.
-    pub run: SmallVec<[Ticket; 2]>,
-    /// Those that are refused since their time is over.
-    pub late: SmallVec<[Ticket; 2]>,
-}
-
 /// The calls of one backend server: those that run, and a short queue, in which the call goes first
 /// whose answer is worth most for the shortest time.
 #[derive(Clone, Debug)]
@@ -89,9 +22,14 @@
     typical: Span,
     /// How long a call under each policy takes.
     work: BTreeMap<id::Policy, Span>,
+    /// The longest declared latency of a call so far.
+    longest: Span,
     last: Ticket,
 }
 
+/// How many times shorter than the longest the declared latency of a brief call is at least.
+const BRIEF: u64 = 4;
+
 /// The share of a new measurement in the typical time of a call: one in this many.
 const SMOOTHING: u64 = 8;
 
@@ -117,6 +55,7 @@
             queue: BTreeMap::new(),
             typical: Span::new(0),
             work: BTreeMap::new(),
+            longest: Span::new(0),
             last: Ticket(0),
         }
     }
@@ -148,12 +87,17 @@
     pub fn offer(&mut self, now: Moment, deadline: Moment, limit: Limit) -> (Ticket, Verdict) {
         self.last = Ticket(self.last.0 + 1);
         let ticket = self.last;
-        let key = (limit.target.unwrap_or(deadline), ticket);
+        self.longest = self.longest.max(limit.latency.unwrap_or_default());
+        let key = Key {
+            is_long: !self.is_brief(&limit),
+            start: self.latest_start(deadline, &limit),
+            ticket,
+        };
         let verdict = self.judge(now, key, deadline, &limit);
         match verdict {
             Verdict::Run => self.begin(limit.policy),
             Verdict::Wait { shed } => {
-                self.queue.retain(|key, _| Some(key.1) != shed);
+                self.queue.retain(|key, _| Some(key.ticket) != shed);
                 self.queue.insert(key, Waiting { deadline, limit });
             }
             Verdict::Shed | Verdict::Late => {}
@@ -196,7 +140,7 @@
     /// Takes a call out that waits no longer; tells whether it did wait.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
         let held = self.queue.len();
-        self.queue.retain(|key, _| key.1 != ticket);
+        self.queue.retain(|key, _| key.ticket != ticket);
         self.queue.len() < held
     }
 
@@ -204,7 +148,7 @@
     pub fn close(&mut self) -> Vec<Ticket> {
         std::mem::take(&mut self.queue)
             .into_keys()
-            .map(|(_, ticket)| ticket)
+            .map(|key| key.ticket)
             .collect()
     }
 
@@ -220,7 +164,7 @@
         if room && self.queue.is_empty() {
             return Verdict::Run;
         }
-        let ahead = self.queue.range(..key).count();
+        let ahead = self.ahead(now, key);
         let wait = if room {
             Span::new(0)
         } else {
@@ -239,9 +183,14 @@
         if rivals.clone().count() < limit.queue.get() as usize {
             return Verdict::Wait { shed: None };
         }
-        match rivals.next_back() {
-            Some((latest, _)) if *latest > key => Verdict::Wait {
-                shed: Some(latest.1),
+        // One that is late already makes room first, then the one with the most time left.
+        let late = rivals
+            .clone()
+            .map(|(key, _)| key)
+            .find(|key| key.is_late(now));
+        match late.or_else(|| rivals.next_back().map(|(key, _)| key)) {
+            Some(victim) if *victim > key || victim.is_late(now) => Verdict::Wait {
+                shed: Some(victim.ticket),
             },
             _ => Verdict::Shed,
         }
@@ -252,15 +201,46 @@
         *self.running_by_policy.entry(policy).or_default() += 1;
     }
 
-    /// Starts what may start, earliest deadline first, and refuses what can no longer be in time.
+    /// Returns how many waiting calls go before the one at `key`: those that are late already do so
+    /// only if it is late itself.
+    fn ahead(&self, now: Moment, key: Key) -> usize {
+        if key.is_late(now) {
+            return self.queue.len();
+        }
+        let before = self.queue.range(..key);
+        before.filter(|(key, _)| !key.is_late(now)).count()
+    }
+
+    /// Tells whether such a call is to be answered far sooner than others here.
+    fn is_brief(&self, limit: &Limit) -> bool {
+        let longest = self.longest.get();
+        limit
+            .latency
+            .is_some_and(|latency| latency.times(BRIEF).get() <= longest)
+    }
+
+    /// Returns when a call must start at the latest to be answered by its target.
+    fn latest_start(&self, deadline: Moment, limit: &Limit) -> Moment {
+        let work = self.least_work(&limit.policy);
+        limit.target.map_or(deadline, |target| target.before(work))
+    }
+
+    /// Starts what may start, and refuses what cannot be answered before its deadline. Brief calls
+    /// go first, then those that can still meet their targets, the most urgent before the others.
     fn advance(&mut self, now: Moment) -> Release {
         let mut release = Release::default();
-        for (key, waiting) in std::mem::take(&mut self.queue) {
+        let mut brief = std::mem::take(&mut self.queue);
+        let mut late = brief.split_off(&Key::long(Moment::default()));
+        let timely = late.split_off(&Key::long(now));
+        for (key, waiting) in brief.into_iter().chain(timely).chain(late) {
             if waiting.deadline <= now.after(self.least_work(&waiting.limit.policy)) {
-                release.late.push(key.1);
+                release.late.push(key.ticket);
+            } else if key.is_late(now) && waiting.is_hopeless(now) && !self.has_room(&waiting.limit)
+            {
+                release.shed.push(key.ticket);
             } else if self.has_room(&waiting.limit) {
                 self.begin(waiting.limit.policy);
-                release.run.push(key.1);
+                release.run.push(key.ticket);
             } else {
                 self.queue.insert(key, waiting);
             }
--- /dev/null
+++ b/crates/cicadagw-call/src/admission/mod.rs
@@ -0,0 +1,9 @@
+//! Which call a backend server may start, and which waits or is refused.
+
+mod core;
+mod place;
+mod verdict;
+
+pub use core::Admission;
+pub use place::Limit;
+pub use verdict::{Release, Ticket, Verdict};
--- /dev/null
+++ b/crates/cicadagw-call/src/admission/place.rs
@@ -0,0 +1,66 @@
+//! What a waiting call may expect, and where it stands among others.
+
+use cicadagw_unit::id;
+use cicadagw_unit::rate::Priority;
+use cicadagw_unit::size::Slots;
+use cicadagw_unit::time::{Moment, Span};
+
+use super::verdict::Ticket;
+
+/// How many calls of a policy one backend server may run and have waiting.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Limit {
+    /// The policy.
+    pub policy: id::Policy,
+    /// How many calls run at once.
+    pub concurrency: Slots,
+    /// How many calls wait.
+    pub queue: Slots,
+    /// The rank of the call: the less urgent, the sooner it is refused.
+    pub rank: Priority,
+    /// Until when an answer is worth most; as long as the deadline if there is none.
+    pub target: Option<Moment>,
+    /// How long after its start an answer to such a call is worth most, as declared.
+    pub latency: Option<Span>,
+}
+
+/// A call that waits.
+#[derive(Clone, Debug)]
+pub(super) struct Waiting {
+    pub(super) deadline: Moment,
+    pub(super) limit: Limit,
+}
+
+impl Waiting {
+    /// Tells whether its target is so far past that the caller is better told.
+    pub(super) fn is_hopeless(&self, now: Moment) -> bool {
+        let target = self.limit.target.unwrap_or(self.deadline);
+        now.since(target) > self.deadline.since(now)
+    }
+}
+
+/// Where a waiting call stands.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct Key {
+    /// Whether it is none of the brief calls, which are parts of calls that run elsewhere.
+    pub(super) is_long: bool,
+    /// When it must start to be answered by its target.
+    pub(super) start: Moment,
+    pub(super) ticket: Ticket,
+}
+
+impl Key {
+    /// Returns the first place of long calls that must start at `start`.
+    pub(super) const fn long(start: Moment) -> Self {
+        Self {
+            is_long: true,
+            start,
+            ticket: Ticket(0),
+        }
+    }
+
+    /// Tells whether the call can no longer be answered by its target, and may wait for others.
+    pub(super) fn is_late(&self, now: Moment) -> bool {
+        self.is_long && self.start < now
+    }
+}
--- a/crates/cicadagw-call/tests/admission.rs
+++ b/crates/cicadagw-call/tests/admission.rs
@@ -24,6 +24,7 @@
         queue: Slots::new(QUEUE),
         rank: Priority::default(),
         target: None,
+        latency: None,
     }
 }
 
@@ -139,6 +140,82 @@
     assert_eq!(later, Verdict::Shed);
 }
 
+/// A limit whose calls are to be answered within `latency`, the first of them until `target`.
+fn timed(name: &str, latency: u64, target: u64) -> Limit {
+    Limit {
+        policy: policy(name),
+        latency: Some(Span::new(latency)),
+        target: Some(at(target)),
+        ..limit()
+    }
+}
+
+#[test]
+fn a_call_that_can_meet_its_target_goes_before_a_late_one() {
+    let mut admission = busy();
+    let (late, _) = admission.offer(at(0), at(900), timed("wide", 600, 30));
+    let (timely, _) = admission.offer(at(0), at(900), timed("wide", 600, 600));
+
+    let release = admission.abandon(at(40), &policy("wide"), Span::new(0));
+    let next = admission.abandon(at(41), &policy("wide"), Span::new(0));
+
+    assert_eq!(release.run.as_slice(), [timely]);
+    assert_eq!(next.run.as_slice(), [late]);
+}
+
+#[test]
+fn a_brief_call_goes_before_others_even_when_it_is_late() {
+    let mut admission = busy();
+    let (_, long) = admission.offer(at(0), at(900), timed("wide", 600, 600));
+    let (brief, _) = admission.offer(at(0), at(400), timed("brief", 120, 30));
+
+    let release = admission.abandon(at(40), &policy("wide"), Span::new(0));
+
+    assert_eq!(long, Verdict::Wait { shed: None });
+    assert_eq!(release.run.as_slice(), [brief]);
+}
+
+#[test]
+fn a_late_call_is_refused_long_before_its_deadline() {
+    let mut admission = busy();
+    let (late, _) = admission.offer(at(0), at(430), timed("wide", 30, 30));
+    let (_, timely) = admission.offer(at(0), at(900), timed("wide", 600, 600));
+
+    let first = admission.abandon(at(229), &policy("wide"), Span::new(0));
+    admission.offer(at(229), at(900), timed("wide", 600, 600));
+    admission.offer(at(229), at(900), timed("wide", 600, 600));
+    let second = admission.abandon(at(231), &policy("wide"), Span::new(0));
+
+    assert_eq!(timely, Verdict::Wait { shed: None });
+    assert!(first.shed.is_empty());
+    assert_eq!(second.shed.as_slice(), [late]);
+}
+
+#[test]
+fn a_call_that_is_late_on_arrival_waits_behind_all_others() {
+    let mut admission = busy();
+    admission.finish(at(100), &policy("wide"), Span::new(100));
+    admission.offer(at(100), at(900), limit());
+    admission.offer(at(100), at(900), limit());
+
+    let (_, verdict) = admission.offer(at(100), at(900), timed("wide", 600, 90));
+
+    assert_eq!(verdict, Verdict::Shed);
+}
+
+#[test]
+fn a_full_queue_gives_the_place_of_a_late_call_first() {
+    let mut admission = busy();
+    let (late, _) = admission.offer(at(0), at(900), timed("wide", 600, 30));
+    for _ in 1..QUEUE {
+        admission.offer(at(0), at(900), timed("wide", 600, 500));
+    }
+
+    let (_, verdict) = admission.offer(at(40), at(900), timed("wide", 600, 600));
+
+    assert_eq!(verdict, Verdict::Wait { shed: Some(late) });
+}
+
 #[test]
 fn a_policy_may_allow_less_than_the_slots() {
     let mut admission = admission();
@@ -148,6 +225,7 @@
         queue: Slots::new(0),
         rank: Priority::default(),
         target: None,
+        latency: None,
     };
     let (_, first) = admission.offer(at(0), at(900), narrow());
 
--- a/crates/cicadagw-proxy/src/gate.rs
+++ b/crates/cicadagw-proxy/src/gate.rs
@@ -134,6 +134,9 @@
         for ticket in release.late {
             self.tell(ticket, Grant::Refused(Reason::Deadline));
         }
+        for ticket in release.shed {
+            self.tell(ticket, Grant::Refused(Reason::Shed));
+        }
         for ticket in release.run {
             self.tell(ticket, Grant::Run);
         }
--- a/crates/cicadagw-proxy/src/target.rs
+++ b/crates/cicadagw-proxy/src/target.rs
@@ -79,6 +79,7 @@
         queue: policy.queue,
         rank: policy.priority,
         target: call.target_time(),
+        latency: policy.target_latency,
     };
     let entering = gate.enter(call.deadline, limit);
     match call.request.wait(entering).await {
--- a/crates/cicadagw-unit/src/time.rs
+++ b/crates/cicadagw-unit/src/time.rs
@@ -27,6 +27,12 @@
     pub const fn after(self, span: Span) -> Self {
         Self(self.0.saturating_add(span.0))
     }
+
+    /// Returns the moment `span` earlier, or the first of all.
+    #[must_use]
+    pub const fn before(self, span: Span) -> Self {
+        Self(self.0.saturating_sub(span.0))
+    }
 }
 
 impl Span {
