Pace all large answers by the link, and choose endpoints by what their links take

Cause: on links of 10.5 Mbit/s the answers to callers, and all that came whole from another node, went out unpaced beside the paced ones, and the first 16 KiB of each did not count. Ruled out: dead nodes (those that were silent had no fault, and all stand behind thin links); the queue at the instance (the load was below its slots). Change: every body takes its time on the link of the host, large ones one after the other; what a node has read whole gives its place at the backend server back at once; the time that a body takes counts as work of its endpoint, so that calls go elsewhere where the link is busy; the price of bytes between failure domains in the choice is 1,500 in place of 2,500 microseconds a KiB.

--- a/crates/cicadagw-call/src/choice/member.rs
+++ b/crates/cicadagw-call/src/choice/member.rs
@@ -39,7 +39,7 @@
 
 /// What a KiB of an answer costs on its way from each tier, expressed in microseconds of delay:
 /// links between failure domains are billed, those between regions are billed four times as high.
-const KIB_US: [u64; TIERS] = [0, 0, 2_500, 10_000];
+const KIB_US: [u64; TIERS] = [0, 0, 1_500, 10_000];
 
 /// How much a full endpoint adds to a call by its load alone, in microseconds. It grows with the
 /// square of the load, as backend servers slow down when they are nearly full.
--- a/crates/cicadagw-call/src/lib.rs
+++ b/crates/cicadagw-call/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod life;
 mod load;
 mod outcome;
+pub mod pace;
 pub mod route;
 
 pub use admission::Admission;
--- a/crates/cicadagw-proxy/src/answer.rs
+++ b/crates/cicadagw-proxy/src/answer.rs
@@ -14,13 +14,9 @@
 use crate::gate::Slot;
 use crate::header;
 use crate::node::Entry;
-use crate::pacer::Pacer;
+use crate::pacer::{Pace, Pacer, SHORT};
 use crate::peers::Visit;
 
-/// How much of an answer goes out without waiting for its turn, in bytes: a short one is not to wait
-/// behind the parts of large ones.
-const SHORT: usize = 16 << 10;
-
 /// An answer whose head has come.
 #[derive(Debug)]
 pub(crate) struct Answer {
@@ -34,7 +30,7 @@
     rest: Option<Incoming>,
     /// How long the body may stand still.
     idle_max: Duration,
-    /// What paces the body, on its way to another node.
+    /// What paces the body on its way out.
     pacer: Option<Rc<Pacer>>,
     held: Held,
 }
@@ -124,14 +120,19 @@
         let mut reply = Reply::new(self.status);
         reply.fields = std::mem::take(&mut self.fields);
         reply.stall_max = Some(self.idle_max);
-        if self.rest.is_none() {
+        let here: usize = self.begun.iter().map(Bytes::len).sum();
+        if self.rest.is_none() && here <= SHORT {
+            if let Some(pacer) = &self.pacer {
+                pacer.reserve(here);
+            }
             reply.named_length = self.length;
             reply.body = Body::Whole(join(&self.begun));
             return reply;
         }
+        let is_whole = self.rest.is_none();
         let (sender, parts) = body::channel();
         reply.body = Body::Parts {
-            length: self.length,
+            length: self.length.or(is_whole.then_some(here as u64)),
             parts,
         };
         tokio::task::spawn_local(self.pass(sender));
@@ -140,12 +141,14 @@
 
     /// Passes the body through until it is whole, it is cut, or nobody takes it.
     async fn pass(mut self, sender: Sender) {
+        let length = self.length.and_then(|length| length.try_into().ok());
+        let mut pace = Pace::new(self.pacer.clone(), length);
         for part in std::mem::take(&mut self.begun) {
+            pace.wait(part.len()).await;
             if sender.send(part).await.is_err() {
                 return;
             }
         }
-        let mut passed = 0;
         while let Some(rest) = &mut self.rest {
             let next = tokio::select! {
                 () = sender.unwanted() => return,
@@ -153,12 +156,7 @@
             };
             match next {
                 Ok(Ok(Some(part))) => {
-                    passed += part.len();
-                    if passed > SHORT
-                        && let Some(pacer) = &self.pacer
-                    {
-                        pacer.turn(part.len()).await;
-                    }
+                    pace.wait(part.len()).await;
                     if sender.send(part).await.is_err() {
                         return;
                     }
--- a/crates/cicadagw-proxy/src/ingress.rs
+++ b/crates/cicadagw-proxy/src/ingress.rs
@@ -55,9 +55,7 @@
     }
     if let End::Answered(answer) = &mut end {
         answer.hold_entry(entry);
-        if is_from_node {
-            answer.pace(node.pacer.clone());
-        }
+        answer.pace(node.pacer.clone());
     }
     let mut reply = end.into_reply(&node.dialect.retry_after(COME_BACK));
     if is_from_node {
@@ -140,7 +138,13 @@
 /// Serves a call, here when another node has chosen the endpoint, and else where the choice falls.
 async fn serve(node: &Rc<Node>, call: Call<'_>) -> Outcome {
     match &call.request.via {
-        Some(via) => target::attempt(node, call, &via.endpoint).await,
+        // What is here gives its place at the backend server back, however busy the link is.
+        Some(via) => {
+            target::attempt(node, call, &via.endpoint)
+                .await
+                .settle()
+                .await
+        }
         None => Outcome::of(Relay::new(node, call).run().await),
     }
 }
--- a/crates/cicadagw-proxy/src/pacer.rs
+++ b/crates/cicadagw-proxy/src/pacer.rs
@@ -1,43 +1,81 @@
 //! The pace of large answers.
 
 use std::cell::Cell;
-use std::time::Duration;
+use std::rc::Rc;
 
-use cicadagw_unit::rate::{Permille, Throughput};
+use cicadagw_call::pace::{Link, Turn};
+use cicadagw_unit::rate::Throughput;
 use tokio::time::{Instant, sleep_until};
 
-/// The share of the link that large answers take together: what is left is for short ones, which
-/// would wait behind the large ones in the queue of the link.
-const SHARE: Permille = Permille::new(850);
+/// How much of an answer goes out without waiting for its turn, in bytes: a short one is not to wait
+/// behind the parts of large ones.
+pub(crate) const SHORT: usize = 16 << 10;
 
-/// Lets large answers out at the pace of the link, a part of each in turn.
+/// Lets large answers out at the pace of the link, one after the other.
 #[derive(Debug)]
 pub(crate) struct Pacer {
-    bytes_per_second: Option<u64>,
-    /// When the link is free again.
-    free: Cell<Instant>,
+    start: Instant,
+    link: Option<Cell<Link>>,
 }
 
 impl Pacer {
     /// Creates a pacer for a link; without one it lets everything out at once.
-    pub(crate) fn new(link: Option<Throughput>) -> Self {
+    pub(crate) fn new(rate: Option<Throughput>) -> Self {
         Self {
-            bytes_per_second: link.map(|link| SHARE.of(link.get()).max(1)),
-            free: Cell::new(Instant::now()),
+            start: Instant::now(),
+            link: rate.map(Link::new).map(Cell::new),
         }
     }
 
-    /// Waits for the turn of a part of `length` bytes.
-    pub(crate) async fn turn(&self, length: usize) {
-        let Some(rate) = self.bytes_per_second else {
+    /// Takes the link for `length` bytes.
+    pub(crate) fn reserve(&self, length: usize) -> Option<Turn> {
+        let cell = self.link.as_ref()?;
+        let mut link = cell.get();
+        let turn = link.reserve(self.start.elapsed(), length as u64);
+        cell.set(link);
+        Some(turn)
+    }
+}
+
+/// The pace of one answer.
+pub(crate) struct Pace {
+    pacer: Option<Rc<Pacer>>,
+    /// How large the body is, where that is known.
+    length: Option<usize>,
+    passed: usize,
+    turn: Option<Turn>,
+}
+
+impl Pace {
+    pub(crate) const fn new(pacer: Option<Rc<Pacer>>, length: Option<usize>) -> Self {
+        Self {
+            pacer,
+            length,
+            passed: 0,
+            turn: None,
+        }
+    }
+
+    /// Waits until a part of `length` bytes may go out; the beginning does not wait.
+    pub(crate) async fn wait(&mut self, length: usize) {
+        let rest = self.length.map(|whole| whole.saturating_sub(self.passed));
+        self.passed += length;
+        let Some(pacer) = &self.pacer else {
             return;
         };
-        let now = Instant::now();
-        let begin = self.free.get().max(now);
-        let nanoseconds = length as u64 * 1_000_000_000 / rate;
-        self.free.set(begin + Duration::from_nanos(nanoseconds));
-        if begin > now {
-            sleep_until(begin).await;
+        if self.passed <= SHORT {
+            pacer.reserve(length);
+            return;
+        }
+        // A body of a length that is not known takes its turn part by part.
+        if self.turn.is_none() || rest.is_none() {
+            self.turn = pacer.reserve(rest.unwrap_or(length));
+        }
+        if let Some(turn) = &mut self.turn {
+            let begin = pacer.start + turn.take(length as u64);
+            if begin > Instant::now() {
+                sleep_until(begin).await;
+            }
         }
     }
 }
--- a/crates/cicadagw-proxy/src/target.rs
+++ b/crates/cicadagw-proxy/src/target.rs
@@ -33,6 +33,13 @@
 /// How long the body of a refusal is read on.
 const DISCARD_MAX: Duration = Duration::from_millis(20);
 
+/// How much of an answer is held back until it is whole, in bytes. Memory for it is taken by calls
+/// under way alone.
+const HOLD_MAX: u64 = 256 << 10;
+
+/// How long an answer is held back for that.
+const HOLD_TIME: Duration = Duration::from_millis(250);
+
 /// A call that is on its way.
 #[derive(Clone, Copy)]
 pub(crate) struct Call<'a> {
@@ -64,6 +71,19 @@
             work: None,
         }
     }
+
+    /// Waits for short answers to be whole; one that is cut before anything of it went to the caller
+    /// counts as lost.
+    pub(crate) async fn settle(self) -> Self {
+        let end = match self.end {
+            End::Answered(mut answer) => match answer.settle(HOLD_MAX, HOLD_TIME).await {
+                Ok(()) => End::Answered(answer),
+                Err(_) => End::Unknown(Reason::Lost),
+            },
+            end => end,
+        };
+        Self { end, ..self }
+    }
 }
 
 /// Takes a call to a backend server of this host, once there is a place for it.
--- a/crates/cicadagw-proxy/src/trial.rs
+++ b/crates/cicadagw-proxy/src/trial.rs
@@ -29,13 +29,6 @@
 /// How long a connection to another node may have been idle.
 const IDLE_MAX: Duration = Duration::from_secs(20);
 
-/// How much of an answer is held back until it is whole, in bytes. Memory for it is taken by calls
-/// under way alone.
-const HOLD_MAX: u64 = 256 << 10;
-
-/// How long an answer is held back for that.
-const HOLD_TIME: Duration = Duration::from_millis(250);
-
 /// An attempt under way. Dropped, it ends, and its backend server is told to stop.
 pub(crate) struct Trial<'a> {
     record: Record,
@@ -116,9 +109,13 @@
     } else {
         forward(node, call, &record, &heard).await
     };
+    let begin = node.clock.now();
+    let settled = outcome.settle().await;
+    // An endpoint behind a busy link is as slow as one that works slowly.
+    let transfer = node.clock.now().since(begin);
     Outcome {
-        end: settled(outcome.end).await,
-        ..outcome
+        work: settled.work.map(|work| work.plus(transfer)),
+        ..settled
     }
 }
 
@@ -145,18 +142,6 @@
     }
 }
 
-/// Waits for short answers to be whole; one that is cut before anything of it went to the caller
-/// counts as lost.
-async fn settled(end: End) -> End {
-    let End::Answered(mut answer) = end else {
-        return end;
-    };
-    match answer.settle(HOLD_MAX, HOLD_TIME).await {
-        Ok(()) => End::Answered(answer),
-        Err(_) => End::Unknown(Reason::Lost),
-    }
-}
-
 fn fields(node: &Node, call: Call<'_>, record: &Record) -> Fields {
     let mut fields = call.request.fields.clone();
     let left = call.deadline.since(node.clock.now()).get();
--- a/crates/cicadagw-unit/src/time.rs
+++ b/crates/cicadagw-unit/src/time.rs
@@ -41,6 +41,12 @@
         Self(seconds * 1_000)
     }
 
+    /// Returns the sum of both.
+    #[must_use]
+    pub const fn plus(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+
     /// Returns this span `factor` times.
     #[must_use]
     pub const fn times(self, factor: u64) -> Self {
