Refuse calls with large answers where the link is taken for long

Change: the admission knows how large the answers of a policy are; where they take turns on the link, its backlog counts as waiting, and the call goes to another endpoint when it would miss its target.

--- a/crates/cicadagw-call/src/admission/core.rs
+++ b/crates/cicadagw-call/src/admission/core.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use cicadagw_unit::id;
-use cicadagw_unit::size::Slots;
+use cicadagw_unit::size::{Bytes, Slots};
 use cicadagw_unit::time::{Moment, Span};
 
 use super::place::{Key, Limit, Waiting};
@@ -22,6 +22,8 @@
     typical: Span,
     /// How long a call under each policy takes.
     work: BTreeMap<id::Policy, Span>,
+    /// How large the answers to calls under each policy are, in bytes.
+    sizes: BTreeMap<id::Policy, u64>,
     /// The longest declared latency of a call so far.
     longest: Span,
     last: Ticket,
@@ -30,6 +32,9 @@
 /// How many times shorter than the longest the declared latency of a brief call is at least.
 const BRIEF: u64 = 4;
 
+/// From which size on an answer waits for its turn on the link.
+const LARGE: Bytes = crate::pace::SHORT;
+
 /// The share of a new measurement in the typical time of a call: one in this many.
 const SMOOTHING: u64 = 8;
 
@@ -55,6 +60,7 @@
             queue: BTreeMap::new(),
             typical: Span::new(0),
             work: BTreeMap::new(),
+            sizes: BTreeMap::new(),
             longest: Span::new(0),
             last: Ticket(0),
         }
@@ -120,6 +126,12 @@
         self.end(now, policy)
     }
 
+    /// Takes note of how large an answer to a call under `policy` is.
+    pub fn weigh(&mut self, policy: &id::Policy, size: Bytes) {
+        let known = self.sizes.entry(policy.clone()).or_insert(size.get());
+        *known = (*known * (SMOOTHING - 1) + size.get()) / SMOOTHING;
+    }
+
     fn measure(&mut self, policy: &id::Policy, spent: Span) {
         self.typical = smooth(self.typical, spent);
         let work = self.work.entry(policy.clone()).or_default();
@@ -161,14 +173,15 @@
         if self.typical.get() > 0 && now.after(share(work, WORK_SHARE)) >= deadline {
             return Verdict::Shed;
         }
-        if room && self.queue.is_empty() {
+        let link = self.link_wait(limit);
+        if room && self.queue.is_empty() && link.get() == 0 {
             return Verdict::Run;
         }
         let ahead = self.ahead(now, key);
         let wait = if room {
-            Span::new(0)
+            link
         } else {
-            self.wait(ahead, limit)
+            self.wait(ahead, limit).plus(link)
         };
         if now.after(wait).after(work) >= deadline || wait > patience(now, work, limit) {
             return Verdict::Shed;
@@ -201,6 +214,16 @@
         *self.running_by_policy.entry(policy).or_default() += 1;
     }
 
+    /// Returns how long the answer to such a call waits for the link.
+    fn link_wait(&self, limit: &Limit) -> Span {
+        let size = self.sizes.get(&limit.policy).copied().unwrap_or(0);
+        if size > LARGE.get() {
+            limit.backlog
+        } else {
+            Span::new(0)
+        }
+    }
+
     /// Returns how many waiting calls go before the one at `key`: those that are late already do so
     /// only if it is late itself.
     fn ahead(&self, now: Moment, key: Key) -> usize {
--- a/crates/cicadagw-call/src/admission/place.rs
+++ b/crates/cicadagw-call/src/admission/place.rs
@@ -22,6 +22,8 @@
     pub target: Option<Moment>,
     /// How long after its start an answer to such a call is worth most, as declared.
     pub latency: Option<Span>,
+    /// How long a large answer would wait for the link of the host.
+    pub backlog: Span,
 }
 
 /// A call that waits.
--- a/crates/cicadagw-call/src/pace.rs
+++ b/crates/cicadagw-call/src/pace.rs
@@ -3,11 +3,17 @@
 use std::time::Duration;
 
 use cicadagw_unit::rate::{Permille, Throughput};
+use cicadagw_unit::size::Bytes;
+use cicadagw_unit::time::Span;
 
 /// The share of the link that answers take together before large ones wait: in the queue of the link
 /// short ones would wait behind them. The rest is for requests and the heads of packets.
 const SHARE: Permille = Permille::new(930);
 
+/// How much of an answer goes out without waiting for its turn: a short one is not to wait behind the
+/// parts of large ones.
+pub const SHORT: Bytes = Bytes::new(16 << 10);
+
 /// The link of a host. All times are since the start of the process.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Link {
@@ -33,6 +39,11 @@
         }
     }
 
+    /// Returns how long the link is taken from `now` on.
+    pub fn backlog(&self, now: Duration) -> Span {
+        self.free.saturating_sub(now).into()
+    }
+
     /// Takes the link for `length` bytes, after all that was let out before.
     pub fn reserve(&mut self, now: Duration, length: u64) -> Turn {
         let next = self.free.max(now);
--- a/crates/cicadagw-call/tests/admission.rs
+++ b/crates/cicadagw-call/tests/admission.rs
@@ -6,7 +6,7 @@
 use cicadagw_call::admission::{Limit, Release, Ticket, Verdict};
 use cicadagw_unit::id;
 use cicadagw_unit::rate::Priority;
-use cicadagw_unit::size::Slots;
+use cicadagw_unit::size::{Bytes, Slots};
 use cicadagw_unit::time::{Moment, Span};
 use quickcheck::{Gen, QuickCheck};
 
@@ -25,6 +25,7 @@
         rank: Priority::default(),
         target: None,
         latency: None,
+        backlog: Span::new(0),
     }
 }
 
@@ -216,6 +217,22 @@
     assert_eq!(verdict, Verdict::Wait { shed: Some(late) });
 }
 
+#[test]
+fn a_large_answer_that_would_wait_for_the_link_is_refused() {
+    let mut admission = admission();
+    admission.weigh(&policy("large"), Bytes::new(90_000));
+    admission.weigh(&policy("short"), Bytes::new(900));
+    let behind = |name| Limit {
+        backlog: Span::new(700),
+        ..timed(name, 600, 600)
+    };
+
+    let (_, large) = admission.offer(at(0), at(900), behind("large"));
+    let (_, short) = admission.offer(at(0), at(900), behind("short"));
+
+    assert_eq!((large, short), (Verdict::Shed, Verdict::Run));
+}
+
 #[test]
 fn a_policy_may_allow_less_than_the_slots() {
     let mut admission = admission();
@@ -226,6 +243,7 @@
         rank: Priority::default(),
         target: None,
         latency: None,
+        backlog: Span::new(0),
     };
     let (_, first) = admission.offer(at(0), at(900), narrow());
 
--- a/crates/cicadagw-proxy/src/answer.rs
+++ b/crates/cicadagw-proxy/src/answer.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use cicadagw_call::pace::SHORT;
 use cicadagw_http::body::{Cut, Sender};
 use cicadagw_http::client::{self, Incoming};
 use cicadagw_http::server::Reply;
@@ -14,7 +15,7 @@
 use crate::gate::Slot;
 use crate::header;
 use crate::node::Entry;
-use crate::pacer::{Pace, Pacer, SHORT};
+use crate::pacer::{Pace, Pacer};
 use crate::peers::Visit;
 
 /// An answer whose head has come.
@@ -121,7 +122,7 @@
         reply.fields = std::mem::take(&mut self.fields);
         reply.stall_max = Some(self.idle_max);
         let here: usize = self.begun.iter().map(Bytes::len).sum();
-        if self.rest.is_none() && here <= SHORT {
+        if self.rest.is_none() && here as u64 <= SHORT.get() {
             if let Some(pacer) = &self.pacer {
                 pacer.reserve(here);
             }
--- a/crates/cicadagw-proxy/src/gate.rs
+++ b/crates/cicadagw-proxy/src/gate.rs
@@ -12,7 +12,7 @@
 use cicadagw_http::Pool;
 use cicadagw_http::pool::Options;
 use cicadagw_unit::id;
-use cicadagw_unit::size::Slots;
+use cicadagw_unit::size::{Bytes, Slots};
 use cicadagw_unit::time::{Moment, Span};
 use tokio::sync::oneshot;
 use tokio::time::timeout_at;
@@ -69,6 +69,11 @@
         self.admission.borrow().load()
     }
 
+    /// Takes note of how large an answer to a call under `policy` is.
+    pub(crate) fn weigh(&self, policy: &id::Policy, size: Bytes) {
+        self.admission.borrow_mut().weigh(policy, size);
+    }
+
     /// Waits for a place until `deadline`.
     pub(crate) async fn enter(
         self: &Rc<Self>,
--- a/crates/cicadagw-proxy/src/pacer.rs
+++ b/crates/cicadagw-proxy/src/pacer.rs
@@ -3,14 +3,11 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use cicadagw_call::pace::{Link, Turn};
+use cicadagw_call::pace::{Link, SHORT, Turn};
 use cicadagw_unit::rate::Throughput;
+use cicadagw_unit::time::Span;
 use tokio::time::{Instant, sleep_until};
 
-/// How much of an answer goes out without waiting for its turn, in bytes: a short one is not to wait
-/// behind the parts of large ones.
-pub(crate) const SHORT: usize = 16 << 10;
-
 /// Lets large answers out at the pace of the link, one after the other.
 #[derive(Debug)]
 pub(crate) struct Pacer {
@@ -27,6 +24,12 @@
         }
     }
 
+    /// Returns how long a large answer waits now.
+    pub(crate) fn backlog(&self) -> Span {
+        let link = self.link.as_ref().map(Cell::get);
+        link.map_or(Span::new(0), |link| link.backlog(self.start.elapsed()))
+    }
+
     /// Takes the link for `length` bytes.
     pub(crate) fn reserve(&self, length: usize) -> Option<Turn> {
         let cell = self.link.as_ref()?;
@@ -63,7 +66,7 @@
         let Some(pacer) = &self.pacer else {
             return;
         };
-        if self.passed <= SHORT {
+        if self.passed as u64 <= SHORT.get() {
             pacer.reserve(length);
             return;
         }
--- a/crates/cicadagw-proxy/src/target.rs
+++ b/crates/cicadagw-proxy/src/target.rs
@@ -11,8 +11,8 @@
 use cicadagw_dialect::Names;
 use cicadagw_http::client::Incoming;
 use cicadagw_http::{Fields, Response};
-use cicadagw_unit::id;
 use cicadagw_unit::time::{Moment, Span};
+use cicadagw_unit::{id, size};
 use tokio::time::timeout;
 
 use crate::answer::Answer;
@@ -100,6 +100,11 @@
         rank: policy.priority,
         target: call.target_time(),
         latency: policy.target_latency,
+        // An answer to a caller of this host goes over its link wherever the call runs.
+        backlog: match call.request.via {
+            Some(_) => node.pacer.backlog(),
+            None => Span::new(0),
+        },
     };
     let entering = gate.enter(call.deadline, limit);
     match call.request.wait(entering).await {
@@ -138,6 +143,7 @@
         Ok(answer) => match judge(names, &answer.head, call.request) {
             Verdict::Answered => {
                 let mut answer = Answer::new(answer, call.target.policy.timeout.into());
+                gate.weigh(&call.target.policy_name, size::Bytes::new(answer.size()));
                 answer.hold_slot(slot);
                 End::Answered(Box::new(answer))
             }
