Give running averages one home; weigh answers of a known length alone

Cause: the smoothing of a running average stood in the choice and again in the admission; an answer whose length is not known counted as empty in the size of its policy's answers. Change: one function for both; such answers are not weighed. The doc of the queue says which call makes room since its order has changed.

--- a/crates/cicadagw-call/src/admission/core.rs
+++ b/crates/cicadagw-call/src/admission/core.rs
@@ -9,9 +9,9 @@
 use super::place::{Key, Limit, Waiting};
 use super::verdict::{Release, Ticket, Verdict};
 use crate::Load;
+use crate::average::smooth;
 
-/// The calls of one backend server: those that run, and a short queue, in which the call goes first
-/// whose answer is worth most for the shortest time.
+/// The calls of one backend server: those that run, and a short queue.
 #[derive(Clone, Debug)]
 pub struct Admission {
     slots: Slots,
@@ -35,9 +35,6 @@
 /// From which size on an answer waits for its turn on the link.
 const LARGE: Bytes = crate::pace::SHORT;
 
-/// The share of a new measurement in the typical time of a call: one in this many.
-const SMOOTHING: u64 = 8;
-
 /// How much of the time up to its target a call of each rank may spend waiting, in thousandths; the
 /// last one holds for all ranks beyond.
 const WAIT_SHARES: [u64; 3] = [900, 700, 350];
@@ -88,8 +85,8 @@
 
     /// Takes in a call that must be answered by `deadline`.
     ///
-    /// When the queue is full, the call with the latest deadline makes room: it has the most time
-    /// left to be tried elsewhere.
+    /// When the queue is full, a call that is late already makes room, else the one with the most
+    /// time left to be tried elsewhere.
     pub fn offer(&mut self, now: Moment, deadline: Moment, limit: Limit) -> (Ticket, Verdict) {
         self.last = Ticket(self.last.0 + 1);
         let ticket = self.last;
@@ -129,13 +126,13 @@
     /// Takes note of how large an answer to a call under `policy` is.
     pub fn weigh(&mut self, policy: &id::Policy, size: Bytes) {
         let known = self.sizes.entry(policy.clone()).or_insert(size.get());
-        *known = (*known * (SMOOTHING - 1) + size.get()) / SMOOTHING;
+        *known = smooth(*known, size.get());
     }
 
     fn measure(&mut self, policy: &id::Policy, spent: Span) {
-        self.typical = smooth(self.typical, spent);
+        self.typical = learned(self.typical, spent);
         let work = self.work.entry(policy.clone()).or_default();
-        *work = smooth(*work, spent);
+        *work = learned(*work, spent);
     }
 
     fn end(&mut self, now: Moment, policy: &id::Policy) -> Release {
@@ -196,7 +193,6 @@
         if rivals.clone().count() < limit.queue.get() as usize {
             return Verdict::Wait { shed: None };
         }
-        // One that is late already makes room first, then the one with the most time left.
         let late = rivals
             .clone()
             .map(|(key, _)| key)
@@ -310,9 +306,10 @@
     Span::new(span.get() * thousandths / 1_000)
 }
 
-fn smooth(old: Span, new: Span) -> Span {
-    if old.get() == 0 {
-        return new;
+/// Returns the running average `old` with `new` taken in; the first measurement stands alone.
+fn learned(old: Span, new: Span) -> Span {
+    match old.get() {
+        0 => new,
+        old => Span::new(smooth(old, new.get())),
     }
-    Span::new((old.get() * (SMOOTHING - 1) + new.get()) / SMOOTHING)
 }
--- a/crates/cicadagw-call/src/choice/fading.rs
+++ b/crates/cicadagw-call/src/choice/fading.rs
@@ -2,8 +2,7 @@
 
 use cicadagw_unit::time::{Moment, Span};
 
-/// The share of a new measurement in a running average: one in this many.
-const SMOOTHING: u64 = 8;
+use crate::average::smooth;
 
 /// A running average that returns to its base while nothing is measured.
 #[derive(Clone, Copy, Debug)]
@@ -38,8 +37,3 @@
         self.at = now;
     }
 }
-
-/// Returns the running average `old` with `new` taken in.
-pub(super) const fn smooth(old: u64, new: u64) -> u64 {
-    (old * (SMOOTHING - 1) + new) / SMOOTHING
-}
--- a/crates/cicadagw-call/src/choice/set.rs
+++ b/crates/cicadagw-call/src/choice/set.rs
@@ -10,9 +10,9 @@
 use rand::{Rng, RngExt};
 use smallvec::SmallVec;
 
-use super::fading::smooth;
 use super::member::{EVEN_PACE, Kind, Member, Report, TIERS, renew};
 use crate::Load;
+use crate::average::smooth;
 
 /// How large answers may be that come from another region while the own one has an endpoint, in bytes:
 /// a few larger ones fill the link between regions for everyone.
--- a/crates/cicadagw-call/src/lib.rs
+++ b/crates/cicadagw-call/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod attempt;
+mod average;
 mod budget;
 pub mod choice;
 pub mod life;
--- a/crates/cicadagw-proxy/src/answer.rs
+++ b/crates/cicadagw-proxy/src/answer.rs
@@ -86,6 +86,11 @@
         self.held.entry = Some(entry);
     }
 
+    /// Returns the length of the body in bytes, where it is known before the end.
+    pub(crate) const fn length(&self) -> Option<u64> {
+        self.length
+    }
+
     /// Returns how large the body is, as far as is known, in bytes.
     pub(crate) fn size(&self) -> u64 {
         let begun: usize = self.begun.iter().map(Bytes::len).sum();
--- a/crates/cicadagw-proxy/src/target.rs
+++ b/crates/cicadagw-proxy/src/target.rs
@@ -143,7 +143,9 @@
         Ok(answer) => match judge(names, &answer.head, call.request) {
             Verdict::Answered => {
                 let mut answer = Answer::new(answer, call.target.policy.timeout.into());
-                gate.weigh(&call.target.policy_name, size::Bytes::new(answer.size()));
+                if let Some(length) = answer.length() {
+                    gate.weigh(&call.target.policy_name, size::Bytes::new(length));
+                }
                 answer.hold_slot(slot);
                 End::Answered(Box::new(answer))
             }
