--- a/crates/cicadagw-call/tests/admission.rs
+++ b/crates/cicadagw-call/tests/admission.rs
@@ -195,7 +195,7 @@
 #[test]
 fn a_call_that_is_late_on_arrival_waits_behind_all_others() {
     let mut admission = busy();
-    admission.finish(at(100), &policy("wide"), Span::new(100));
+    admission.finish(at(100), &policy("wide"), Span::new(60));
     admission.offer(at(100), at(900), limit());
     admission.offer(at(100), at(900), limit());
 
