Let calls be due well before they are late; know calls that come back; give places back with the head

Refused calls that came back counted as new, and took places from calls that could still be in time. Large answers of known length held a place at the backend server while they waited for the link (360 ms for a work of 96 ms). Change: a waiting call is due a share of its spare time after its arrival; the wait is reckoned from the work of those before it; a node remembers refused calls by what they ask for and their deadline, so that one that comes back keeps its first arrival; a place is given back with the head of an answer of known length.

--- a/crates/cicadagw-call/src/admission/core.rs
+++ b/crates/cicadagw-call/src/admission/core.rs
@@ -35,10 +35,16 @@
 /// From which size on an answer waits for its turn on the link.
 const LARGE: Bytes = crate::pace::SHORT;
 
-/// How much of the time up to its target a call of each rank may spend waiting, in thousandths; the
-/// last one holds for all ranks beyond.
+/// How much of the time up to its target a call of each rank may spend waiting for a place, in
+/// thousandths; the last one holds for all ranks beyond.
 const WAIT_SHARES: [u64; 3] = [900, 700, 350];
 
+/// The share of that time after which a call is due, whatever its rank, in thousandths.
+const DUE_SHARE: u64 = 350;
+
+/// How much of that time may go for the place and the link together, in thousandths.
+const LINK_SHARE: u64 = 800;
+
 /// The least time that a call may wait although its target is near or past: about what one more try
 /// at another node would take.
 const WAIT_MIN: Span = Span::new(40);
@@ -93,15 +99,20 @@
         self.longest = self.longest.max(limit.latency.unwrap_or_default());
         let key = Key {
             is_long: !self.is_brief(&limit),
-            start: self.latest_start(deadline, &limit),
+            due: self.due(now, deadline, &limit),
             ticket,
         };
-        let verdict = self.judge(now, key, deadline, &limit);
+        let call = Waiting {
+            latest: self.latest_start(deadline, &limit),
+            deadline,
+            limit,
+        };
+        let verdict = self.judge(now, key, &call);
         match verdict {
-            Verdict::Run => self.begin(limit.policy),
+            Verdict::Run => self.begin(call.limit.policy),
             Verdict::Wait { shed } => {
                 self.queue.retain(|key, _| Some(key.ticket) != shed);
-                self.queue.insert(key, Waiting { deadline, limit });
+                self.queue.insert(key, call);
             }
             Verdict::Shed | Verdict::Late => {}
         }
@@ -161,26 +172,27 @@
             .collect()
     }
 
-    fn judge(&self, now: Moment, key: Key, deadline: Moment, limit: &Limit) -> Verdict {
-        if now >= deadline {
+    fn judge(&self, now: Moment, key: Key, call: &Waiting) -> Verdict {
+        let limit = &call.limit;
+        if now >= call.deadline {
             return Verdict::Late;
         }
         let room = self.has_room(limit);
         let work = self.work(&limit.policy);
-        if self.typical.get() > 0 && now.after(share(work, WORK_SHARE)) >= deadline {
+        if self.typical.get() > 0 && now.after(share(work, WORK_SHARE)) >= call.deadline {
             return Verdict::Shed;
         }
         let link = self.link_wait(limit);
         if room && self.queue.is_empty() && link.get() == 0 {
             return Verdict::Run;
         }
-        let ahead = self.ahead(now, key);
         let wait = if room {
-            link
+            Span::new(0)
         } else {
-            self.wait(ahead, limit).plus(link)
+            self.wait(now, key, call)
         };
-        if now.after(wait).after(work) >= deadline || wait > patience(now, work, limit) {
+        let is_over = now.after(wait).after(link).after(work) >= call.deadline;
+        if is_over || !is_bearable(now, work, wait, link, limit) {
             return Verdict::Shed;
         }
         if room {
@@ -193,12 +205,9 @@
         if rivals.clone().count() < limit.queue.get() as usize {
             return Verdict::Wait { shed: None };
         }
-        let late = rivals
-            .clone()
-            .map(|(key, _)| key)
-            .find(|key| key.is_late(now));
-        match late.or_else(|| rivals.next_back().map(|(key, _)| key)) {
-            Some(victim) if *victim > key || victim.is_late(now) => Verdict::Wait {
+        let late = rivals.clone().find(|(key, held)| held.is_late(now, **key));
+        match late.or_else(|| rivals.next_back()) {
+            Some((victim, held)) if *victim > key || held.is_late(now, *victim) => Verdict::Wait {
                 shed: Some(victim.ticket),
             },
             _ => Verdict::Shed,
@@ -220,16 +229,6 @@
         }
     }
 
-    /// Returns how many waiting calls go before the one at `key`: those that are late already do so
-    /// only if it is late itself.
-    fn ahead(&self, now: Moment, key: Key) -> usize {
-        if key.is_late(now) {
-            return self.queue.len();
-        }
-        let before = self.queue.range(..key);
-        before.filter(|(key, _)| !key.is_late(now)).count()
-    }
-
     /// Tells whether such a call is to be answered far sooner than others here.
     fn is_brief(&self, limit: &Limit) -> bool {
         let longest = self.longest.get();
@@ -244,17 +243,28 @@
         limit.target.map_or(deadline, |target| target.before(work))
     }
 
+    /// Returns by when a call that arrives now is to start. Where all wait until they hardly meet their
+    /// targets, those that then take longer than usual miss them, so it is well before that.
+    fn due(&self, now: Moment, deadline: Moment, limit: &Limit) -> Moment {
+        let work = self.work(&limit.policy);
+        let due = |target: Moment| now.after(share(spare(now, work, target), DUE_SHARE));
+        limit.target.map_or(deadline, due)
+    }
+
     /// Starts what may start, and refuses what cannot be answered before its deadline. Brief calls
-    /// go first, then those that can still meet their targets, the most urgent before the others.
+    /// go first, then those that can still meet their targets, the first due before the others.
     fn advance(&mut self, now: Moment) -> Release {
         let mut release = Release::default();
-        let mut brief = std::mem::take(&mut self.queue);
-        let mut late = brief.split_off(&Key::long(Moment::default()));
-        let timely = late.split_off(&Key::long(now));
-        for (key, waiting) in brief.into_iter().chain(timely).chain(late) {
+        let queue = std::mem::take(&mut self.queue);
+        let (late, timely): (Vec<_>, Vec<_>) = queue
+            .into_iter()
+            .partition(|(key, waiting)| waiting.is_late(now, *key));
+        for (key, waiting) in timely.into_iter().chain(late) {
             if waiting.deadline <= now.after(self.least_work(&waiting.limit.policy)) {
                 release.late.push(key.ticket);
-            } else if key.is_late(now) && waiting.is_hopeless(now) && !self.has_room(&waiting.limit)
+            } else if waiting.is_late(now, key)
+                && waiting.is_hopeless(now)
+                && !self.has_room(&waiting.limit)
             {
                 release.shed.push(key.ticket);
             } else if self.has_room(&waiting.limit) {
@@ -273,12 +283,30 @@
             && of_policy.is_none_or(|count| *count < limit.concurrency.get())
     }
 
-    /// Returns how long a call with `ahead` calls before it waits, as far as is known: a place is free
-    /// each time that one of those that run ends.
-    fn wait(&self, ahead: usize, limit: &Limit) -> Span {
-        let room = self.slots.get().min(limit.concurrency.get()).max(1);
-        let ends = ahead as u64 + 1;
-        Span::new(self.typical.get() * ends / u64::from(room))
+    /// Returns how long a call waits for a place, as far as is known: until those that run and those that
+    /// go before it have worked. Waiting calls that are late do so only if it is late itself.
+    fn wait(&self, now: Moment, key: Key, call: &Waiting) -> Span {
+        let is_late = call.is_late(now, key);
+        let goes_before = |(other, held): &(&Key, &Waiting)| {
+            is_late || (**other < key && !held.is_late(now, **other))
+        };
+        let before = self.queue.iter().filter(goes_before);
+        let ahead: u64 = before
+            .map(|(_, held)| self.work(&held.limit.policy).get())
+            .sum();
+        let room = self.slots.get().min(call.limit.concurrency.get()).max(1);
+        Span::new((self.mean_work().get() + ahead) / u64::from(room))
+    }
+
+    /// Returns how long a call of those that run takes, as far as is known.
+    fn mean_work(&self) -> Span {
+        let all: u64 = self
+            .running_by_policy
+            .iter()
+            .map(|(policy, count)| u64::from(*count) * self.work(policy).get())
+            .sum();
+        let mean = all.checked_div(u64::from(self.running));
+        mean.map_or(self.typical, Span::new)
     }
 
     /// Returns how long a call under `policy` runs, as far as is known.
@@ -292,14 +320,20 @@
     }
 }
 
-/// Returns how long a call may wait that then works for `work`.
-fn patience(now: Moment, work: Span, limit: &Limit) -> Span {
+/// Tells whether a call that then works for `work` may wait so long for its place and for the link.
+fn is_bearable(now: Moment, work: Span, wait: Span, link: Span, limit: &Limit) -> bool {
     let Some(target) = limit.target else {
-        return Span::new(u64::MAX);
+        return true;
     };
-    let spare = target.since(now).get().saturating_sub(work.get());
+    let spare = spare(now, work, target);
     let rank = usize::from(limit.rank.get()).min(WAIT_SHARES.len() - 1);
-    share(Span::new(spare), WAIT_SHARES[rank]).max(WAIT_MIN)
+    wait <= share(spare, WAIT_SHARES[rank]).max(WAIT_MIN)
+        && wait.plus(link) <= share(spare, LINK_SHARE).max(WAIT_MIN)
+}
+
+/// Returns how much time is left up to `target` beside `work`.
+fn spare(now: Moment, work: Span, target: Moment) -> Span {
+    Span::new(target.since(now).get().saturating_sub(work.get()))
 }
 
 fn share(span: Span, thousandths: u64) -> Span {
--- a/crates/cicadagw-call/src/admission/place.rs
+++ b/crates/cicadagw-call/src/admission/place.rs
@@ -29,11 +29,19 @@
 /// A call that waits.
 #[derive(Clone, Debug)]
 pub(super) struct Waiting {
+    /// When it must start at the latest to be answered by its target.
+    pub(super) latest: Moment,
     pub(super) deadline: Moment,
     pub(super) limit: Limit,
 }
 
 impl Waiting {
+    /// Tells whether the call, which waits at `key`, can no longer be answered by its target, and may
+    /// wait for others.
+    pub(super) fn is_late(&self, now: Moment, key: Key) -> bool {
+        key.is_long && self.latest < now
+    }
+
     /// Tells whether its target is so far past that the caller is better told.
     pub(super) fn is_hopeless(&self, now: Moment) -> bool {
         let target = self.limit.target.unwrap_or(self.deadline);
@@ -46,23 +54,7 @@
 pub(super) struct Key {
     /// Whether it is none of the brief calls, which are parts of calls that run elsewhere.
     pub(super) is_long: bool,
-    /// When it must start to be answered by its target.
-    pub(super) start: Moment,
+    /// By when it is to start.
+    pub(super) due: Moment,
     pub(super) ticket: Ticket,
 }
-
-impl Key {
-    /// Returns the first place of long calls that must start at `start`.
-    pub(super) const fn long(start: Moment) -> Self {
-        Self {
-            is_long: true,
-            start,
-            ticket: Ticket(0),
-        }
-    }
-
-    /// Tells whether the call can no longer be answered by its target, and may wait for others.
-    pub(super) fn is_late(&self, now: Moment) -> bool {
-        self.is_long && self.start < now
-    }
-}
--- a/crates/cicadagw-call/src/lib.rs
+++ b/crates/cicadagw-call/src/lib.rs
@@ -12,6 +12,7 @@
 mod load;
 mod outcome;
 pub mod pace;
+pub mod refusal;
 pub mod route;
 
 pub use admission::Admission;
--- a/crates/cicadagw-call/tests/admission.rs
+++ b/crates/cicadagw-call/tests/admission.rs
@@ -1,4 +1,4 @@
-//! No more calls run than there are slots, the earliest deadline goes first, and no place is lost.
+//! No more calls run than there are slots, those due first go first, and no place is lost.
 
 use std::collections::BTreeMap;
 
@@ -164,6 +164,48 @@
     assert_eq!(next.run.as_slice(), [late]);
 }
 
+#[test]
+fn a_call_does_not_wait_for_younger_ones_until_it_can_hardly_be_in_time() {
+    let mut admission = busy();
+    let (older, _) = admission.offer(at(0), at(5_000), timed("report", 1_500, 1_500));
+    admission.offer(at(330), at(5_000), timed("lookup", 600, 930));
+
+    let release = admission.abandon(at(331), &policy("wide"), Span::new(0));
+
+    assert_eq!(release.run.as_slice(), [older]);
+}
+
+#[test]
+fn of_two_calls_of_one_age_the_one_with_less_time_goes_first() {
+    let mut admission = busy();
+    admission.offer(at(0), at(5_000), timed("report", 1_500, 1_500));
+    let (lookup, _) = admission.offer(at(10), at(5_000), timed("lookup", 600, 610));
+
+    let release = admission.abandon(at(11), &policy("wide"), Span::new(0));
+
+    assert_eq!(release.run.as_slice(), [lookup]);
+}
+
+#[test]
+fn a_call_waits_for_the_work_of_those_before_it_whatever_others_take() {
+    let mut admission = admission();
+    for (name, spent) in [("slow", 400), ("slow", 400), ("quick", 10), ("quick", 10)] {
+        admission.offer(at(0), at(9_000), timed(name, 600, 600));
+        admission.finish(at(0), &policy(name), Span::new(spent));
+    }
+    for _ in 0..2 * SLOTS {
+        admission.offer(at(0), at(9_000), timed("quick", 600, 600));
+    }
+    let patient = Limit {
+        rank: Priority::new(2),
+        ..timed("quick", 600, 600)
+    };
+
+    let (_, verdict) = admission.offer(at(0), at(9_000), patient);
+
+    assert!(matches!(verdict, Verdict::Wait { .. }), "{verdict:?}");
+}
+
 #[test]
 fn a_brief_call_goes_before_others_even_when_it_is_late() {
     let mut admission = busy();
--- a/crates/cicadagw-gossip/src/message.rs
+++ b/crates/cicadagw-gossip/src/message.rs
@@ -2,7 +2,7 @@
 
 use cicadagw_unit::{Version, id};
 
-use crate::{Member, Stamp};
+use crate::{Member, Part, Stamp};
 
 /// The largest datagram that is sent, in bytes: one that fits a packet of any common link.
 pub const SIZE_MAX: usize = 1_300;
@@ -44,10 +44,19 @@
         /// The version that it holds; zero when it holds none.
         version: Version,
     },
-    /// Says what the sender holds, for a range of names.
+    /// Says what the sender holds, in short for each part of its table.
+    Parts {
+        /// Who sends it.
+        from: id::Node,
+        /// The digests of the parts.
+        digests: Vec<u64>,
+    },
+    /// Says what the sender holds, for a range of the names of a part.
     Have {
         /// Who sends it.
         from: id::Node,
+        /// The part of the table.
+        part: Part,
         /// The name after which the range begins; from the beginning if there is none.
         after: Option<id::Node>,
         /// The last name of the range; to the end if there is none.
--- a/crates/cicadagw-proxy/src/ingress.rs
+++ b/crates/cicadagw-proxy/src/ingress.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use cicadagw_call::Reason;
+use cicadagw_call::refusal::COME_BACK;
 use cicadagw_call::route::Target;
 use cicadagw_http::Body;
 use cicadagw_http::server::Reply;
@@ -14,7 +15,7 @@
 use crate::listen::Kind;
 use crate::node::{Node, Plan};
 use crate::relay::Relay;
-use crate::reply::{COME_BACK, End, tell_node};
+use crate::reply::{End, tell_node};
 use crate::request::Request;
 use crate::target::{self, Call, Outcome};
 use crate::upload::Upload;
@@ -40,6 +41,9 @@
                 outcome = carry(node, &request, body) => outcome,
                 () = node.ending.cancelled() => Outcome::of(End::Unknown(Reason::Draining)),
             };
+            if !is_from_node && matches!(outcome.end, End::NotRun(_)) {
+                node.note_refused(&request);
+            }
             if let End::Answered(_) = &outcome.end {
                 let added = begin.elapsed().saturating_sub(request.waited());
                 node.stats.count_added(added);
@@ -75,7 +79,10 @@
 
 /// Reads the head of a call and refuses what no node carries.
 fn admit(node: &Node, kind: Kind, head: cicadagw_http::Request) -> Result<Request, Reason> {
-    let request = Request::read(head, node.dialect.names(), kind, node.clock.now())?;
+    let mut request = Request::read(head, node.dialect.names(), kind, node.clock.now())?;
+    if request.via.is_none() {
+        node.recall(&mut request);
+    }
     if request.size as u64 > node.limits().headers.get() {
         return Err(Reason::HeaderLimit);
     }
--- a/crates/cicadagw-proxy/src/node.rs
+++ b/crates/cicadagw-proxy/src/node.rs
@@ -8,6 +8,7 @@
 
 use cicadagw_call::choice::Place;
 use cicadagw_call::life::{Announcement, Effect, Gone, State};
+use cicadagw_call::refusal::Memory;
 use cicadagw_call::route::Index;
 use cicadagw_call::{Reason, Registry};
 use cicadagw_config::{Edge, Snapshot};
@@ -27,6 +28,7 @@
 use crate::outbox::Outbox;
 use crate::pacer::Pacer;
 use crate::peers::Peers;
+use crate::request::Request;
 use crate::{Limits, Stats, stats};
 
 /// After how long another node is told that its call has arrived, where it is not answered yet.
@@ -47,6 +49,7 @@
     pub(crate) stats: Arc<Stats>,
     pub(crate) timing: Timing,
     gates: RefCell<BTreeMap<id::Endpoint, Rc<Gate>>>,
+    refused: RefCell<Memory>,
     idle: Notify,
     in_flight: Cell<usize>,
     is_refusing: Cell<bool>,
@@ -102,6 +105,7 @@
             stats: parts.stats,
             timing: parts.timing,
             gates: RefCell::default(),
+            refused: RefCell::default(),
             idle: Notify::new(),
             in_flight: Cell::new(0),
             is_refusing: Cell::new(false),
@@ -218,6 +222,23 @@
         self.plan().edge
     }
 
+    /// Takes note that the call of a caller was refused.
+    pub(crate) fn note_refused(&self, request: &Request) {
+        if let Some(deadline) = request.caller_deadline() {
+            let mut refused = self.refused.borrow_mut();
+            refused.note(request.digest(), deadline, request.first);
+        }
+    }
+
+    /// Finds out whether the call of a caller was refused before.
+    pub(crate) fn recall(&self, request: &mut Request) {
+        if let Some(deadline) = request.caller_deadline() {
+            let mut refused = self.refused.borrow_mut();
+            let first = refused.take(request.arrival, request.digest(), deadline);
+            request.first = first.unwrap_or(request.first);
+        }
+    }
+
     /// Tells whether calls are to come here.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping() && self.plan().index.is_some()
--- a/crates/cicadagw-proxy/src/reply.rs
+++ b/crates/cicadagw-proxy/src/reply.rs
@@ -8,10 +8,6 @@
 use crate::answer::Answer;
 use crate::header;
 
-/// When a caller whose call was refused for want of room may come back: about as long as a call
-/// takes, after which there is a place.
-pub(crate) const COME_BACK: Span = Span::new(200);
-
 /// How an attempt, or a whole call, ended.
 #[derive(Debug)]
 pub(crate) enum End {
--- a/crates/cicadagw-proxy/src/request.rs
+++ b/crates/cicadagw-proxy/src/request.rs
@@ -1,6 +1,7 @@
 //! A call as it arrived.
 
 use std::cell::Cell;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::str::FromStr;
 use std::time::{Duration, Instant};
 
@@ -37,6 +38,8 @@
     pub(crate) target_left: Option<Span>,
     /// When it arrived.
     pub(crate) arrival: Moment,
+    /// When its caller made it first, where it was refused before.
+    pub(crate) first: Moment,
     /// What the node before has decided.
     pub(crate) via: Option<Via>,
     /// The size of all fields that came, in bytes.
@@ -95,6 +98,7 @@
             left: parsed(fields, deadline)?.map(Span::new),
             target_left: parsed(fields, header::TARGET)?.map(Span::new),
             arrival,
+            first: arrival,
             via: if is_from_node {
                 Some(via(fields)?)
             } else {
@@ -140,6 +144,18 @@
         self.attempt.as_deref().map_or("-", text)
     }
 
+    /// Returns a digest of what is asked for.
+    pub(crate) fn digest(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        (&self.host, &self.method, &self.target).hash(&mut hasher);
+        hasher.finish()
+    }
+
+    /// Returns until when the caller waits, when it says so.
+    pub(crate) fn caller_deadline(&self) -> Option<Moment> {
+        self.left.map(|left| self.arrival.after(left))
+    }
+
     /// Tells whether there is a field `name` with `value`.
     pub(crate) fn has_header(&self, name: &str, value: &str) -> bool {
         self.fields.all(name).any(|held| held == value.as_bytes())
--- a/crates/cicadagw-proxy/src/target.rs
+++ b/crates/cicadagw-proxy/src/target.rs
@@ -146,7 +146,12 @@
                 if let Some(length) = answer.length() {
                     gate.weigh(&call.target.policy_name, size::Bytes::new(length));
                 }
-                answer.hold_slot(slot);
+                if answer.length().is_some() {
+                    // It is made already, and all that is left to do is to carry it.
+                    slot.finish();
+                } else {
+                    answer.hold_slot(slot);
+                }
                 End::Answered(Box::new(answer))
             }
             Verdict::NotRun(reason) => {
@@ -183,11 +188,11 @@
     /// Returns until when the answer is worth most.
     pub(crate) fn target_time(&self) -> Option<Moment> {
         let request = self.request;
-        let latency = match request.via {
-            Some(_) => request.target_left,
-            None => self.target.policy.target_latency,
-        };
-        latency.map(|latency| request.arrival.after(latency))
+        if request.via.is_some() {
+            return request.target_left.map(|left| request.arrival.after(left));
+        }
+        let latency = self.target.policy.target_latency;
+        latency.map(|latency| request.first.after(latency))
     }
 
     /// Tells whether the call may run more than once.
--- a/crates/cicadagw-proxy/tests/dialect.rs
+++ b/crates/cicadagw-proxy/tests/dialect.rs
@@ -251,6 +251,43 @@
     assert_eq!(backend.received().len(), 2);
 }
 
+#[tokio::test]
+async fn an_answer_of_known_length_gives_its_place_back_while_it_is_carried() {
+    let mut bench = Bench::new();
+    bench.mesh.configure(2, support::mesh::TARGETED);
+    // The rest of the body never comes.
+    let backend = Scripted::start(|request| {
+        let id = &request.headers["t-id"];
+        let head = format!("t-id: {id}\r\nt-seal: s\r\ncontent-length: 9\r\n");
+        Some(format!("HTTP/1.1 200 OK\r\n{head}\r\nhalf"))
+    })
+    .await;
+    bench.add("orders-1", &backend).await;
+    let _first = post("/slow", "x")
+        .header("t-id", "a0")
+        .begin(bench.near.calls)
+        .await;
+    while backend.received().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+
+    let _second = post("/slow", "x")
+        .header("t-id", "a2")
+        .begin(bench.near.calls)
+        .await;
+    let second_runs = async {
+        while backend.received().len() < 2 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+
+    let outcome = tokio::time::timeout(Duration::from_secs(10), second_runs).await;
+    assert!(
+        outcome.is_ok(),
+        "the place is held for the rest of the body"
+    );
+}
+
 #[tokio::test]
 async fn a_stopping_node_still_serves_its_callers_and_says_that_it_is_not_ready() {
     let mut mesh = Mesh::new();
