Send news to other regions over two nodes of each; compare tables part by part

Two tables that differed were compared record by record. Change: a node tells those of its own region, and two nodes of each other region that pass it on; one that starts anew in another region learns of this one there. Tables are compared by digests of their parts first, and nodes compare more often in their first 5 s.

--- a/crates/cicadagw-gossip/src/core/decide.rs
+++ b/crates/cicadagw-gossip/src/core/decide.rs
@@ -13,6 +13,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use super::exchange::Range;
 use crate::followers::{self, Followers};
 use crate::outbound::Outbound;
 use crate::register::{Register, Step};
@@ -22,7 +23,11 @@
 /// How often a digest goes to another node.
 const DIGEST_EVERY: Span = Span::new(500);
 
-/// As `DIGEST_EVERY`, while the platform does not answer: other nodes are the only source then.
+/// How long after its start a node asks more often what others know.
+const YOUNG: Span = Span::seconds(5);
+
+/// As `DIGEST_EVERY`, after the start and while the platform does not answer: other nodes are the only
+/// source then.
 const DIGEST_EVERY_AWAY: Span = Span::new(250);
 
 /// What a node is set up with.
@@ -150,7 +155,8 @@
         }
         self.push(now);
         if now >= self.digest_due {
-            let every = if self.source.is_away() || self.snapshot.is_none() {
+            let is_young = now.since(Moment::default()) < YOUNG;
+            let every = if is_young || self.source.is_away() || self.snapshot.is_none() {
                 DIGEST_EVERY_AWAY
             } else {
                 DIGEST_EVERY
@@ -211,7 +217,13 @@
                 from,
                 members,
                 wants_ack,
-            } => self.pushed(now, &from, &members, wants_ack),
+                spread,
+            } => {
+                let has_changed = self.pushed(now, &from, &members, wants_ack);
+                if spread && has_changed {
+                    self.relay(&members);
+                }
+            }
             Message::Ack { from, stamp } => {
                 if stamp >= self.own.stamp {
                     self.outbound.done(&from);
@@ -226,15 +238,17 @@
                 self.followers.hear(now, &from, follows);
                 self.digested(now, &from, digest, version);
             }
+            Message::Parts { from, digests } => self.compare_parts(&from, &digests),
             Message::Have {
                 from,
+                part,
                 after,
                 last,
                 stamps,
                 may_answer,
             } => {
-                let range = (after.as_ref(), last.as_ref());
-                self.compare(&from, range, &stamps, may_answer);
+                let range = Range { part, after, last };
+                self.compare(&from, &range, &stamps, may_answer);
             }
         }
     }
@@ -311,6 +325,7 @@
             }
         }
         if has_changed {
+            self.tell_relays(now);
             self.push(now);
             self.publish();
         }
--- a/crates/cicadagw-gossip/src/core/exchange.rs
+++ b/crates/cicadagw-gossip/src/core/exchange.rs
@@ -7,7 +7,7 @@
 
 use super::Core;
 use crate::message::{MEMBERS_MAX, STAMPS_MAX};
-use crate::{Call, Effect, Member, Message, Note, Stamp};
+use crate::{Call, Effect, Member, Message, Note, Part, Stamp};
 
 /// The least time between two fetches of a configuration from other nodes.
 const FETCH_EVERY: Span = Span::new(200);
@@ -16,13 +16,14 @@
 const FETCH_MAX: Span = Span::new(500);
 
 impl Core {
+    /// Takes news in; tells whether any of it was new here.
     pub(super) fn pushed(
         &mut self,
         now: Moment,
         from: &id::Node,
         members: &[Member],
         wants_ack: bool,
-    ) {
+    ) -> bool {
         let mut has_changed = false;
         for member in members {
             if member.node == self.own.node {
@@ -41,6 +42,7 @@
         if has_changed {
             self.publish();
         }
+        has_changed
     }
 
     /// Answers news of this node that it did not send in this life, such as from a life before whose
@@ -54,8 +56,10 @@
 
     pub(super) fn merge(&mut self, now: Moment, member: &Member) -> bool {
         let known = self.table.get(&member.node);
-        // One that is new here, or starts anew, knows nothing of this node.
-        let is_new = known.is_none_or(|known| known.stamp.0 != member.stamp.0);
+        // One that is new here, or starts anew, knows nothing of this node. In another region it learns of
+        // it from the nodes there.
+        let is_new = known.is_none_or(|known| known.stamp.0 != member.stamp.0)
+            && member.region == self.own.region;
         if !self.table.merge(member) {
             return false;
         }
@@ -79,7 +83,32 @@
             self.effects.push(Effect::Send(gossip, own));
         }
         if digest != self.table.digest() {
-            self.send_have(gossip, (None, None), true);
+            match Part::count(self.table.iter().count()) {
+                1 => self.send_have(gossip, &Range::of(Part::WHOLE), true),
+                count => {
+                    let parts = Message::Parts {
+                        from: self.own.node.clone(),
+                        digests: self.table.digests(count),
+                    };
+                    self.effects.push(Effect::Send(gossip, parts));
+                }
+            }
+        }
+    }
+
+    /// Sends the sender of the digests of its parts what is held of those that differ.
+    pub(super) fn compare_parts(&mut self, from: &id::Node, digests: &[u64]) {
+        let Some(gossip) = self.table.get(from).map(|sender| sender.gossip) else {
+            return;
+        };
+        let Ok(count) = u16::try_from(digests.len()) else {
+            return;
+        };
+        let own = self.table.digests(count);
+        for (index, (own, theirs)) in (0..).zip(own.iter().zip(digests)) {
+            if own != theirs {
+                self.send_have(gossip, &Range::of(Part { index, count }), true);
+            }
         }
     }
 
@@ -87,7 +116,7 @@
     pub(super) fn compare(
         &mut self,
         from: &id::Node,
-        range: (Option<&id::Node>, Option<&id::Node>),
+        range: &Range,
         stamps: &[(id::Node, Stamp)],
         may_answer: bool,
     ) {
@@ -101,7 +130,7 @@
         let newer: Vec<Member> = self
             .table
             .iter()
-            .filter(|member| is_within(&member.node, range))
+            .filter(|member| range.holds(&member.node))
             .filter(|member| theirs(&member.node) < Some(member.stamp))
             .cloned()
             .collect();
@@ -110,6 +139,7 @@
                 from: self.own.node.clone(),
                 members: members.to_vec(),
                 wants_ack: false,
+                spread: false,
             };
             self.effects.push(Effect::Send(gossip, push));
         }
@@ -123,31 +153,27 @@
     }
 
     /// Sends what is held of a range, in pieces of ranges that join.
-    fn send_have(
-        &mut self,
-        gossip: SocketAddr,
-        range: (Option<&id::Node>, Option<&id::Node>),
-        may_answer: bool,
-    ) {
+    fn send_have(&mut self, gossip: SocketAddr, range: &Range, may_answer: bool) {
         let stamps: Vec<(id::Node, Stamp)> = self
             .table
             .iter()
-            .filter(|member| is_within(&member.node, range))
+            .filter(|member| range.holds(&member.node))
             .map(|member| (member.node.clone(), member.stamp))
             .collect();
         let pieces: Vec<_> = stamps.chunks(STAMPS_MAX).collect();
         for (index, piece) in pieces.iter().enumerate() {
             // A range begins where the one before ends, so that no name falls between two.
             let after = match index {
-                0 => range.0.cloned(),
+                0 => range.after.clone(),
                 _ => pieces[index - 1].last().map(|(node, _)| node.clone()),
             };
             let last = match pieces.get(index + 1) {
-                None => range.1.cloned(),
+                None => range.last.clone(),
                 Some(_) => piece.last().map(|(node, _)| node.clone()),
             };
             let have = Message::Have {
                 from: self.own.node.clone(),
+                part: range.part,
                 after,
                 last,
                 stamps: piece.to_vec(),
@@ -177,6 +203,27 @@
     }
 }
 
-fn is_within(node: &id::Node, (after, last): (Option<&id::Node>, Option<&id::Node>)) -> bool {
-    after.is_none_or(|after| after < node) && last.is_none_or(|last| node <= last)
+/// A range of the names of a part.
+pub(super) struct Range {
+    pub(super) part: Part,
+    /// The name after which it begins.
+    pub(super) after: Option<id::Node>,
+    /// Its last name.
+    pub(super) last: Option<id::Node>,
+}
+
+impl Range {
+    const fn of(part: Part) -> Self {
+        Self {
+            part,
+            after: None,
+            last: None,
+        }
+    }
+
+    fn holds(&self, node: &id::Node) -> bool {
+        let is_after = self.after.as_ref().is_none_or(|after| after < node);
+        let is_before = self.last.as_ref().is_none_or(|last| node <= last);
+        is_after && is_before && self.part.holds(node)
+    }
 }
--- a/crates/cicadagw-gossip/src/message.rs
+++ b/crates/cicadagw-gossip/src/message.rs
@@ -25,6 +25,8 @@
         members: Vec<Member>,
         /// Whether an acknowledgement is awaited.
         wants_ack: bool,
+        /// Whether the receiver is to tell the other nodes of its region.
+        spread: bool,
     },
     /// Says that a record has arrived.
     Ack {
--- a/crates/cicadagw-gossip/src/table.rs
+++ b/crates/cicadagw-gossip/src/table.rs
@@ -7,7 +7,7 @@
 use cicadagw_unit::{Sequence, id};
 use cicadagw_view::Endpoints;
 
-use crate::Member;
+use crate::{Member, Part};
 
 /// The members that a node knows, itself included.
 #[derive(Clone, Debug, Default)]
@@ -45,6 +45,18 @@
         hasher.finish()
     }
 
+    /// Returns such a number for each of `count` parts.
+    pub fn digests(&self, count: u16) -> Vec<u64> {
+        let mut hashers = vec![DefaultHasher::new(); usize::from(count)];
+        for member in self.members.values() {
+            let part = Part::of(&member.node, count);
+            if let Some(hasher) = hashers.get_mut(usize::from(part.index)) {
+                (member.node.as_str(), member.stamp).hash(hasher);
+            }
+        }
+        hashers.iter().map(Hasher::finish).collect()
+    }
+
     /// Returns the endpoints that take work, by service.
     pub fn endpoints(&self) -> Endpoints {
         let mut endpoints = Endpoints::new();
--- a/crates/cicadagw-gossip/tests/fleet.rs
+++ b/crates/cicadagw-gossip/tests/fleet.rs
@@ -19,6 +19,10 @@
 /// What a node may spend for control, in bytes a second.
 const CONTROL: usize = 3_000;
 
+/// How much a node may say to other regions until all have met, in bytes: what it may spend for control
+/// in three seconds.
+const FAR: usize = 3 * CONTROL;
+
 /// How long the platform's page allows nodes to find each other.
 const MEETING: Span = Span::seconds(3);
 
@@ -45,6 +49,49 @@
     }
 }
 
+#[test]
+fn nodes_that_start_together_say_little_to_other_regions() {
+    for count in [60, 120] {
+        let fleet = fleet(count);
+
+        let each = fleet.far_bytes / count;
+        assert!(each <= FAR, "{each} bytes at {count} nodes");
+    }
+}
+
+#[test]
+fn a_node_that_starts_anew_is_known_in_other_regions_at_once() {
+    let mut fleet = fleet(60);
+    fleet.restart(4, 9);
+    fleet.run(Span::new(400));
+
+    fleet.step(4, Event::Local(local("i-new", State::Ready)));
+    fleet.run(Span::new(250));
+
+    let knowing = fleet.nodes.iter().filter(|node| {
+        let mut endpoints = node.view.endpoints.values().flatten();
+        endpoints.any(|record| record.endpoint.as_str() == "i-new")
+    });
+    assert_eq!(knowing.count(), 60);
+}
+
+#[test]
+fn tables_that_differ_are_compared_part_by_part() {
+    let mut fleet = fleet(120);
+    let differs = Message::Digest {
+        from: "node-0002".parse().unwrap(),
+        digest: 0,
+        follows: false,
+        version: fleet.nodes[0].core.version(),
+    };
+    let before = fleet.bytes;
+
+    fleet.step(0, Event::Message(differs));
+
+    let said = fleet.bytes - before;
+    assert!(said <= cicadagw_gossip::message::SIZE_MAX, "{said} bytes");
+}
+
 #[test]
 fn a_drain_is_known_everywhere_at_once_without_the_platform() {
     let mut fleet = fleet(12);
--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -24,6 +24,9 @@
 /// How far the time goes on with each step.
 pub const STEP: Span = Span::new(50);
 
+/// The regions; nodes stand in them by turns.
+const REGIONS: [&str; 2] = ["kochi", "kozhikode"];
+
 /// One node.
 pub struct Node {
     pub core: Core,
@@ -56,6 +59,8 @@
     pub cut: BTreeSet<usize>,
     /// The bytes of all messages sent.
     pub bytes: usize,
+    /// The bytes of those that went to another region.
+    pub far_bytes: usize,
     rng: StdRng,
     on_the_way: VecDeque<(usize, Message)>,
 }
@@ -83,7 +88,7 @@
 
 /// Creates the decisions of node `index`, in one of two regions.
 pub fn core(index: usize, start: u64) -> Core {
-    let region = ["kochi", "kozhikode"][index % 2];
+    let region = REGIONS[index % REGIONS.len()];
     let setup = Setup::builder()
         .calls(address(index))
         .domain(format!("{region}-a").parse().unwrap())
@@ -106,6 +111,7 @@
             loss: 0,
             cut: BTreeSet::new(),
             bytes: 0,
+            far_bytes: 0,
             rng: StdRng::seed_from_u64(5),
             on_the_way: VecDeque::new(),
         }
@@ -171,6 +177,9 @@
             "{size} bytes: {message:?}"
         );
         let to = usize::from(to.port()) - 1;
+        if from % REGIONS.len() != to % REGIONS.len() {
+            self.far_bytes += size;
+        }
         let is_cut = self.cut.contains(&from) || self.cut.contains(&to);
         let is_lost = self.rng.random_range(0..1_000) < self.loss;
         if to < self.nodes.len() && !is_cut && !is_lost {
