Say in the log how long before its arrival a refused call was made first

Cause: a call that comes back is timed from its first arrival, and nothing showed that of one that was refused again. Ruled out: a line of its own for every call that comes back, whose number grows with an overload. Change: the line on an unanswered call carries came_back_ms.

--- a/crates/cicadagw-proxy/src/ingress.rs
+++ b/crates/cicadagw-proxy/src/ingress.rs
@@ -74,7 +74,9 @@
     };
     let outcome = end.outcome();
     let took = begin.elapsed().as_millis();
-    log::info!(id = request.id(), path = request.path(), outcome:%, reason:%, took_ms = u64::try_from(took).unwrap_or(u64::MAX); "a call was not answered");
+    // How long before this arrival the caller had asked first; zero unless it was refused before.
+    let came_back_ms = request.arrival.since(request.first).get();
+    log::info!(id = request.id(), path = request.path(), outcome:%, reason:%, came_back_ms, took_ms = u64::try_from(took).unwrap_or(u64::MAX); "a call was not answered");
 }
 
 /// Reads the head of a call and refuses what no node carries.
