Bound endless bytes, and answer what arrived before a listener closed

Cause, found by reading and shown by tests that failed on: - A response head whose end came past the size limit was accepted, interim and stale responses and trailers were read without end, chunk size lines were checked only while partial. - After a read error in a body that ends with its connection, a second read reported the end of the body: a half answer could read as a whole one. - When a server stopped, connections in the accept backlog were reset with their requests unread (20 of 20 in the test), and responses were cut 150 ms after the last call ended, whatever was left to write.

Ruled out: a second copy of an answer on a reused connection. The response is matched by its id, a connection with bytes left over or after a stale response is not reused; the tests for both exist.

Change: all parts of a response are bounded in bytes, a truncated body stays truncated, a server takes what is in its backlog, closes idle connections and waits up to 500 ms for the others.

--- a/crates/cicadagw-http/src/client.rs
+++ b/crates/cicadagw-http/src/client.rs
@@ -28,6 +28,10 @@
 /// The maximum size of a stale response's body that is skipped, in bytes.
 const STALE_BODY_BYTES_MAX: usize = 1 << 20;
 
+/// The maximum number of interim and stale responses that are skipped before the expected one. A
+/// server that sends more is faulty and may never send it.
+const SKIPPED_RESPONSES_MAX: usize = 32;
+
 /// A client connection to a server.
 #[derive(Debug)]
 pub struct Connection {
@@ -61,8 +65,8 @@
     /// As `Ended`, on a connection that had served an earlier request.
     EndedReused,
     /// The response, or a stale response before it, is invalid, was cut off by the end of the
-    /// connection, or leaves the connection unusable: `101 Switching Protocols`, or a stale
-    /// response that is too long or has no length.
+    /// connection, or leaves the connection unusable: `101 Switching Protocols`, a stale response
+    /// that is too long or has no length, or too many interim or stale responses.
     Unusable,
     /// The request body ended before it was complete.
     TruncatedRequest,
@@ -93,8 +97,10 @@
 /// A response body that is still being received. Dropping it before the end closes the connection.
 #[derive(Debug)]
 pub struct Incoming {
+    /// The connection; `None` once the body is complete or truncated.
     connection: Option<Connection>,
     decoder: Decoder,
+    is_truncated: bool,
     /// Whether the response head and the request allow the connection to be reused.
     allows_reuse: bool,
     server_idle_timeout: Option<Duration>,
@@ -176,6 +182,7 @@
             body: Incoming {
                 connection: Some(self),
                 decoder: Decoder::new(head.framing),
+                is_truncated: false,
                 allows_reuse: head.keep_alive && is_sent,
                 server_idle_timeout,
             },
@@ -195,14 +202,14 @@
     /// # Errors
     ///
     /// Returns [`Truncated`] when the connection ended before the body did, or the body's framing
-    /// is invalid.
+    /// is invalid; further calls return it again.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Truncated> {
         loop {
             let Some(connection) = &mut self.connection else {
-                return if self.decoder.ends_by_close() {
-                    Ok(None)
-                } else {
+                return if self.is_truncated {
                     Err(Truncated)
+                } else {
+                    Ok(None)
                 };
             };
             match self.decoder.step(&mut connection.buffer) {
@@ -220,20 +227,21 @@
                             self.connection = None;
                             return Ok(None);
                         }
-                        Ok(0) | Err(_) => {
-                            self.connection = None;
-                            return Err(Truncated);
-                        }
+                        Ok(0) | Err(_) => return self.truncate(),
                     }
                 }
-                Err(_) => {
-                    self.connection = None;
-                    return Err(Truncated);
-                }
+                Err(_) => return self.truncate(),
             }
         }
     }
 
+    /// Closes the connection, and reports the body as truncated from now on.
+    fn truncate(&mut self) -> Result<Option<Bytes>, Truncated> {
+        self.connection = None;
+        self.is_truncated = true;
+        Err(Truncated)
+    }
+
     /// Returns a reusable connection to its pool.
     fn finish(&mut self) {
         let Some(mut connection) = self.connection.take() else {
@@ -266,7 +274,7 @@
         reader: &mut (impl AsyncReadExt + Unpin),
         is_ours: impl Fn(&ResponseHead) -> bool,
     ) -> Result<ResponseHead, Loss> {
-        loop {
+        for _ in 0..=SKIPPED_RESPONSES_MAX {
             let head = self.next(reader).await?;
             self.has_responded.set(true);
             if (100..200).contains(&head.status) {
@@ -282,6 +290,7 @@
             *self.state = step(*self.state, Event::Stale, false);
             self.skip(reader, head.framing).await?;
         }
+        Err(self.mark_unusable())
     }
 
     /// Reads the next response head, which may be interim or stale.
--- a/crates/cicadagw-http/src/framing.rs
+++ b/crates/cicadagw-http/src/framing.rs
@@ -4,7 +4,8 @@
 
 use crate::Error;
 
-/// The maximum length of a chunk size line, and of a line of the trailer section, in bytes.
+/// The maximum length of a chunk size line with its extensions, and of a whole trailer section, in
+/// bytes.
 const LINE_BYTES_MAX: usize = 8 << 10;
 
 /// How the length of a message body is determined.
@@ -35,8 +36,9 @@
     Chunk(u64),
     /// The CRLF after the data of a chunk.
     ChunkEnd,
-    /// The next line of the trailer section, which ends with an empty line.
-    Trailers,
+    /// The next line of the trailer section, which ends with an empty line, after this many bytes of
+    /// it.
+    Trailers(usize),
     /// Bytes up to the end of the connection.
     Close,
     /// Nothing; the body is complete.
@@ -109,15 +111,17 @@
                     bytes.advance(2);
                     self.0 = State::ChunkSize;
                 }
-                State::Trailers => {
+                State::Trailers(read) => {
                     let Some(end) = bytes.windows(2).position(|pair| pair == b"\r\n") else {
-                        return check_line_length(bytes.len()).map(|()| Step::More);
+                        return check_line_length(read + bytes.len()).map(|()| Step::More);
                     };
-                    check_line_length(end)?;
+                    let read = read + end + 2;
+                    check_line_length(read)?;
                     bytes.advance(end + 2);
-                    if end == 0 {
-                        self.0 = State::Done;
-                    }
+                    self.0 = match end {
+                        0 => State::Done,
+                        _ => State::Trailers(read),
+                    };
                 }
             }
         }
@@ -142,9 +146,10 @@
 fn chunk_size(bytes: &mut BytesMut) -> Result<Option<State>, Error> {
     match httparse::parse_chunk_size(bytes) {
         Ok(httparse::Status::Complete((line, size))) => {
+            check_line_length(line)?;
             bytes.advance(line);
             Ok(Some(match size {
-                0 => State::Trailers,
+                0 => State::Trailers(0),
                 size => State::Chunk(size),
             }))
         }
--- a/crates/cicadagw-http/src/parse.rs
+++ b/crates/cicadagw-http/src/parse.rs
@@ -109,8 +109,8 @@
 ///
 /// # Errors
 ///
-/// Returns an error when `bytes` does not start with a valid response head, the head is incomplete
-/// after `size_max` bytes, or the length of the body is ambiguous.
+/// Returns an error when `bytes` does not start with a valid response head, the head is larger than
+/// `size_max` bytes, or the length of the body is ambiguous.
 pub fn response(
     bytes: &mut BytesMut,
     method: &[u8],
@@ -119,9 +119,12 @@
     let mut headers = [EMPTY_HEADER; FIELDS_MAX];
     let mut parsed = httparse::Response::new(&mut headers);
     let length = match parsed.parse(bytes) {
-        Ok(Status::Complete(length)) => length,
+        Ok(Status::Complete(length)) if length <= size_max => length,
+        Ok(Status::Complete(_)) | Err(httparse::Error::TooManyHeaders) => {
+            return Err(Error::TooLarge);
+        }
         Ok(Status::Partial) if bytes.len() <= size_max => return Ok(None),
-        Ok(Status::Partial) | Err(httparse::Error::TooManyHeaders) => return Err(Error::TooLarge),
+        Ok(Status::Partial) => return Err(Error::TooLarge),
         Err(_) => return Err(Error::Malformed),
     };
     let (Some(status), Some(version)) = (parsed.code, parsed.version) else {
--- a/crates/cicadagw-http/src/server/accept.rs
+++ b/crates/cicadagw-http/src/server/accept.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use futures_util::FutureExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use super::Service;
 use super::queue::Queue;
@@ -24,18 +26,38 @@
 /// The delay before the next accept after one failed, for instance for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Accepts and serves connections of `listener` until `token` is cancelled. Connections that are
-/// open then continue to be served.
+/// Accepts and serves connections of `listener` until `token` is cancelled, and then waits until all
+/// connections have ended. Idle ones are closed, and the others complete their responses.
 pub async fn serve<S: Service>(listener: TcpListener, service: Rc<S>, token: CancellationToken) {
+    let connections = TaskTracker::new();
+    let start = |stream| {
+        let connection = connection(stream, service.clone(), token.clone());
+        connections.spawn_local(connection);
+    };
+    accept_until(&token, &listener, &start).await;
+    // The clients of connections in the backlog may have sent requests already; closing the
+    // listener would reset them.
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        start(stream);
+    }
+    drop(listener);
+    connections.close();
+    connections.wait().await;
+}
+
+/// Passes accepted connections to `start` until `token` is cancelled.
+async fn accept_until(
+    token: &CancellationToken,
+    listener: &TcpListener,
+    start: &impl Fn(TcpStream),
+) {
     loop {
         let accepted = tokio::select! {
             () = token.cancelled() => return,
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(connection(stream, service.clone()));
-            }
+            Ok((stream, _)) => start(stream),
             Err(error) => {
                 log::warn!(error:%; "failed to accept a connection");
                 sleep(ACCEPT_RETRY_DELAY).await;
@@ -44,7 +66,7 @@
     }
 }
 
-async fn connection<S: Service>(mut stream: TcpStream, service: Rc<S>) {
+async fn connection<S: Service>(mut stream: TcpStream, service: Rc<S>, token: CancellationToken) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:%; "failed to set TCP_NODELAY on an accepted connection");
         return;
@@ -57,6 +79,7 @@
             half: reader,
             queue: &queue,
             service: &service,
+            token: &token,
         };
         let writer = Writer {
             half: writer,
--- a/crates/cicadagw-http/src/server/reader.rs
+++ b/crates/cicadagw-http/src/server/reader.rs
@@ -7,6 +7,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::tcp::ReadHalf;
 use tokio::time::{Instant, timeout};
+use tokio_util::sync::CancellationToken;
 
 use super::accept::End;
 use super::queue::{Pending, Queue, Source};
@@ -27,13 +28,15 @@
     pub(super) half: ReadHalf<'c>,
     pub(super) queue: &'c Queue,
     pub(super) service: &'c Rc<S>,
+    /// Cancelled when the server closes its idle connections.
+    pub(super) token: &'c CancellationToken,
 }
 
 /// The reason why no further request is read.
 enum NoRequest {
     /// The client closed the connection.
     Disconnected,
-    /// The connection was idle for too long.
+    /// The connection was idle for too long, or the server closes its idle connections.
     Idle,
     /// The request is refused.
     Refused(Refusal),
@@ -84,7 +87,14 @@
                 limits.idle_timeout
             };
             let left = limit.saturating_sub(begin.elapsed());
-            match timeout(left, self.fill()).await {
+            let is_idle = !has_started && self.queue.in_flight.get() == 0;
+            let token = self.token;
+            let received = tokio::select! {
+                biased;
+                received = timeout(left, self.fill()) => received,
+                () = token.cancelled(), if is_idle => return Err(NoRequest::Idle),
+            };
+            match received {
                 Ok(filled) => {
                     filled?;
                     if !has_started {
--- a/crates/cicadagw-http/tests/client.rs
+++ b/crates/cicadagw-http/tests/client.rs
@@ -8,10 +8,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cicadagw_http::body::Truncated;
 use cicadagw_http::client::{Loss, Request, Response};
 use cicadagw_http::pool::Options;
 use cicadagw_http::{Fields, Framing, Pool, Response as ResponseHead, request_head};
-use support::{AfterResponse, local, serve_responses};
+use support::{AfterResponse, local, reset_after, serve_endless, serve_responses};
+use tokio::time::timeout;
 
 const OPTIONS: Options = Options {
     connect_timeout: Duration::from_secs(5),
@@ -19,6 +21,13 @@
     tcp_user_timeout: Duration::from_secs(5),
 };
 
+/// The time within which a connection with endless bytes must end; far longer than it takes.
+const ENDLESS_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The number of bytes that a server may send before its connection ends: the size limits of the
+/// client, and the buffers of the loopback device.
+const ENDLESS_BYTES_MAX: usize = 32 << 20;
+
 fn pool(address: SocketAddr) -> Rc<Pool> {
     Pool::new(address, OPTIONS)
 }
@@ -210,3 +219,80 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn truncated_response_without_length_stays_truncated() {
+    local(async {
+        let address = reset_after(b"HTTP/1.1 200 OK\r\n\r\nhalf").await;
+        let mut response = send(&pool(address), "a").await.unwrap();
+
+        let mut ends = Vec::new();
+        while ends.len() < 2 {
+            let next = response.body.next().await;
+            if !matches!(next, Ok(Some(_))) {
+                ends.push(next);
+            }
+        }
+
+        assert_eq!(ends, [Err(Truncated), Err(Truncated)]);
+    })
+    .await;
+}
+
+/// Bytes that a faulty server may send without end in place of a response.
+const ENDLESS: [(&str, &[u8], &[u8]); 6] = [
+    ("status line", b"", b"HTTP"),
+    ("header field", b"HTTP/1.1 200 OK\r\nfield: ", b"more"),
+    ("header fields", b"HTTP/1.1 200 OK\r\n", b"field: value\r\n"),
+    ("interim responses", b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+    (
+        "stale responses",
+        b"",
+        b"HTTP/1.1 200 OK\r\nid: b\r\ncontent-length: 0\r\n\r\n",
+    ),
+    (
+        "body of a stale response",
+        b"HTTP/1.1 200 OK\r\nid: b\r\ntransfer-encoding: chunked\r\n\r\n",
+        b"4\r\nmore\r\n",
+    ),
+];
+
+#[tokio::test]
+async fn endless_bytes_in_place_of_a_response_close_the_connection() {
+    local(async {
+        for (what, start, repeated) in ENDLESS {
+            let (address, ended) = serve_endless(start, repeated).await;
+
+            let outcome = timeout(ENDLESS_TIMEOUT, send(&pool(address), "a")).await;
+
+            let loss = outcome.expect(what).unwrap_err();
+            assert_eq!(loss, Loss::Unusable, "{what}");
+            let sent = timeout(ENDLESS_TIMEOUT, ended).await.expect(what).unwrap();
+            assert!(sent < ENDLESS_BYTES_MAX, "{what}: {sent} bytes");
+        }
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn endless_framing_of_a_body_truncates_it() {
+    let cases: [(&str, &[u8], &[u8]); 3] = [
+        ("chunk size", b"", b"0"),
+        ("chunk extension", b"1;", b"extension"),
+        ("trailers", b"0\r\n", b"field: value\r\n"),
+    ];
+    local(async {
+        for (what, start, repeated) in cases {
+            let head = b"HTTP/1.1 200 OK\r\nid: a\r\ntransfer-encoding: chunked\r\n\r\n";
+            let (address, ended) = serve_endless(&[head, start].concat(), repeated).await;
+
+            let response = send(&pool(address), "a").await.unwrap();
+            let received = timeout(ENDLESS_TIMEOUT, body(response)).await;
+
+            assert_eq!(received.expect(what), None, "{what}");
+            let sent = timeout(ENDLESS_TIMEOUT, ended).await.expect(what).unwrap();
+            assert!(sent < ENDLESS_BYTES_MAX, "{what}: {sent} bytes");
+        }
+    })
+    .await;
+}
--- a/crates/cicadagw-http/tests/server.rs
+++ b/crates/cicadagw-http/tests/server.rs
@@ -6,7 +6,9 @@
 
 use support::{Script, exchange, local, rest};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 
 /// The timeout for conditions that must become true; far longer than they take.
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -204,3 +206,63 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn connections_in_backlog_are_answered_when_the_listener_closes() {
+    local(async {
+        let script = Script::new();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut clients = Vec::new();
+        for _ in 0..20 {
+            let mut stream = TcpStream::connect(address).await.unwrap();
+            stream.write_all(get("/a").as_bytes()).await.unwrap();
+            clients.push(stream);
+        }
+        let token = CancellationToken::new();
+        script.is_draining.set(true);
+        token.cancel();
+
+        timeout(TIMEOUT, script.serve(listener, token))
+            .await
+            .unwrap();
+
+        for mut stream in clients {
+            let response = rest(&mut stream).await;
+            assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        }
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn closing_server_completes_responses_and_closes_idle_connections() {
+    local(async {
+        let script = Script::new();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let token = CancellationToken::new();
+        let serving = {
+            let (script, token) = (script.clone(), token.clone());
+            tokio::task::spawn_local(async move { script.serve(listener, token).await })
+        };
+        let mut idle = TcpStream::connect(address).await.unwrap();
+        let mut busy = TcpStream::connect(address).await.unwrap();
+        let request = get("/hold/a");
+        busy.write_all(request.as_bytes()).await.unwrap();
+        script.started.notified().await;
+        script.is_draining.set(true);
+
+        token.cancel();
+
+        let until_idle_closes = timeout(TIMEOUT, rest(&mut idle)).await;
+        assert_eq!(until_idle_closes.unwrap(), "");
+        assert!(!serving.is_finished());
+        script.release("a");
+        let response = timeout(TIMEOUT, rest(&mut busy)).await.unwrap();
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        drop(busy);
+        timeout(TIMEOUT, serving).await.unwrap().unwrap();
+    })
+    .await;
+}
--- a/crates/cicadagw-http/tests/support/mod.rs
+++ b/crates/cicadagw-http/tests/support/mod.rs
@@ -16,10 +16,13 @@
 use cicadagw_http::{Body, Request};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, oneshot};
 use tokio::task::LocalSet;
 use tokio_util::sync::CancellationToken;
 
+/// The number of bytes that an endless server sends at once.
+const BLOCK_BYTES: usize = 16 << 10;
+
 /// Runs `test` in a `LocalSet`, as the threads of a node do.
 pub async fn local<T>(test: impl Future<Output = T>) -> T {
     LocalSet::new().run_until(test).await
@@ -76,6 +79,11 @@
         address
     }
 
+    /// Serves `listener` until `token` is cancelled and all connections have ended.
+    pub async fn serve(self: &Rc<Self>, listener: TcpListener, token: CancellationToken) {
+        serve(listener, self.clone(), token).await;
+    }
+
     pub fn release(&self, name: &str) {
         self.gate(name).notify_one();
     }
@@ -188,6 +196,45 @@
     address
 }
 
+/// Starts a server that responds to a request with `response`, and then resets the connection.
+pub async fn reset_after(response: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::task::spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_head(&mut stream).await;
+        stream.write_all(response).await.unwrap();
+        // The response must be read before the reset discards it.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        stream.set_zero_linger().unwrap();
+    });
+    address
+}
+
+/// Starts a server that responds to a request with `start`, and then with `repeated` until the
+/// client closes the connection. The receiver gets the number of bytes sent until then.
+pub async fn serve_endless(
+    start: &[u8],
+    repeated: &[u8],
+) -> (SocketAddr, oneshot::Receiver<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let start = start.to_vec();
+    let block = repeated.repeat(BLOCK_BYTES.div_ceil(repeated.len()));
+    let (sender, receiver) = oneshot::channel();
+    tokio::task::spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_head(&mut stream).await;
+        stream.write_all(&start).await.unwrap();
+        let mut sent = start.len();
+        while stream.write_all(&block).await.is_ok() {
+            sent += block.len();
+        }
+        sender.send(sent).ok();
+    });
+    (address, receiver)
+}
+
 async fn read_head(stream: &mut TcpStream) -> bool {
     let mut head = Vec::new();
     let mut byte = [0];
--- a/crates/cicadagw-proxy/src/run.rs
+++ b/crates/cicadagw-proxy/src/run.rs
@@ -6,16 +6,17 @@
 use std::time::Duration;
 
 use cicadagw_http::server;
-use tokio::time::sleep;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::listener::Listener;
 use crate::listener_kind::ListenerKind;
 use crate::node::{Node, Parts};
 use crate::{Setup, maintenance};
 
-/// The time for writing the last responses after the last call has ended.
-const LAST_RESPONSES_TIMEOUT: Duration = Duration::from_millis(150);
+/// The maximum time for writing the last responses after the last call has ended.
+const LAST_RESPONSES_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Serves calls and announcements until the token of `setup` is cancelled, then finishes the calls
 /// in flight and returns.
@@ -54,16 +55,23 @@
         view: setup.view,
     }));
     let closed = CancellationToken::new();
+    let servers = TaskTracker::new();
     for (kind, listener) in kinds {
         if let Some(listener) = listener {
             let listener = into_tokio(listener)?;
             let service = Rc::new(Listener::new(node.clone(), kind));
-            actix::spawn(server::serve(listener, service, closed.clone()));
+            servers.spawn_local(server::serve(listener, service, closed.clone()));
         }
     }
     maintenance::run(&node, &setup.token).await;
     closed.cancel();
-    sleep(LAST_RESPONSES_TIMEOUT).await;
+    servers.close();
+    if timeout(LAST_RESPONSES_TIMEOUT, servers.wait())
+        .await
+        .is_err()
+    {
+        log::warn!("connections are still open at the end of the shutdown and are reset");
+    }
     Ok(())
 }
 
