Keep connections to other nodes after a refusal, and end endless responses at the deadline

Cause: the response of a node that refuses a call was dropped unread, which closes its connection. So every attempt that was shed cost a new connection, a round trip more on the next call, just when load is at its worst (5 connections for 5 refused calls in the test). A body of unknown length that never ends was forwarded until the caller closed, whatever its policy's timeout.

Ruled out: reading the body of an answered response that is discarded; it may be long.

Change: the empty body of a refusal is read to its end; a body of unknown length is truncated at the deadline of its call.

--- a/crates/cicadagw-proxy/src/attempts.rs
+++ b/crates/cicadagw-proxy/src/attempts.rs
@@ -13,6 +13,7 @@
 use cicadagw_http::{Fields, client};
 use cicadagw_unit::time::Span;
 use smallvec::SmallVec;
+use tokio::time::Instant;
 
 use crate::delivery::{self, Call, Outcome};
 use crate::exchange::{Destination, Failure, exchange};
@@ -147,7 +148,10 @@
     };
     let fields = fields(node, call, record);
     match exchange(&destination, call.request, &fields, call.upload).await {
-        Ok(response) => interpret(response, call.target.policy.timeout.into()),
+        Ok(response) => {
+            let idle_max = call.target.policy.timeout.into();
+            interpret(response, idle_max, destination.deadline).await
+        }
         Err(Failure::NotSent(reason)) => Outcome::not_run(reason),
         Err(Failure::Sent(reason, loss)) => {
             if let Some(loss) = loss {
@@ -184,15 +188,23 @@
 
 /// Interprets the response of another node. A response without an outcome field does not come from
 /// a node, and the request may have been executed.
-fn interpret(response: client::Response, idle_max: Duration) -> Outcome {
+///
+/// The body of a refusal, which is empty, is read to its end, so that the connection is reused:
+/// under overload, every attempt that is shed would otherwise cost a connection.
+async fn interpret(response: client::Response, idle_max: Duration, deadline: Instant) -> Outcome {
     let text = |name: &str| response.head.fields.text(name);
     let kind = text(header::OUTCOME).and_then(|text| text.parse().ok());
     let reason = text(header::REASON).and_then(|text| text.parse().ok());
     let load: Option<Load> = text(header::LOAD).and_then(|text| text.parse().ok());
     let work = text(header::WORK).and_then(|text| text.parse().ok());
     let end = match (kind, reason) {
-        (Some(Kind::Answered), _) => End::Answered(Box::new(Response::new(response, idle_max))),
-        (Some(Kind::NotRun), Some(reason)) => End::NotRun(reason),
+        (Some(Kind::Answered), _) => {
+            End::Answered(Box::new(Response::new(response, idle_max, deadline)))
+        }
+        (Some(Kind::NotRun), Some(reason)) => {
+            delivery::discard(response.body).await;
+            End::NotRun(reason)
+        }
         (_, reason) => End::Unknown(reason.unwrap_or(Reason::Lost)),
     };
     Outcome {
--- a/crates/cicadagw-proxy/src/delivery.rs
+++ b/crates/cicadagw-proxy/src/delivery.rs
@@ -148,7 +148,11 @@
     let end = match outcome {
         Ok(response) => match classify(names, &response.head, call.request) {
             Classification::Valid => {
-                let mut response = Response::new(response, call.target.policy.timeout.into());
+                let mut response = Response::new(
+                    response,
+                    call.target.policy.timeout.into(),
+                    destination.deadline,
+                );
                 if let Some(length) = response.length() {
                     backend.record_size(&call.target.policy_name, size::Bytes::new(length));
                 }
@@ -241,7 +245,7 @@
 }
 
 /// Reads a short body to its end, so that the connection can be reused.
-async fn discard(mut body: Incoming) {
+pub(crate) async fn discard(mut body: Incoming) {
     let reading = async { while let Ok(Some(_)) = body.next().await {} };
     // If the rest does not arrive in time, the connection is closed instead.
     timeout(DISCARD_TIMEOUT, reading).await.ok();
--- a/crates/cicadagw-proxy/src/response.rs
+++ b/crates/cicadagw-proxy/src/response.rs
@@ -10,7 +10,7 @@
 use cicadagw_http::server::Reply;
 use cicadagw_http::{Body, Fields, Framing, body};
 use smallvec::SmallVec;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use crate::backend::Slot;
 use crate::header;
@@ -31,6 +31,8 @@
     incoming: Option<Incoming>,
     /// The maximum time between two parts of the body.
     idle_max: Duration,
+    /// When a body of unknown length, which may have no end, is truncated.
+    truncated_at: Option<Instant>,
     /// Paces the body on its way to the caller.
     pacer: Option<Rc<Pacer>>,
     guards: Guards,
@@ -48,8 +50,9 @@
 }
 
 impl Response {
-    /// Creates a response whose body must not stall for longer than `idle_max`.
-    pub(crate) fn new(response: client::Response, idle_max: Duration) -> Self {
+    /// Creates a response whose body must not stall for longer than `idle_max`, and ends by
+    /// `deadline` if its length is unknown.
+    pub(crate) fn new(response: client::Response, idle_max: Duration, deadline: Instant) -> Self {
         let head = response.head;
         let declared = head.fields.text("content-length");
         let length = match head.framing {
@@ -64,6 +67,7 @@
             buffered: SmallVec::new(),
             incoming: Some(response.body),
             idle_max,
+            truncated_at: length.is_none().then_some(deadline),
             pacer: None,
             guards: Guards::default(),
         }
@@ -167,9 +171,20 @@
             }
         }
         while let Some(incoming) = &mut self.incoming {
+            let stalled_at = Instant::now() + self.idle_max;
+            let until = self
+                .truncated_at
+                .map_or(stalled_at, |at| at.min(stalled_at));
+            // A body that arrives without pause must not starve the timeout.
+            if self.truncated_at.is_some_and(|at| Instant::now() >= at) {
+                log::info!(
+                    "a response body of unknown length did not end before the deadline of its call; the connection is closed"
+                );
+                return;
+            }
             let next = tokio::select! {
                 () = sender.closed() => return,
-                next = timeout(self.idle_max, incoming.next()) => next,
+                next = timeout_at(until, incoming.next()) => next,
             };
             match next {
                 Ok(Ok(Some(part))) => {
--- a/crates/cicadagw-proxy/tests/failure.rs
+++ b/crates/cicadagw-proxy/tests/failure.rs
@@ -9,6 +9,7 @@
 use support::backend::{Backend, Behavior, body};
 use support::caller::{Response, call, get, head, post};
 use support::mesh::{Mesh, Node};
+use support::refusing::RefusingNode;
 
 /// The maximum number of attempts of a call under the default policy.
 const ATTEMPTS_MAX: usize = 3;
@@ -197,3 +198,18 @@
     assert_eq!((refused.status, refused.outcome()), (503, "not-run"));
     assert_eq!(fixture.backend.executions("a"), 0);
 }
+
+#[tokio::test]
+async fn connection_to_another_node_is_reused_after_refusals() {
+    let mut mesh = Mesh::new();
+    let near = mesh.node("near");
+    let refusing = RefusingNode::start().await;
+    mesh.add_endpoint("orders-1", refusing.address);
+
+    for _ in 0..5 {
+        let response = get("/orders").send(near.calls).await;
+        assert_eq!((response.status, response.reason()), (503, "shed"));
+    }
+
+    assert_eq!(refusing.connections(), 1);
+}
--- a/crates/cicadagw-proxy/tests/limits.rs
+++ b/crates/cicadagw-proxy/tests/limits.rs
@@ -4,16 +4,22 @@
 mod support;
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use cicadagw_endpoint::State;
 use support::backend::{Backend, Behavior};
 use support::caller::{call, get, head, post, response};
 use support::mesh::{CONFIG, Mesh, Node, RING_CAPACITY};
+use tokio::io::AsyncReadExt;
 use tokio::task::JoinSet;
+use tokio::time::timeout;
 
 /// A deadline in milliseconds that passes soon, but not before the call was sent.
 const SHORT_DEADLINE_MS: &str = "2000";
 
+/// The time within which an endless response must end: well over the timeout of its policy.
+const ENDLESS_TIMEOUT: Duration = Duration::from_secs(10);
+
 struct Fixture {
     mesh: Mesh,
     node: Node,
@@ -139,6 +145,30 @@
     assert_eq!(head(&mut next).await.status, 200);
 }
 
+#[tokio::test]
+async fn endless_response_is_truncated_at_deadline() {
+    let mut mesh = Mesh::new();
+    let (near, far) = (mesh.node("near"), mesh.node("far"));
+    let mut backend = Backend::start(Behavior::Endless).await;
+    mesh.announce(&far, "orders-1", &backend).await;
+    let mut endless = get("/brief").begin(near.calls).await;
+    let status = head(&mut endless).await.status;
+
+    let mut scratch = vec![0; 64 << 10];
+    let mut last = Vec::new();
+    let reading = async {
+        while let Ok(read @ 1..) = endless.read(&mut scratch).await {
+            last = scratch[..read].to_vec();
+        }
+    };
+    let ended = timeout(ENDLESS_TIMEOUT, reading).await;
+
+    assert_eq!(status, 200);
+    assert!(ended.is_ok(), "the response did not end");
+    assert!(!last.ends_with(b"0\r\n\r\n"), "the response looks complete");
+    backend.closed().await;
+}
+
 #[tokio::test]
 async fn draining_backend_refuses_new_calls_and_finishes_running_ones() {
     let mut fixture = fixture().await;
--- a/crates/cicadagw-proxy/tests/support/mesh.rs
+++ b/crates/cicadagw-proxy/tests/support/mesh.rs
@@ -12,7 +12,7 @@
 use cicadagw_proxy::{Limits, Setup, Stats, run};
 use cicadagw_ring::{Receiver, channel};
 use cicadagw_settings::{Budget, Timing};
-use cicadagw_unit::size::{Bytes, Hops};
+use cicadagw_unit::size::{Bytes, Hops, Slots};
 use cicadagw_unit::time::Span;
 use cicadagw_unit::{Sequence, Version, id};
 use cicadagw_view::{Shared, View};
@@ -184,6 +184,28 @@
         update
     }
 
+    /// Publishes an endpoint of the service `orders` whose node is at `address`.
+    pub fn add_endpoint(&mut self, endpoint: &str, address: SocketAddr) {
+        let endpoint: id::Endpoint = endpoint.parse().unwrap();
+        self.records.insert(
+            endpoint.clone(),
+            Record {
+                address,
+                domain: "kochi-a".parse().unwrap(),
+                endpoint,
+                link: address,
+                node: "elsewhere".parse().unwrap(),
+                rack: "rack-1".parse().unwrap(),
+                region: "kochi".parse().unwrap(),
+                sequence: Sequence::new(1),
+                service: "orders".parse().unwrap(),
+                slots: Slots::new(20),
+                state: State::Ready,
+            },
+        );
+        self.publish();
+    }
+
     fn publish(&self) {
         let mut endpoints = cicadagw_view::Endpoints::new();
         for record in self.records.values() {
--- a/crates/cicadagw-proxy/tests/support/mod.rs
+++ b/crates/cicadagw-proxy/tests/support/mod.rs
@@ -10,4 +10,5 @@
 pub mod backend;
 pub mod caller;
 pub mod mesh;
+pub mod refusing;
 pub mod scripted;
