Give gossip a fixed hash, and leave out records that no node can have published

Cause: digests that travel between nodes used the standard library's default hasher, whose algorithm may change with the compiler, so that two builds would never agree. A record with a stamp at the end of the range could not be refuted: its owner's counter overflowed (panic in debug builds, a lower stamp in release ones). A message with 65,535 partition digests made a node allocate and send as many messages. A node without any record of a partition sent no stamps, so neither side asked for them.

Nodes of the build before and this one differ in their digests for as long as both run, and exchange stamps meanwhile.

--- a/crates/cicadagw-gossip/src/core/anti_entropy.rs
+++ b/crates/cicadagw-gossip/src/core/anti_entropy.rs
@@ -7,6 +7,7 @@
 
 use super::Core;
 use crate::message::{MEMBERS_PER_MESSAGE, STAMPS_PER_MESSAGE};
+use crate::partition::PARTITIONS_MAX;
 use crate::{Call, Effect, Member, Message, Notice, Partition, Stamp};
 
 /// Minimum time between two fetches of the configuration from other nodes.
@@ -50,14 +51,18 @@
     /// Overrides a record of this node that the current process did not send, such as one of an
     /// earlier process whose clock was ahead, by broadcasting a newer record.
     pub(super) fn refute(&mut self, now: Timestamp, member: &Member) {
-        if member.stamp > self.own.stamp {
+        if member.stamp > self.own.stamp && member.stamp.is_plausible() {
             self.own.stamp = member.stamp;
             self.broadcast(now);
         }
     }
 
-    /// Merges a record of another node; returns whether it was newer than the one in the table.
+    /// Merges a record of another node; returns whether it was newer than the one in the table. A
+    /// record that no node can have published is left out.
     pub(super) fn merge(&mut self, now: Timestamp, member: &Member) -> bool {
+        if !member.stamp.is_plausible() {
+            return false;
+        }
         let known = self.table.get(&member.node);
         // A node that is new or has restarted does not know this node, so this node sends its own
         // record to it. Nodes of other regions receive that record from peers in their region.
@@ -111,6 +116,9 @@
     /// Compares the partition digests of a peer with those of this node's table, and sends the
     /// stamps in each partition that differs.
     pub(super) fn compare_partitions(&mut self, from: &id::Node, digests: &[u64]) {
+        if digests.len() > PARTITIONS_MAX {
+            return;
+        }
         let Some(gossip) = self.table.get(from).map(|sender| sender.gossip) else {
             return;
         };
@@ -168,8 +176,9 @@
     }
 
     /// Sends the stamps of this node's records in `range`, split into consecutive subranges that
-    /// fit one message each. Sends nothing if this node has no record in the range. `may_answer`
-    /// tells whether the receiver may reply with its own stamps.
+    /// fit one message each; without any record there, it sends one message without stamps, so that
+    /// the receiver sends its records. `may_answer` tells whether the receiver may reply with its own
+    /// stamps.
     fn send_have(&mut self, gossip: SocketAddr, range: &Range, may_answer: bool) {
         let stamps: Vec<(id::Node, Stamp)> = self
             .table
@@ -177,7 +186,10 @@
             .filter(|member| range.contains(&member.node))
             .map(|member| (member.node.clone(), member.stamp))
             .collect();
-        let pieces: Vec<_> = stamps.chunks(STAMPS_PER_MESSAGE).collect();
+        let mut pieces: Vec<_> = stamps.chunks(STAMPS_PER_MESSAGE).collect();
+        if pieces.is_empty() {
+            pieces.push(&[]);
+        }
         for (index, piece) in pieces.iter().enumerate() {
             // Each subrange begins where the previous one ends, so that no node name falls between
             // two.
--- a/crates/cicadagw-gossip/src/core/dissemination.rs
+++ b/crates/cicadagw-gossip/src/core/dissemination.rs
@@ -37,7 +37,7 @@
     /// each other region, which relay it there. If every node sent to every other one, the updates
     /// would fill the links between regions whenever hundreds of nodes start together.
     pub(super) fn broadcast(&mut self, now: Timestamp) {
-        self.own.stamp.1 += 1;
+        self.own.stamp = self.own.stamp.next();
         self.table.merge(&self.own);
         let own = &self.own;
         let local = |member: &&Member| member.region == own.region && member.node != own.node;
--- /dev/null
+++ b/crates/cicadagw-gossip/src/hash.rs
@@ -0,0 +1,30 @@
+//! Hashes that travel between nodes, and so must be the same in every build.
+
+use cicadagw_unit::id;
+
+use crate::Stamp;
+
+/// Returns the hash of a node name: the first eight bytes of its BLAKE3 hash, in little-endian order.
+pub(crate) fn name(node: &id::Node) -> u64 {
+    first_eight(&blake3::hash(node.as_str().as_bytes()))
+}
+
+/// Returns the hash of a record by its node name and stamp: the first eight bytes of the BLAKE3 hash
+/// of the name, a zero byte and both numbers of the stamp, in little-endian order.
+pub(crate) fn record(node: &id::Node, stamp: Stamp) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher
+        .update(node.as_str().as_bytes())
+        .update(&[0])
+        .update(&stamp.0.to_le_bytes())
+        .update(&stamp.1.to_le_bytes());
+    first_eight(&hasher.finalize())
+}
+
+fn first_eight(hash: &blake3::Hash) -> u64 {
+    let (first, _) = hash
+        .as_bytes()
+        .split_first_chunk()
+        .expect("a hash has 32 bytes");
+    u64::from_le_bytes(*first)
+}
--- a/crates/cicadagw-gossip/src/lib.rs
+++ b/crates/cicadagw-gossip/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod core;
 mod event;
+mod hash;
 mod member;
 pub mod message;
 mod outbound;
--- a/crates/cicadagw-gossip/src/member.rs
+++ b/crates/cicadagw-gossip/src/member.rs
@@ -28,6 +28,29 @@
     pub u64,
 );
 
+/// The latest plausible start time of a process, in milliseconds since the Unix epoch: the year 2200.
+const START_MS_MAX: u64 = 7_258_118_400_000;
+
+/// The largest plausible number of changes of one process.
+const CHANGES_MAX: u64 = u32::MAX as u64;
+
+impl Stamp {
+    /// Returns whether a node may have published a record with this stamp. A record of another
+    /// writer with a higher one could not be refuted by its owner.
+    pub const fn is_plausible(self) -> bool {
+        self.0 <= START_MS_MAX && self.1 <= CHANGES_MAX
+    }
+
+    /// Returns the stamp of the next change.
+    pub(crate) const fn next(self) -> Self {
+        if self.1 < CHANGES_MAX {
+            Self(self.0, self.1 + 1)
+        } else {
+            Self(self.0 + 1, 0)
+        }
+    }
+}
+
 impl fmt::Display for Stamp {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}", self.0, self.1)
--- a/crates/cicadagw-gossip/src/partition.rs
+++ b/crates/cicadagw-gossip/src/partition.rs
@@ -1,14 +1,14 @@
 //! Hash partitions of a table, so that two nodes that differ need not compare their whole tables.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
-
 use cicadagw_unit::id;
 
+use crate::hash;
+
 /// Approximate number of records in a partition; the stamps of that many fit one message.
 const RECORDS_PER_PARTITION: usize = 16;
 
 /// Maximum number of partitions; the digests of more would not fit one message.
-const PARTITIONS_MAX: usize = 48;
+pub(crate) const PARTITIONS_MAX: usize = 48;
 
 /// A partition of a table: the records of the nodes whose name hashes to `index` modulo `count`.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -34,9 +34,7 @@
 
     /// Returns the partition, of `count`, that contains the record of `node`.
     pub(crate) fn of(node: &id::Node, count: u16) -> Self {
-        let mut hasher = DefaultHasher::new();
-        node.as_str().hash(&mut hasher);
-        let index = hasher.finish() % u64::from(count.max(1));
+        let index = hash::name(node) % u64::from(count.max(1));
         Self {
             index: u16::try_from(index).unwrap_or_default(),
             count,
@@ -44,7 +42,7 @@
     }
 
     /// Returns whether this partition contains the record of `node`.
-    pub(crate) fn contains(self, node: &id::Node) -> bool {
+    pub fn contains(self, node: &id::Node) -> bool {
         Self::of(node, self.count) == self
     }
 }
--- a/crates/cicadagw-gossip/src/table.rs
+++ b/crates/cicadagw-gossip/src/table.rs
@@ -1,18 +1,19 @@
 //! The membership table.
 
 use std::collections::BTreeMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 
 use cicadagw_endpoint::{Record, State};
 use cicadagw_unit::{Sequence, id};
 use cicadagw_view::Endpoints;
 
-use crate::{Member, Partition};
+use crate::{Member, Partition, hash};
 
 /// The member records known to a node, its own included.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     members: BTreeMap<id::Node, Member>,
+    /// The wrapping sum of the hashes of all records, updated with every change.
+    digest: u64,
 }
 
 impl Table {
@@ -22,6 +23,12 @@
         if known.is_some_and(|known| known.stamp >= member.stamp) {
             return false;
         }
+        if let Some(known) = known {
+            let replaced = hash::record(&known.node, known.stamp);
+            self.digest = self.digest.wrapping_sub(replaced);
+        }
+        let added = hash::record(&member.node, member.stamp);
+        self.digest = self.digest.wrapping_add(added);
         self.members.insert(member.node.clone(), member.clone());
         true
     }
@@ -36,26 +43,22 @@
         self.members.values()
     }
 
-    /// Returns a hash over all names and stamps: tables with the same names and stamps have equal
+    /// Returns the digest of all names and stamps: tables with the same names and stamps have equal
     /// digests, and others almost never do.
-    pub fn digest(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        for member in self.members.values() {
-            (member.node.as_str(), member.stamp).hash(&mut hasher);
-        }
-        hasher.finish()
+    pub const fn digest(&self) -> u64 {
+        self.digest
     }
 
     /// Returns the digest of each of `count` partitions, in their order.
     pub fn digests(&self, count: u16) -> Vec<u64> {
-        let mut hashers = vec![DefaultHasher::new(); usize::from(count)];
+        let mut digests = vec![0_u64; usize::from(count)];
         for member in self.members.values() {
             let part = Partition::of(&member.node, count);
-            if let Some(hasher) = hashers.get_mut(usize::from(part.index)) {
-                (member.node.as_str(), member.stamp).hash(hasher);
+            if let Some(digest) = digests.get_mut(usize::from(part.index)) {
+                *digest = digest.wrapping_add(hash::record(&member.node, member.stamp));
             }
         }
-        hashers.iter().map(Hasher::finish).collect()
+        digests
     }
 
     /// Returns the endpoints that accept requests, by service.
@@ -90,7 +93,7 @@
         region: member.region.clone(),
         // Grows with every change, also over a restart as long as the earlier process published
         // less than one change per millisecond.
-        sequence: Sequence::new(member.stamp.0.wrapping_add(member.stamp.1)),
+        sequence: Sequence::new(member.stamp.0.saturating_add(member.stamp.1)),
         service: backend.service.clone(),
         slots: backend.slots,
         state: State::Ready,
--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -12,7 +12,7 @@
 
 use cicadagw_config::{Config, Preset, Snapshot};
 use cicadagw_endpoint::{LocalUpdate, State};
-use cicadagw_gossip::{Call, Core, Effect, Event, Member, Message, Notice, Reply, Setup};
+use cicadagw_gossip::{Call, Core, Effect, Event, Member, Message, Notice, Reply, Setup, Stamp};
 use cicadagw_platform::{Error, Revision};
 use cicadagw_unit::Version;
 use cicadagw_unit::size::Slots;
@@ -90,6 +90,21 @@
     SocketAddr::from(([10, 0, 0, 1], port))
 }
 
+/// Returns a record of node `index` without a backend server.
+pub fn member(index: usize, stamp: Stamp) -> Member {
+    let region = REGIONS[index % REGIONS.len()];
+    Member {
+        backend: None,
+        calls: address(index),
+        domain: format!("{region}-a").parse().unwrap(),
+        gossip: address(index),
+        is_leaving: false,
+        node: format!("node-{index:04}").parse().unwrap(),
+        region: region.parse().unwrap(),
+        stamp,
+    }
+}
+
 /// Creates the state machine of node `index`, in one of two regions. The process started at
 /// `start_ms`; 1 stands for a node that was never registered.
 pub fn new_core(index: usize, start_ms: u64) -> Core {
