Keep a server that left gone after its node restarts

Cause: a node that had just restarted acknowledged the deregistration of a server that it did not know and forgot it; a heartbeat of before, delayed by seconds, then registered the server as ready. And a delayed deregistration of an earlier start under the same id ended the new one, which could not come back, since its start counted as gone.

--- a/crates/cicadagw-call/src/lifecycle.rs
+++ b/crates/cicadagw-call/src/lifecycle.rs
@@ -69,6 +69,10 @@
 /// oldest id is evicted and may be registered again.
 const GONE_MAX: usize = 1_024;
 
+/// How long a delayed announcement may arrive after the deregistration that overtook it. For that
+/// time, the id of an endpoint that was never registered here cannot register.
+const LATE_ANNOUNCEMENT_MAX: Span = Span::seconds(5);
+
 /// Returns the state chart of an endpoint's lifecycle, parsed once.
 pub fn chart() -> &'static Chart {
     static CHART: LazyLock<Chart> = LazyLock::new(|| {
@@ -126,8 +130,18 @@
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     backends: BTreeMap<id::Endpoint, Backend>,
-    /// The endpoints that are gone and their start times, oldest first.
-    gone: VecDeque<(id::Endpoint, u64)>,
+    /// The endpoints that are gone, oldest first.
+    gone: VecDeque<GoneEndpoint>,
+}
+
+/// An endpoint that is gone and cannot register again.
+#[derive(Clone, Debug)]
+struct GoneEndpoint {
+    endpoint: id::Endpoint,
+    /// The start that is gone, in milliseconds since the Unix epoch; a later one may register.
+    started_ms: u64,
+    /// When any start may register again; never if it is `None`.
+    until: Option<Timestamp>,
 }
 
 /// A registered backend server.
@@ -154,8 +168,10 @@
         now: Timestamp,
         announcement: &Announcement,
     ) -> Result<Vec<Effect>, Gone> {
-        let is_gone = |(endpoint, started_ms): &(id::Endpoint, u64)| {
-            *endpoint == announcement.endpoint && *started_ms >= announcement.order.started_ms
+        let is_gone = |gone: &GoneEndpoint| {
+            gone.endpoint == announcement.endpoint
+                && gone.started_ms >= announcement.order.started_ms
+                && gone.until.is_none_or(|until| now < until)
         };
         if self.gone.iter().any(is_gone) {
             return Err(Gone);
@@ -188,17 +204,37 @@
     }
 
     /// Ends an endpoint on its deregistration; returns `None` if it is not registered.
-    pub fn deregister(&mut self, now: Timestamp, endpoint: &id::Endpoint) -> Option<Vec<Effect>> {
-        self.backends
-            .contains_key(endpoint)
-            .then(|| self.apply_event(now, endpoint, Event::Ended))
+    ///
+    /// `started_ms` is the start of the backend server that deregisters, if it says so: a delayed
+    /// deregistration of an earlier start under the same id is ignored. An endpoint that is not
+    /// registered, for instance because this node has restarted, is kept as gone, so that a delayed
+    /// announcement does not register it.
+    pub fn deregister(
+        &mut self,
+        now: Timestamp,
+        endpoint: &id::Endpoint,
+        started_ms: Option<u64>,
+    ) -> Option<Vec<Effect>> {
+        let Some(backend) = self.backends.get(endpoint) else {
+            let until = match started_ms {
+                Some(_) => None,
+                None => Some(now.after(LATE_ANNOUNCEMENT_MAX)),
+            };
+            self.keep_gone(endpoint.clone(), started_ms.unwrap_or(u64::MAX), until);
+            return None;
+        };
+        let known_ms = backend.announcement.order.started_ms;
+        if started_ms.is_some_and(|started_ms| started_ms < known_ms) {
+            return Some(Vec::new());
+        }
+        Some(self.apply_event(now, endpoint, Event::Ended))
     }
 
     /// Removes an endpoint that cannot be reached. Its id is not kept as gone, so its next
     /// announcement registers it again.
     pub fn forget(&mut self, now: Timestamp, endpoint: &id::Endpoint) -> Vec<Effect> {
         let effects = self.apply_event(now, endpoint, Event::Expired);
-        self.gone.retain(|(gone, _)| gone != endpoint);
+        self.gone.retain(|gone| gone.endpoint != *endpoint);
         effects
     }
 
@@ -298,7 +334,15 @@
     fn retire(&mut self, endpoint: &id::Endpoint) {
         let started_ms = self.backends.remove(endpoint);
         let started_ms = started_ms.map_or(0, |backend| backend.announcement.order.started_ms);
-        self.gone.push_back((endpoint.clone(), started_ms));
+        self.keep_gone(endpoint.clone(), started_ms, None);
+    }
+
+    fn keep_gone(&mut self, endpoint: id::Endpoint, started_ms: u64, until: Option<Timestamp>) {
+        self.gone.push_back(GoneEndpoint {
+            endpoint,
+            started_ms,
+            until,
+        });
         if self.gone.len() > GONE_MAX {
             self.gone.pop_front();
         }
--- a/crates/cicadagw-call/tests/lifecycle.rs
+++ b/crates/cicadagw-call/tests/lifecycle.rs
@@ -63,7 +63,9 @@
         registry
             .announce(at(3_000), &announcement("a", 1, false))
             .unwrap(),
-        registry.deregister(at(4_000), &endpoint("a")).unwrap(),
+        registry
+            .deregister(at(4_000), &endpoint("a"), None)
+            .unwrap(),
     ];
 
     insta::assert_debug_snapshot!(steps.each_ref().map(|effects| rendered(effects)));
@@ -142,7 +144,7 @@
             now = now.after(Span::seconds(1));
             match step % 5 {
                 0 | 1 => drop(registry.announce(now, &announcement("a", 1, step % 5 == 1))),
-                2 => drop(registry.deregister(now, &endpoint("a"))),
+                2 => drop(registry.deregister(now, &endpoint("a"), None)),
                 3 => drop(registry.expire(now, RENEWAL)),
                 _ => drop(registry.drain_all(now)),
             }
@@ -156,3 +158,42 @@
 
     seeded().quickcheck(property as fn(Vec<u8>) -> bool);
 }
+
+fn started_at(started_ms: u64, sequence: u64) -> Announcement {
+    Announcement {
+        order: Order {
+            started_ms,
+            sequence,
+        },
+        ..announcement("a", 1, false)
+    }
+}
+
+#[test]
+fn a_delayed_deregistration_of_an_earlier_start_is_ignored() {
+    let mut registry = Registry::default();
+    registry.announce(at(0), &started_at(1_000, 1)).unwrap();
+    registry.announce(at(5_000), &started_at(6_000, 1)).unwrap();
+
+    let effects = registry.deregister(at(5_500), &endpoint("a"), Some(1_000));
+
+    assert_eq!(effects, Some(Vec::new()));
+    assert_eq!(registry.get(&endpoint("a")).unwrap().0, State::Ready);
+    let renewed = registry.announce(at(6_000), &started_at(6_000, 2));
+    assert!(renewed.is_ok());
+}
+
+#[test]
+fn a_delayed_announcement_after_a_node_restart_does_not_register_a_server_that_left() {
+    for started_ms in [Some(1_000), None] {
+        // The node has restarted and knows nothing.
+        let mut registry = Registry::default();
+        registry.deregister(at(0), &endpoint("a"), started_ms);
+
+        let delayed = registry.announce(at(3_000), &started_at(1_000, 7));
+        let restarted = registry.announce(at(6_000), &started_at(5_000, 1));
+
+        assert_eq!(delayed, Err(Gone), "{started_ms:?}");
+        assert!(restarted.is_ok(), "{started_ms:?}");
+    }
+}
--- a/crates/cicadagw-dialect/src/dialect.rs
+++ b/crates/cicadagw-dialect/src/dialect.rs
@@ -15,7 +15,12 @@
     /// The backend server registers or renews its registration.
     Announce(Announcement),
     /// The backend server deregisters this endpoint, which then receives no new calls.
-    Deregister(id::Endpoint),
+    Deregister {
+        /// The endpoint.
+        endpoint: id::Endpoint,
+        /// When the backend server started, in milliseconds since the Unix epoch, if it says so.
+        started_ms: Option<u64>,
+    },
 }
 
 /// The reason why a request to the announcement listener is not a registration request.
--- a/crates/cicadagw-dialect/src/native.rs
+++ b/crates/cicadagw-dialect/src/native.rs
@@ -68,7 +68,10 @@
             "DELETE" => path
                 .strip_prefix("/announce/")
                 .and_then(|endpoint| endpoint.parse().ok())
-                .map(Registration::Deregister)
+                .map(|endpoint| Registration::Deregister {
+                    endpoint,
+                    started_ms: None,
+                })
                 .ok_or(DecodeError::NotFound),
             _ => Err(DecodeError::NotFound),
         }
--- a/crates/cicadagw-proxy/src/announce.rs
+++ b/crates/cicadagw-proxy/src/announce.rs
@@ -34,9 +34,10 @@
                 Err(_) => dialect.refuse_gone(&announcement.endpoint),
             })
         }
-        Ok(Registration::Deregister(endpoint)) => {
-            into_reply(dialect.acknowledge_end(node.deregister(&endpoint)))
-        }
+        Ok(Registration::Deregister {
+            endpoint,
+            started_ms,
+        }) => into_reply(dialect.acknowledge_end(node.deregister(&endpoint, started_ms))),
         Err(DecodeError::NotFound) => Reply::new(404),
         Err(DecodeError::Malformed(findings)) => {
             log::warn!(findings:%; "rejected an invalid announcement");
--- a/crates/cicadagw-proxy/src/node.rs
+++ b/crates/cicadagw-proxy/src/node.rs
@@ -195,11 +195,11 @@
     }
 
     /// Deregisters a local backend server; returns whether it was known.
-    pub(crate) fn deregister(&self, endpoint: &id::Endpoint) -> bool {
+    pub(crate) fn deregister(&self, endpoint: &id::Endpoint, started_ms: Option<u64>) -> bool {
         let effects = self
             .registry
             .borrow_mut()
-            .deregister(self.clock.now(), endpoint);
+            .deregister(self.clock.now(), endpoint, started_ms);
         let is_known = effects.is_some();
         self.apply(effects.unwrap_or_default());
         is_known
@@ -292,7 +292,7 @@
     pub(crate) fn deregister_all(&self) {
         let all: Vec<_> = self.registry.borrow().endpoints().cloned().collect();
         for endpoint in all {
-            self.deregister(&endpoint);
+            self.deregister(&endpoint, None);
         }
     }
 
