Stop the node when one of its duties ends early

Cause: only the end of the calls duty ended a node. If the gossip or platform duty panicked, the rest went on with the endpoints and configuration of that moment; after the admin duty, the event loops polled its closed ring without waiting.

Ruled out: restarting a duty in place; its state is lost anyway, and the platform restarts a process within a second.

Change: a duty that ends before the node stops is logged and stops the node gracefully; a closed ring is no longer polled.

Before: nothing observed the end of the other duties.

--- a/crates/cicadagw-node/src/control.rs
+++ b/crates/cicadagw-node/src/control.rs
@@ -39,6 +39,8 @@
     let cancel = setup.cancel.clone();
     let stop = setup.stop.clone();
     let mut is_shutting_down = false;
+    // Whether the ring of the admin duty is open.
+    let mut has_admin = true;
     let mut event_loop = EventLoop {
         clock: Clock::start(),
         setup,
@@ -57,7 +59,8 @@
             event = rings.links.recv() => event.map(Event::Link),
             local = rings.locals.recv() => local.map(Event::Local),
             reply = rings.replies.recv() => reply.map(Event::Platform),
-            request = event_loop.setup.requests.recv() => {
+            request = event_loop.setup.requests.recv(), if has_admin => {
+                has_admin = request.is_some();
                 event_loop.answer_request(request);
                 continue;
             }
--- a/crates/cicadagw-node/src/lib.rs
+++ b/crates/cicadagw-node/src/lib.rs
@@ -17,5 +17,6 @@
 mod sockets;
 
 pub use adapter::Adapter;
+pub use duty::Duty;
 pub use error::Error;
 pub use node::run;
--- a/crates/cicadagw-node/src/node.rs
+++ b/crates/cicadagw-node/src/node.rs
@@ -89,9 +89,9 @@
     let platform_meter = meter.clone();
 
     let others = [
-        Duty::start_system("control", || control::run(control))?,
-        Duty::start_system("links", || cicadagw_link::run(links))?,
-        Duty::start_system("platform", || {
+        Duty::start_system("control", stop, || control::run(control))?,
+        Duty::start_system("links", stop, || cicadagw_link::run(links))?,
+        Duty::start_system("platform", stop, || {
             platform::run(
                 platform_settings,
                 platform_rings,
@@ -99,9 +99,9 @@
                 platform_cancel,
             )
         })?,
-        Duty::start("admin", || cicadagw_admin::run(admin))?,
+        Duty::start("admin", stop, || cicadagw_admin::run(admin))?,
     ];
-    let calls = Duty::start("calls", || cicadagw_proxy::run(calls))?;
+    let calls = Duty::start("calls", stop, || cicadagw_proxy::run(calls))?;
     log::info!(node = settings.node.as_str(); "the node has started");
     let calls_outcome = calls.join();
     cancel.cancel();
--- a/crates/cicadagw-node/src/peering/gossip.rs
+++ b/crates/cicadagw-node/src/peering/gossip.rs
@@ -45,6 +45,8 @@
     setup.socket.set_nonblocking(true)?;
     let socket = UdpSocket::from_std(setup.socket)?;
     let mut is_shutting_down = false;
+    // Whether the ring of the admin duty is open.
+    let mut has_admin = true;
     let mut event_loop = EventLoop {
         clock: Clock::start(),
         core: setup.core,
@@ -72,7 +74,8 @@
                     None => continue,
                 }
             }
-            request = setup.requests.recv() => {
+            request = setup.requests.recv(), if has_admin => {
+                has_admin = request.is_some();
                 event_loop.answer_request(request);
                 continue;
             }
--- a/crates/cicadagw-node/src/peering/node.rs
+++ b/crates/cicadagw-node/src/peering/node.rs
@@ -125,14 +125,14 @@
     );
 
     let others = [
-        Duty::start_system("gossip", || gossip::run(gossip))?,
-        Duty::start_system("platform", || {
+        Duty::start_system("gossip", stop, || gossip::run(gossip))?,
+        Duty::start_system("platform", stop, || {
             let (settings, adapter, rings, meter, cancel) = platform_setup;
             platform::run(settings, adapter, rings, meter, cancel)
         })?,
-        Duty::start("admin", || cicadagw_admin::run(admin))?,
+        Duty::start("admin", stop, || cicadagw_admin::run(admin))?,
     ];
-    let calls = Duty::start("calls", || cicadagw_proxy::run(calls))?;
+    let calls = Duty::start("calls", stop, || cicadagw_proxy::run(calls))?;
     log::info!(node = settings.node.as_str(), service = peering.service.as_str(); "the node has started");
     let calls_outcome = calls.join();
     cancel.cancel();
