--- a/crates/cicadagw-node/src/peering/platform.rs
+++ b/crates/cicadagw-node/src/peering/platform.rs
@@ -1,6 +1,8 @@
 //! The platform duty: makes the calls to the platform and to other nodes that the gossip duty
 //! requests.
 
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -22,6 +24,9 @@
 /// The timeout of a call to the platform or to another node; the wait of a watch is added to it.
 const CALL_TIMEOUT: Span = Span::seconds(2);
 
+/// How many ignored node objects are logged in the lifetime of the process.
+const IGNORED_MAX: usize = 256;
+
 /// Makes calls concurrently until `cancel` is cancelled or the ring of calls is closed. The
 /// `User-Agent` header of the calls is the name of the node.
 pub(crate) async fn run(
@@ -41,6 +46,7 @@
         adapter,
         client,
         meter,
+        ignored: RefCell::default(),
     });
     loop {
         let call = tokio::select! {
@@ -63,6 +69,8 @@
     adapter: Adapter,
     client: Client,
     meter: Meter,
+    /// The keys of the node objects that cannot be decoded, so that each is logged once.
+    ignored: RefCell<BTreeSet<Key>>,
 }
 
 impl Worker {
@@ -111,7 +119,24 @@
             .client
             .objects(Key::NODE_PREFIX, Freshness::Stale)
             .await?;
-        Ok(objects.iter().filter_map(decode_member).collect())
+        let members = objects
+            .iter()
+            .filter_map(|object| self.decode_member(object));
+        Ok(members.collect())
+    }
+
+    /// Decodes the object that describes a node. An object that cannot be decoded is left out, and
+    /// logged when it is listed for the first time.
+    fn decode_member(&self, object: &Object) -> Option<Member> {
+        let log_ignored = |error: &serde_json::Error| {
+            let mut ignored = self.ignored.borrow_mut();
+            if ignored.len() < IGNORED_MAX && ignored.insert(object.key.clone()) {
+                log::warn!(key:% = object.key, error:%; "ignored a node object that cannot be decoded");
+            }
+        };
+        serde_json::from_slice(&object.value)
+            .inspect_err(log_ignored)
+            .ok()
     }
 
     /// Reads the configuration and the revision from which it can be watched.
@@ -160,15 +185,6 @@
     }
 }
 
-/// Decodes the object that describes a node. An object that cannot be decoded is logged and left out.
-fn decode_member(object: &Object) -> Option<Member> {
-    serde_json::from_slice(&object.value)
-        .map_err(|error| {
-            log::warn!(key:% = object.key, error:%; "ignored a node object that cannot be decoded");
-        })
-        .ok()
-}
-
 /// Decodes a snapshot that another node sent, and checks its digest.
 fn decode_snapshot(bytes: &[u8]) -> Result<Arc<Snapshot>, Error> {
     let snapshot: Snapshot =
--- a/crates/cicadagw-platform/src/encoding/interface.rs
+++ b/crates/cicadagw-platform/src/encoding/interface.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use cicadagw_unit::time::Span;
 
-use super::{Request, Response};
+use super::{Listing, Request, Response};
 use crate::{Condition, Error, Freshness, Key, Object, Position, Revision};
 
 /// The encoding of one object API: it encodes calls as requests and decodes their responses.
@@ -44,13 +44,13 @@
     /// `after`.
     fn objects(&self, prefix: &str, after: Option<&Key>, freshness: Freshness) -> Request;
 
-    /// Decodes the response to [`Encoding::objects`] and returns the objects and whether there are
-    /// more.
+    /// Decodes the response to [`Encoding::objects`]. An object that cannot be decoded does not make
+    /// the list invalid.
     ///
     /// # Errors
     ///
     /// Fails if the response reports an error, or is not a valid response to the call.
-    fn listed(&self, prefix: &str, response: &Response) -> Result<(Vec<Object>, bool), Error>;
+    fn listed(&self, prefix: &str, response: &Response) -> Result<Listing, Error>;
 
     /// Encodes the deletion of an object.
     fn delete(&self, key: &Key) -> Request;
--- a/crates/cicadagw-platform/src/encoding/message.rs
+++ b/crates/cicadagw-platform/src/encoding/message.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 use smallvec::SmallVec;
 
-use crate::Error;
+use crate::{Error, Object};
 
 /// The maximum length of the part of a response body that an error quotes, in bytes.
 const REASON_MAX: usize = 256;
@@ -56,6 +56,17 @@
     pub tag: Option<CompactString>,
 }
 
+/// A list of objects, or a part of one.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Listing {
+    /// The objects, in the order of their keys. One without a readable value has the value `null`.
+    pub objects: Vec<Object>,
+    /// How many objects were left out because they have no readable key.
+    pub unreadable: usize,
+    /// Whether more objects follow the last one.
+    pub has_more: bool,
+}
+
 impl Request {
     /// Creates a GET request without a body.
     pub fn read(path: String) -> Self {
--- a/crates/cicadagw-platform/src/encoding/mod.rs
+++ b/crates/cicadagw-platform/src/encoding/mod.rs
@@ -7,5 +7,5 @@
 pub mod tag;
 
 pub use interface::Encoding;
-pub use message::{Effect, Method, Request, Response};
+pub use message::{Effect, Listing, Method, Request, Response};
 pub use native::Native;
--- a/crates/cicadagw-platform/src/encoding/native.rs
+++ b/crates/cicadagw-platform/src/encoding/native.rs
@@ -5,7 +5,7 @@
 use smallvec::smallvec;
 
 use super::interface::Encoding;
-use super::message::{Effect, Method, Request, Response};
+use super::message::{Effect, Listing, Method, Request, Response};
 use super::{path, tag};
 use crate::{Condition, Error, Freshness, Key, Object, Position, Revision};
 
@@ -76,7 +76,7 @@
 
     /// Decodes a list of keys; the objects have no revisions and values, because this API does not
     /// list them.
-    fn listed(&self, _: &str, response: &Response) -> Result<(Vec<Object>, bool), Error> {
+    fn listed(&self, _: &str, response: &Response) -> Result<Listing, Error> {
         if response.status != 200 {
             return Err(error(response, Effect::Read));
         }
@@ -87,7 +87,10 @@
             revision: Revision::default(),
             value: Bytes::new(),
         });
-        Ok((objects.collect(), false))
+        Ok(Listing {
+            objects: objects.collect(),
+            ..Listing::default()
+        })
     }
 
     fn delete(&self, key: &Key) -> Request {
--- a/crates/cicadagw-platform/src/http/client.rs
+++ b/crates/cicadagw-platform/src/http/client.rs
@@ -248,10 +248,13 @@
             let after = objects.last().map(|object| &object.key);
             let request = self.encoding.objects(prefix, after, freshness);
             let response = self.call(&request, Effect::Read, self.timeout).await?;
-            let (listed, has_more) = self.encoding.listed(prefix, &response)?;
-            let is_empty = listed.is_empty();
-            objects.extend(listed);
-            if !has_more || is_empty {
+            let listing = self.encoding.listed(prefix, &response)?;
+            if listing.unreadable > 0 {
+                log::warn!(prefix, unreadable = listing.unreadable; "left out listed objects without a readable name");
+            }
+            let is_empty = listing.objects.is_empty();
+            objects.extend(listing.objects);
+            if !listing.has_more || is_empty {
                 return Ok(objects);
             }
         }
