Let few nodes ask for a configuration that is not there yet

Load pattern: all nodes of a fleet start together, before the operator's first configuration. Each node knew only itself at first, took itself for a watcher and read at once, and again after 1.2 s, with a backoff of at most 2.4 s: at 295 nodes 1,727 reads until a configuration that came after 6 s.

Ruled out: lists of nodes (885, at a tenth of the price each) and registrations (one a node).

Change: at the first start of the fleet, a node that knows no other one yet waits up to 1.2 s for the list; after that, nodes without a configuration take turns 200 ms apart, and get it from the first that has it. After a restart, a node still reads at once, since it has calls to serve.

--- a/crates/cicadagw-gossip/src/core/step.rs
+++ b/crates/cicadagw-gossip/src/core/step.rs
@@ -101,7 +101,7 @@
             next_fetch: Timestamp::default(),
             beacon_due: Timestamp::default(),
             fetch_deadline: None,
-            watchers: Watchers::new(Timestamp::default()),
+            watchers: Watchers::new(Timestamp::default(), setup.first_start),
             is_watcher: false,
             is_platform_unavailable: false,
             outbound: Outbound::default(),
--- a/crates/cicadagw-gossip/src/watchers.rs
+++ b/crates/cicadagw-gossip/src/watchers.rs
@@ -39,6 +39,10 @@
 /// itself.
 const NO_CONFIGURATION_WAIT: Span = Span::new(1_200);
 
+/// How much longer each further node in the order waits. When all nodes start before there is a
+/// configuration, only a few of them ask for it until it is there, and the others get it from them.
+const NO_CONFIGURATION_WAIT_PER_NODE: Span = Span::new(200);
+
 /// The watchers of the region, as this node knows them from their beacons.
 #[derive(Clone, Debug)]
 pub(crate) struct Watchers {
@@ -46,13 +50,16 @@
     last_beacon: BTreeMap<id::Node, Timestamp>,
     /// When this node started.
     started: Timestamp,
+    /// Whether the whole fleet starts for the first time.
+    is_first_start: bool,
 }
 
 impl Watchers {
-    pub(crate) const fn new(started: Timestamp) -> Self {
+    pub(crate) const fn new(started: Timestamp, is_first_start: bool) -> Self {
         Self {
             last_beacon: BTreeMap::new(),
             started,
+            is_first_start,
         }
     }
 
@@ -67,7 +74,9 @@
 
     /// Returns whether this node must watch: it is among the first [`WATCHERS_PER_REGION`] nodes in
     /// the order, or fewer than that many of the nodes before it send beacons, or it has had no
-    /// configuration for [`NO_CONFIGURATION_WAIT`].
+    /// configuration for [`NO_CONFIGURATION_WAIT`] and its turn has come. At the first start of the
+    /// fleet, a node that knows no other one waits as well; after a restart, it does not, because it
+    /// has calls to serve.
     pub(crate) fn must_watch(
         &self,
         now: Timestamp,
@@ -78,9 +87,14 @@
         let order = order(table, own);
         let position = position(&order, own);
         let uptime = now.since(self.started);
-        if position < WATCHERS_PER_REGION
-            || (has_no_configuration && uptime >= NO_CONFIGURATION_WAIT)
-        {
+        if order.len() <= 1 && self.is_first_start && uptime < NO_CONFIGURATION_WAIT {
+            return false;
+        }
+        let Some(turn) = position.checked_sub(WATCHERS_PER_REGION) else {
+            return true;
+        };
+        let wait = NO_CONFIGURATION_WAIT_PER_NODE.times(turn as u64);
+        if has_no_configuration && uptime >= NO_CONFIGURATION_WAIT.plus(wait) {
             return true;
         }
         let timeout = beacon_timeout(order.len());
--- a/crates/cicadagw-gossip/tests/fleet.rs
+++ b/crates/cicadagw-gossip/tests/fleet.rs
@@ -275,6 +275,36 @@
     }
 }
 
+/// Size of the largest fleet for which the requests at startup are counted.
+const LARGE_FLEET: usize = 295;
+
+#[test]
+fn nodes_started_together_read_a_configuration_once_in_each_region() {
+    let mut fleet = Fleet::new(LARGE_FLEET);
+    fleet.publish_configuration(1);
+
+    fleet.run(DISCOVERY_MAX);
+
+    assert_eq!(fleet.versions(), vec![1; LARGE_FLEET]);
+    assert!(fleet.config_reads <= 12, "{} reads", fleet.config_reads);
+}
+
+#[test]
+fn nodes_started_before_the_configuration_read_it_rarely() {
+    let mut fleet = Fleet::new(LARGE_FLEET);
+    fleet.run(Span::seconds(6));
+    fleet.publish_configuration(1);
+
+    fleet.run(PROPAGATION_MAX);
+
+    assert_eq!(fleet.versions(), vec![1; LARGE_FLEET]);
+    assert!(
+        fleet.config_reads < 2 * LARGE_FLEET,
+        "{} reads",
+        fleet.config_reads
+    );
+}
+
 #[test]
 fn notices_are_logged_in_order() {
     let mut fleet = Fleet::new(2);
--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -63,6 +63,8 @@
     pub bytes: usize,
     /// Total size of the messages sent to another region, in bytes.
     pub cross_region_bytes: usize,
+    /// Number of reads of the configuration that the platform has received.
+    pub config_reads: usize,
     rng: StdRng,
     in_flight: VecDeque<(usize, Message)>,
 }
@@ -136,6 +138,7 @@
             cross_region_bytes: 0,
             rng: StdRng::seed_from_u64(5),
             in_flight: VecDeque::new(),
+            config_reads: 0,
         }
     }
 
@@ -231,6 +234,7 @@
             return self.step(index, Event::Reply(Reply::Fetched(fetched)));
         }
         self.nodes[index].requests += 1;
+        self.config_reads += usize::from(matches!(call, Call::ReadConfiguration));
         let is_unavailable = self.platform.unavailable_to.contains(&index);
         let unavailable = || Error::Unavailable("unavailable".to_owned());
         let reply = match call {
