Assume an endpoint without a recent report to be as busy as the others

Load pattern: the endpoints of the own region are full, as their recent reports say, and those of the other region are full as well, but no recent report says so. A load report is valid for a second; an endpoint without one counted as idle, so each node sent a call to each far endpoint once a second, a round trip of 62 ms for a refusal or for a slot that a near call then lacked.

Change: without a recent report, an endpoint counts as busy as the average of all reports, which halves each second without any.

Before: 40 of 1,000 calls cross in a replay of ten seconds with both regions full; the new test fails. After: at most the first few.

--- a/crates/cicadagw-call/src/balancer/core.rs
+++ b/crates/cicadagw-call/src/balancer/core.rs
@@ -10,6 +10,7 @@
 use rand::{Rng, RngExt};
 use smallvec::SmallVec;
 
+use super::decay::DecayingAverage;
 use super::endpoint::{AVERAGE_RELATIVE_WORK, Endpoint, Profile, Report, TIERS, endpoint_for};
 use crate::Load;
 use crate::average::smooth;
@@ -28,6 +29,9 @@
 /// calls that they make.
 const RELIABLE_FAILURE_PERMILLE_MAX: u64 = 200;
 
+/// The half-life of the average utilization without load reports.
+const UTILIZATION_HALF_LIFE: Span = Span::seconds(1);
+
 /// How many endpoints of a tier are compared. They are sampled at random, so that nodes with the
 /// same information do not all choose the same one.
 const SAMPLE_SIZE: usize = 4;
@@ -59,7 +63,7 @@
 }
 
 /// A load balancer over the endpoints of one service, with what this node has observed of each.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Balancer {
     /// The endpoints, sorted by id.
     endpoints: Vec<Endpoint>,
@@ -69,6 +73,8 @@
     is_updated: bool,
     /// The average work time and response size of calls, by policy.
     profiles: BTreeMap<id::Policy, Profile>,
+    /// The average utilization in the load reports of all endpoints, in thousandths of the slots.
+    utilization: DecayingAverage,
 }
 
 /// The endpoints of one tier that are eligible for a call.
@@ -88,6 +94,18 @@
     pub is_ejected: bool,
 }
 
+impl Default for Balancer {
+    fn default() -> Self {
+        Self {
+            endpoints: Vec::new(),
+            tiers: Default::default(),
+            is_updated: false,
+            profiles: BTreeMap::new(),
+            utilization: DecayingAverage::new(0, UTILIZATION_HALF_LIFE),
+        }
+    }
+}
+
 impl Balancer {
     /// Replaces the set of endpoints by those of `records`, which accept calls now. Observations of
     /// endpoints that stay are kept. Endpoints that are added after the first update go through
@@ -134,12 +152,14 @@
         if profile.bytes >= LOCAL_RESPONSE_BYTES_MIN && self.has_usable_endpoint_in_region(now) {
             tiers[TIERS - 1].clear();
         }
+        let utilization = self.utilization.get(now);
         let candidates = tiers.iter().enumerate().flat_map(|(tier, endpoints)| {
             let sampled = sample(endpoints, rng);
             sampled.into_iter().map(move |endpoint| (tier, endpoint))
         });
-        let chosen = candidates
-            .min_by_key(|(tier, endpoint)| endpoint.cost(now, *tier, profile, counts_failures));
+        let chosen = candidates.min_by_key(|(tier, endpoint)| {
+            endpoint.cost(now, *tier, profile, utilization, counts_failures)
+        });
         chosen.map(|(_, endpoint)| &endpoint.record)
     }
 
@@ -207,6 +227,11 @@
         signal: Signal,
         load: Option<Load>,
     ) {
+        if let Some(load) = load {
+            let utilization =
+                u64::from(load.in_flight.get()) * 1_000 / u64::from(load.slots.get().max(1));
+            self.utilization.record(now, utilization);
+        }
         let Some(endpoint) = self.find(id) else {
             return;
         };
--- a/crates/cicadagw-call/src/balancer/endpoint.rs
+++ b/crates/cicadagw-call/src/balancer/endpoint.rs
@@ -150,16 +150,18 @@
     /// Returns the expected cost of a call with `profile` at this endpoint, in microseconds of
     /// delay.
     ///
-    /// The endpoint's failures count only if `counts_failures`.
+    /// The endpoint's failures count only if `counts_failures`. `utilization` is that of all
+    /// endpoints.
     pub(super) fn cost(
         &self,
         now: Timestamp,
         tier: usize,
         profile: Profile,
+        utilization: u64,
         counts_failures: bool,
     ) -> u64 {
         let work = profile.work_us * self.relative_work.get(now) / AVERAGE_RELATIVE_WORK;
-        let load = (self.load(now) + 1) * 1_000;
+        let load = self.load(now, utilization) + 1_000;
         let capacity = self.capacity(now).max(1);
         let busy = FULL_LOAD_US * load.min(capacity) / capacity * load.min(capacity) / capacity;
         let wait = match load.checked_sub(capacity) {
@@ -176,21 +178,22 @@
         ROUND_TRIP_US[tier] + transfer + work + busy + wait + failures
     }
 
-    /// Returns the estimated number of calls in flight at the endpoint: the reported load, adjusted
-    /// by the calls that this node has started or finished since.
-    fn load(&self, now: Timestamp) -> u64 {
-        let reported = self
+    /// Returns the estimated number of calls in flight at the endpoint, in thousandths of a call:
+    /// the reported load, adjusted by the calls that this node has started or finished since.
+    /// Without a recent report, the endpoint is assumed to be as busy as the others are on average:
+    /// if it counted as idle, calls would leave the region for it whenever all near endpoints are
+    /// full.
+    fn load(&self, now: Timestamp, utilization: u64) -> u64 {
+        let own = u64::from(self.own_in_flight) * 1_000;
+        let recent = self
             .report
-            .filter(|report| now.since(report.at) < REPORT_AGE_MAX)
-            .map_or(0, |report| {
-                let others = report
-                    .load
-                    .in_flight
-                    .get()
-                    .saturating_sub(report.own_in_flight);
-                others.saturating_add(self.own_in_flight)
-            });
-        u64::from(reported.max(self.own_in_flight))
+            .filter(|report| now.since(report.at) < REPORT_AGE_MAX);
+        let Some(report) = recent else {
+            return own.max(utilization * u64::from(self.record.slots.get()));
+        };
+        let in_flight = report.load.in_flight.get();
+        let others = u64::from(in_flight.saturating_sub(report.own_in_flight)) * 1_000;
+        others + own
     }
 
     /// Returns how many calls the endpoint may run concurrently, in thousandths of a call; less
--- a/crates/cicadagw-call/tests/balancer.rs
+++ b/crates/cicadagw-call/tests/balancer.rs
@@ -234,3 +234,41 @@
 
     seeded().quickcheck(property as fn(Vec<u8>, Vec<u8>, u8, u64) -> bool);
 }
+
+#[test]
+fn calls_of_a_full_region_do_not_probe_another_full_region() {
+    let near = ["near-1", "near-2"].map(|name| record(name, "kochi-a", 10));
+    let far = ["far-1", "far-2", "far-3", "far-4"].map(|name| record(name, "kozhikode-a", 10));
+    let mut balancer = balancer(&[&near[..], &far[..]].concat());
+    let full = "11/10".parse::<Load>().unwrap();
+    let mut rng = rng();
+    let mut crossed = 0;
+
+    // Every endpoint is full, and reports it with each of 100 calls a second.
+    for step in 0..1_000 {
+        let now = at(step * 10);
+        let chosen = balancer
+            .choose(now, &mut rng, &[], HALF, &policy())
+            .unwrap();
+        let (chosen, region) = (chosen.endpoint.clone(), chosen.region.clone());
+        crossed += usize::from(region != own_locality().region);
+        balancer.record_outcome(now, &chosen, Signal::Neutral, Some(full));
+    }
+
+    // Calls may cross until the first reports of the near endpoints.
+    assert!(crossed <= far.len(), "{crossed} of 1,000 calls crossed");
+}
+
+#[test]
+fn calls_of_a_full_region_go_to_another_one_with_room() {
+    let near = record("near", "kochi-a", 10);
+    let far = record("far", "kozhikode-a", 10);
+    let mut balancer = balancer(&[near, far]);
+    let (full, idle) = ("20/10".parse().unwrap(), "1/10".parse().unwrap());
+    balancer.record_outcome(at(0), &endpoint("near"), Signal::Neutral, Some(full));
+    balancer.record_outcome(at(0), &endpoint("far"), Signal::Neutral, Some(idle));
+
+    let chosen = balancer.choose(at(10), &mut rng(), &[], HALF, &policy());
+
+    assert_eq!(chosen.unwrap().endpoint, endpoint("far"));
+}
