Let a call leave its region only to save a long wait

Load pattern: a region is somewhat over its capacity for a while, the other one less so. A call with a response of 5 KB left the region to save a wait of 10 ms, since its bytes weighed 50 ms. They use up the 30 Mbit/s that all traffic between regions shares and that are billed by volume, and bought no service.

Change: 25,000 us per KiB between regions in place of 10,000.

Before: the new test fails, the call leaves for a near queue of two. After: it leaves for a queue of 18.

--- a/crates/cicadagw-call/src/balancer/endpoint.rs
+++ b/crates/cicadagw-call/src/balancer/endpoint.rs
@@ -39,8 +39,10 @@
 const ROUND_TRIP_US: [u64; TIERS] = [0, 500, 1_500, 62_000];
 
 /// The cost per KiB of response from each tier, expressed in microseconds of delay. Traffic between
-/// failure domains is billed, and traffic between regions at four times that rate.
-const TRANSFER_US_PER_KIB: [u64; TIERS] = [0, 0, 1_500, 10_000];
+/// failure domains is billed; traffic between regions is billed at four times that rate, and all of
+/// it shares one narrow link. With these weights, a response of 5 KB leaves the region only to save
+/// a wait of about 200 ms.
+const TRANSFER_US_PER_KIB: [u64; TIERS] = [0, 0, 1_500, 25_000];
 
 /// The delay that a fully loaded endpoint adds to a call, in microseconds. It grows with the square
 /// of the load, because backend servers slow down when they are nearly full.
--- a/crates/cicadagw-call/tests/balancer.rs
+++ b/crates/cicadagw-call/tests/balancer.rs
@@ -7,8 +7,8 @@
 use cicadagw_call::balancer::{Balancer, Locality, Signal};
 use cicadagw_endpoint::{Record, State};
 use cicadagw_unit::rate::Permille;
-use cicadagw_unit::size::Slots;
-use cicadagw_unit::time::Timestamp;
+use cicadagw_unit::size::{Bytes, Slots};
+use cicadagw_unit::time::{Span, Timestamp};
 use cicadagw_unit::{Sequence, id};
 use quickcheck::{Gen, QuickCheck};
 use rand::SeedableRng;
@@ -272,3 +272,26 @@
 
     assert_eq!(chosen.unwrap().endpoint, endpoint("far"));
 }
+
+#[test]
+fn a_call_leaves_its_region_only_when_that_saves_a_long_wait() {
+    let near = record("near", "kochi-a", 18);
+    let far = record("far", "kozhikode-a", 18);
+    let mut balancer = balancer(&[near, far]);
+    let (work, size) = (Span::new(120), Bytes::new(5_000));
+    balancer.record_response(at(0), &endpoint("near"), &policy(), work, size);
+    let mut chosen_with = |load: &str| {
+        let idle = "1/18".parse().unwrap();
+        let load = load.parse().unwrap();
+        balancer.record_outcome(at(0), &endpoint("near"), Signal::Neutral, Some(load));
+        balancer.record_outcome(at(0), &endpoint("far"), Signal::Neutral, Some(idle));
+        let chosen = balancer.choose(at(10), &mut rng(), &[], HALF, &policy());
+        chosen.unwrap().endpoint.clone()
+    };
+
+    let with_short_queue = chosen_with("20/18");
+    let with_long_queue = chosen_with("36/18");
+
+    assert_eq!(with_short_queue, endpoint("near"));
+    assert_eq!(with_long_queue, endpoint("far"));
+}
