Ask more endpoints of the region after a refusal, and other regions once

Load pattern: a service is at its capacity. A node sees little of each endpoint, most of all in a large fleet, so that a refusal says nothing of the next endpoint; it costs a round trip of 1 ms and no arrival at a backend server. In another region it costs 60 ms: two such tries, in vain where both regions are full, made refusals late and kept the narrow link busy.

Change: a call that is shed tries up to five endpoints of its region instead of three, and one of another region; a further one there only if its last report, or those of its region on average, leave room.

--- a/crates/cicadagw-call/src/attempt.rs
+++ b/crates/cicadagw-call/src/attempt.rs
@@ -90,9 +90,9 @@
 pub const REROUTES_MAX: u8 = 16;
 
 /// How many reroutes a target that sheds the call costs. Endpoints are chosen by their known load,
-/// so after a few full ones the others are likely full as well; with this cost, a call tries three
+/// so after a few full ones the others are likely full as well; with this cost, a call tries five
 /// full endpoints at most.
-const FULL_REROUTE_COST: u8 = 8;
+const FULL_REROUTE_COST: u8 = 4;
 
 /// The state chart of a call.
 pub type Chart = cicadagw_chart::Chart<State, Event, Guard, Action>;
--- a/crates/cicadagw-call/src/balancer/core.rs
+++ b/crates/cicadagw-call/src/balancer/core.rs
@@ -10,8 +10,8 @@
 use rand::{Rng, RngExt};
 use smallvec::SmallVec;
 
-use super::decay::DecayingAverage;
 use super::endpoint::{AVERAGE_RELATIVE_WORK, Endpoint, Profile, Report, TIERS, endpoint_for};
+use super::utilization::Utilization;
 use crate::Load;
 use crate::average::smooth;
 
@@ -29,9 +29,6 @@
 /// calls that they make.
 const RELIABLE_FAILURE_PERMILLE_MAX: u64 = 200;
 
-/// The half-life of the average utilization without load reports.
-const UTILIZATION_HALF_LIFE: Span = Span::seconds(1);
-
 /// How many endpoints of a tier are compared. They are sampled at random, so that nodes with the
 /// same information do not all choose the same one.
 const SAMPLE_SIZE: usize = 4;
@@ -63,7 +60,7 @@
 }
 
 /// A load balancer over the endpoints of one service, with what this node has observed of each.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Balancer {
     /// The endpoints, sorted by id.
     endpoints: Vec<Endpoint>,
@@ -73,8 +70,8 @@
     is_updated: bool,
     /// The average work time and response size of calls, by policy.
     profiles: BTreeMap<id::Policy, Profile>,
-    /// The average utilization in the load reports of all endpoints, in thousandths of the slots.
-    utilization: DecayingAverage,
+    /// The average utilization in the load reports of the endpoints.
+    utilization: Utilization,
 }
 
 /// The endpoints of one tier that are eligible for a call.
@@ -94,18 +91,6 @@
     pub is_ejected: bool,
 }
 
-impl Default for Balancer {
-    fn default() -> Self {
-        Self {
-            endpoints: Vec::new(),
-            tiers: Default::default(),
-            is_updated: false,
-            profiles: BTreeMap::new(),
-            utilization: DecayingAverage::new(0, UTILIZATION_HALF_LIFE),
-        }
-    }
-}
-
 impl Balancer {
     /// Replaces the set of endpoints by those of `records`, which accept calls now. Observations of
     /// endpoints that stay are kept. Endpoints that are added after the first update go through
@@ -152,7 +137,7 @@
         if profile.bytes >= LOCAL_RESPONSE_BYTES_MIN && self.has_usable_endpoint_in_region(now) {
             tiers[TIERS - 1].clear();
         }
-        let utilization = self.utilization.get(now);
+        let utilization = self.utilization.of_all(now);
         let candidates = tiers.iter().enumerate().flat_map(|(tier, endpoints)| {
             let sampled = sample(endpoints, rng);
             sampled.into_iter().map(move |endpoint| (tier, endpoint))
@@ -198,6 +183,14 @@
         })
     }
 
+    /// Returns whether the endpoint `id`, which is in another region, is expected to have a free
+    /// slot.
+    pub fn expects_room(&self, now: Timestamp, id: &id::Endpoint) -> bool {
+        let utilization = self.utilization.of_other_regions(now);
+        self.position(id)
+            .is_some_and(|index| self.endpoints[index].expects_room(now, utilization))
+    }
+
     /// Returns the average work time of a call under `policy`, if there are samples.
     pub fn average_work(&self, policy: &id::Policy) -> Option<Span> {
         let profile = self.profiles.get(policy)?;
@@ -227,14 +220,13 @@
         signal: Signal,
         load: Option<Load>,
     ) {
-        if let Some(load) = load {
-            let utilization =
-                u64::from(load.in_flight.get()) * 1_000 / u64::from(load.slots.get().max(1));
-            self.utilization.record(now, utilization);
-        }
-        let Some(endpoint) = self.find(id) else {
+        let Some(index) = self.position(id) else {
             return;
         };
+        if let Some(load) = load {
+            self.utilization.record(now, self.tier(index), load);
+        }
+        let endpoint = &mut self.endpoints[index];
         if let Some(load) = load {
             let own_in_flight = endpoint.own_in_flight;
             endpoint.report = Some(Report {
@@ -314,12 +306,21 @@
     }
 
     fn find(&mut self, id: &id::Endpoint) -> Option<&mut Endpoint> {
-        let index = self
-            .endpoints
-            .binary_search_by(|endpoint| endpoint.record.endpoint.cmp(id))
-            .ok()?;
+        let index = self.position(id)?;
         self.endpoints.get_mut(index)
     }
+
+    /// Returns the locality tier of the endpoint at `index`.
+    fn tier(&self, index: usize) -> usize {
+        let is_member = |tier: &SmallVec<[usize; 8]>| tier.binary_search(&index).is_ok();
+        self.tiers.iter().position(is_member).unwrap_or(TIERS - 1)
+    }
+
+    fn position(&self, id: &id::Endpoint) -> Option<usize> {
+        self.endpoints
+            .binary_search_by(|endpoint| endpoint.record.endpoint.cmp(id))
+            .ok()
+    }
 }
 
 /// Returns the tier of an endpoint as seen from `own`: the node itself, its failure domain, its
--- a/crates/cicadagw-call/src/balancer/endpoint.rs
+++ b/crates/cicadagw-call/src/balancer/endpoint.rs
@@ -152,8 +152,8 @@
     /// Returns the expected cost of a call with `profile` at this endpoint, in microseconds of
     /// delay.
     ///
-    /// The endpoint's failures count only if `counts_failures`. `utilization` is that of all
-    /// endpoints.
+    /// The endpoint's failures count only if `counts_failures`. `utilization` is that of
+    /// other endpoints.
     pub(super) fn cost(
         &self,
         now: Timestamp,
@@ -180,9 +180,15 @@
         ROUND_TRIP_US[tier] + transfer + work + busy + wait + failures
     }
 
+    /// Returns whether a further call is expected to find a free slot. `utilization` is that of
+    /// other endpoints.
+    pub(super) fn expects_room(&self, now: Timestamp, utilization: u64) -> bool {
+        self.load(now, utilization) + 1_000 <= self.capacity(now)
+    }
+
     /// Returns the estimated number of calls in flight at the endpoint, in thousandths of a call:
     /// the reported load, adjusted by the calls that this node has started or finished since.
-    /// Without a recent report, the endpoint is assumed to be as busy as the others are on average:
+    /// Without a recent report, the endpoint is assumed to be as busy as others are on average:
     /// if it counted as idle, calls would leave the region for it whenever all near endpoints are
     /// full.
     fn load(&self, now: Timestamp, utilization: u64) -> u64 {
--- a/crates/cicadagw-call/src/balancer/mod.rs
+++ b/crates/cicadagw-call/src/balancer/mod.rs
@@ -3,5 +3,6 @@
 mod core;
 mod decay;
 mod endpoint;
+mod utilization;
 
 pub use core::{Balancer, Locality, Signal, Summary};
--- a/crates/cicadagw-proxy/src/peers.rs
+++ b/crates/cicadagw-proxy/src/peers.rs
@@ -206,6 +206,30 @@
             .is_some_and(|service| service.balancer.has_reliable_endpoint(now, tried))
     }
 
+    /// Returns the region of this node, if the endpoint is in another one.
+    pub(crate) fn region_other_than(&self, record: &Record) -> Option<&id::Region> {
+        let own = &self.locality.region;
+        (*own != record.region).then_some(own)
+    }
+
+    /// Returns whether a call that other endpoints have shed is worth an attempt at the endpoint of
+    /// `record`. One in this region is near enough to ask, and so is a first one in another region;
+    /// a further one must be expected to have room, or the refusal would only come a round trip
+    /// later.
+    pub(crate) fn is_worth_asking(
+        &self,
+        now: Timestamp,
+        record: &Record,
+        has_crossed: bool,
+    ) -> bool {
+        let services = self.services.borrow();
+        !has_crossed
+            || record.region == self.locality.region
+            || services
+                .get(&record.service)
+                .is_some_and(|service| service.balancer.expects_room(now, &record.endpoint))
+    }
+
     /// Records the work time and the response size of a call at the endpoint of `record`.
     pub(crate) fn record_response(
         &self,
--- a/crates/cicadagw-proxy/src/relay.rs
+++ b/crates/cicadagw-proxy/src/relay.rs
@@ -37,6 +37,8 @@
     /// The endpoint of the next attempt.
     chosen: Option<Record>,
     tried: SmallVec<[id::Endpoint; 4]>,
+    /// Whether an endpoint of another region was tried.
+    has_crossed: bool,
     /// The response of the last attempt that got one.
     response: Option<Box<Response>>,
     /// The reason to report if the call gets no response.
@@ -50,6 +52,7 @@
             call,
             chosen: None,
             tried: SmallVec::new(),
+            has_crossed: false,
             response: None,
             reason: Reason::NoEndpoint,
         }
@@ -148,11 +151,17 @@
         // tried again if there is no other.
         self.chosen = match chosen {
             None if self.reason == Reason::Lost => self.select_endpoint(now, &routing, &[]),
+            Some(record) if self.reason == Reason::Shed => {
+                let peers = &self.node.peers;
+                let is_worth_asking = peers.is_worth_asking(now, &record, self.has_crossed);
+                is_worth_asking.then_some(record)
+            }
             chosen => chosen,
         };
         match &self.chosen {
             Some(record) => {
                 self.tried.push(record.endpoint.clone());
+                self.has_crossed |= self.node.peers.region_other_than(record).is_some();
                 Event::Chosen
             }
             None => Event::NoEndpoint,
