Keep a response that states an odd length from affecting other calls

Cause, found with a test: a response whose content-length was near the end of the range was counted in the average response size of its policy, which overflowed: the handler of every later call under that policy panicked in a debug build, and the average was wrong in a release one. Once such a response was being forwarded, it reserved the host's link for centuries, so that every other large response waited, and calls with large responses were refused, until the process restarted. An odd work time reported by another node overflowed in the same way.

--- a/crates/cicadagw-call/src/admission/core.rs
+++ b/crates/cicadagw-call/src/admission/core.rs
@@ -8,8 +8,9 @@
 
 use super::decision::{Decision, Release, Ticket};
 use super::queue::{Constraints, Key, QueuedCall};
+use super::wait::{is_acceptable_wait, share, slack, updated_average};
 use crate::Load;
-use crate::average::smooth;
+use crate::average::{RESPONSE_MAX, smooth};
 
 /// Admission control for one backend server: its running calls and a short queue.
 #[derive(Clone, Debug)]
@@ -40,23 +41,9 @@
 /// link: smaller responses are sent without pacing.
 const LARGE_RESPONSE: Bytes = crate::pacing::UNPACED_MAX;
 
-/// The share of its slack that a call may spend in the queue, by priority, in thousandths. The
-/// slack is the time until the soft deadline beyond the average work time of the policy. A limit on
-/// the number of queued calls alone does not bound their wait, because work times differ tenfold
-/// between policies. The last entry applies to all further priorities.
-const WAIT_PERMILLE: [u64; 3] = [900, 700, 350];
-
 /// The share of the slack after which a call is due, at any priority, in thousandths.
 const DUE_PERMILLE: u64 = 350;
 
-/// The share of the slack that the waits in the queue and for the link may take together, in
-/// thousandths.
-const WAIT_AND_LINK_PERMILLE: u64 = 800;
-
-/// How long a call may wait even if its soft deadline is close or past: about the time of one more
-/// attempt at another node.
-const WAIT_MIN: Span = Span::new(40);
-
 /// The share of the average work time that must remain before the deadline for a call to start, in
 /// thousandths. The work of a call that runs into its deadline is wasted. A call that cannot start
 /// at once when it arrives is queued only if the whole average remains after the expected wait.
@@ -153,6 +140,7 @@
 
     /// Records the size of a response to a call under `policy` for the average.
     pub fn record_size(&mut self, policy: &id::Policy, size: Bytes) {
+        let size = size.min(RESPONSE_MAX);
         let average = self
             .response_sizes
             .entry(policy.clone())
@@ -367,40 +355,3 @@
         share(self.work(policy), WORK_LEFT_MIN_PERMILLE)
     }
 }
-
-/// Returns whether a call with the average work time `work` may wait for `wait` in the queue and
-/// for `link` on the link.
-fn is_acceptable_wait(
-    now: Timestamp,
-    work: Span,
-    wait: Span,
-    link: Span,
-    constraints: &Constraints,
-) -> bool {
-    let Some(soft_deadline) = constraints.soft_deadline else {
-        return true;
-    };
-    let slack = slack(now, work, soft_deadline);
-    let priority = usize::from(constraints.priority.get()).min(WAIT_PERMILLE.len() - 1);
-    wait <= share(slack, WAIT_PERMILLE[priority]).max(WAIT_MIN)
-        && wait.plus(link) <= share(slack, WAIT_AND_LINK_PERMILLE).max(WAIT_MIN)
-}
-
-/// Returns the slack: the time that is left until `soft_deadline` beyond the work time `work`.
-fn slack(now: Timestamp, work: Span, soft_deadline: Timestamp) -> Span {
-    Span::new(soft_deadline.since(now).get().saturating_sub(work.get()))
-}
-
-/// Returns a share of `span`, in thousandths.
-fn share(span: Span, thousandths: u64) -> Span {
-    Span::new(span.get() * thousandths / 1_000)
-}
-
-/// Returns the moving average `old` updated with the sample `new`; the first sample is taken as it
-/// is.
-fn updated_average(old: Span, new: Span) -> Span {
-    match old.get() {
-        0 => new,
-        old => Span::new(smooth(old, new.get())),
-    }
-}
--- a/crates/cicadagw-call/src/admission/mod.rs
+++ b/crates/cicadagw-call/src/admission/mod.rs
@@ -3,6 +3,7 @@
 mod core;
 mod decision;
 mod queue;
+mod wait;
 
 pub use core::Admission;
 pub use decision::{Decision, Release, Ticket};
--- a/crates/cicadagw-call/src/balancer/core.rs
+++ b/crates/cicadagw-call/src/balancer/core.rs
@@ -13,7 +13,7 @@
 use super::endpoint::{AVERAGE_RELATIVE_WORK, Endpoint, Profile, Report, TIERS, endpoint_for};
 use super::utilization::Utilization;
 use crate::Load;
-use crate::average::smooth;
+use crate::average::{RESPONSE_MAX, smooth};
 
 /// The average response size in bytes from which calls stay in the node's region while it has a
 /// healthy endpoint, even if all endpoints there are full. A few responses of this size saturate
@@ -29,6 +29,9 @@
 /// calls that they make.
 const RELIABLE_FAILURE_PERMILLE_MAX: u64 = 200;
 
+/// The longest work time of one sample; another node may report an odd one.
+const WORK_MAX: Span = Span::seconds(600);
+
 /// How many endpoints of a tier are compared. They are sampled at random, so that nodes with the
 /// same information do not all choose the same one.
 const SAMPLE_SIZE: usize = 4;
@@ -158,6 +161,7 @@
         work_time: Span,
         size: Bytes,
     ) {
+        let (work_time, size) = (work_time.min(WORK_MAX), size.min(RESPONSE_MAX));
         let work_us = work_time.get().max(1) * 1_000;
         let first = Profile {
             work_us,
--- a/crates/cicadagw-call/src/pacing.rs
+++ b/crates/cicadagw-call/src/pacing.rs
@@ -15,6 +15,10 @@
 /// the chunks of large ones.
 pub const UNPACED_MAX: Bytes = Bytes::new(16 << 10);
 
+/// How much of a response reserves the link at once. The length that a response states may be odd,
+/// and its rest may never arrive, so it must not hold up the others for long.
+pub const RESERVED_MAX: Bytes = Bytes::new(1 << 20);
+
 /// The network link of a host. All times are relative to the start of the process.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Link {
@@ -31,6 +35,8 @@
     bytes_per_second: u64,
     /// When the next chunk may be sent.
     next_at: Duration,
+    /// How many bytes of the reservation are left.
+    left: u64,
 }
 
 impl Link {
@@ -47,13 +53,16 @@
         self.free_at.saturating_sub(now).into()
     }
 
-    /// Reserves link time for `length` bytes, after everything reserved before.
+    /// Reserves link time for `length` bytes, but at most [`RESERVED_MAX`], after everything
+    /// reserved before.
     pub fn reserve(&mut self, now: Duration, length: u64) -> Reservation {
+        let length = length.min(RESERVED_MAX.get());
         let next_at = self.free_at.max(now);
         self.free_at = next_at + transmission_time(length, self.bytes_per_second);
         Reservation {
             bytes_per_second: self.bytes_per_second,
             next_at,
+            left: length,
         }
     }
 }
@@ -63,8 +72,14 @@
     pub fn schedule(&mut self, length: u64) -> Duration {
         let begin = self.next_at;
         self.next_at = begin + transmission_time(length, self.bytes_per_second);
+        self.left = self.left.saturating_sub(length);
         begin
     }
+
+    /// Returns whether nothing of the reservation is left.
+    pub const fn is_used_up(&self) -> bool {
+        self.left == 0
+    }
 }
 
 fn transmission_time(length: u64, bytes_per_second: u64) -> Duration {
--- a/crates/cicadagw-call/tests/pacing.rs
+++ b/crates/cicadagw-call/tests/pacing.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use cicadagw_call::pacing::Link;
+use cicadagw_call::pacing::{Link, RESERVED_MAX};
 use cicadagw_unit::rate::Throughput;
+use cicadagw_unit::time::Span;
 
 /// How many bytes a paced link with a rate of 1,000 bytes per second sends in a second.
 const BYTES_PER_SECOND: u64 = 930;
@@ -60,3 +61,27 @@
 
     assert_eq!(reservation.schedule(1), at(9_000));
 }
+
+#[test]
+fn a_response_that_states_an_odd_length_does_not_hold_up_the_others() {
+    let mut link = Link::new(Throughput::new(1_000_000));
+
+    link.reserve(Duration::ZERO, u64::MAX);
+
+    let backlog = link.backlog(Duration::ZERO);
+    assert!(backlog < Span::seconds(2), "{backlog}");
+}
+
+#[test]
+fn a_long_response_reserves_the_link_part_by_part() {
+    let mut link = Link::new(Throughput::new(1_000_000));
+    let mut reservation = link.reserve(Duration::ZERO, u64::MAX);
+    let mut sent = 0;
+
+    while !reservation.is_used_up() {
+        reservation.schedule(64 << 10);
+        sent += 64 << 10;
+    }
+
+    assert_eq!(sent, RESERVED_MAX.get());
+}
--- a/crates/cicadagw-http/src/lib.rs
+++ b/crates/cicadagw-http/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod lifecycle;
 mod parse;
 pub mod pool;
+mod send;
 pub mod server;
 mod task;
 
--- a/crates/cicadagw-http/src/server/accept.rs
+++ b/crates/cicadagw-http/src/server/accept.rs
@@ -96,7 +96,8 @@
     // them.
     drop(queue);
     if end == End::Closed {
-        lingering_close(&mut stream).await;
+        // All responses are written; a closing server does not wait for its clients to close.
+        tokio::task::spawn_local(lingering_close(stream));
     }
 }
 
@@ -109,7 +110,7 @@
     Closed,
 }
 
-async fn lingering_close(stream: &mut TcpStream) {
+async fn lingering_close(mut stream: TcpStream) {
     if stream.shutdown().await.is_err() {
         return;
     }
--- a/crates/cicadagw-http/src/server/writer.rs
+++ b/crates/cicadagw-http/src/server/writer.rs
@@ -14,8 +14,8 @@
 use super::queue::{Next, Queue, Source};
 use super::{Reply, Service};
 use crate::body::{Body, Truncated};
-use crate::client::write_part;
 use crate::encode::response_head;
+use crate::send::write_part;
 use crate::{Framing, Task};
 
 /// Writes the responses of a connection in the order of their requests.
--- a/crates/cicadagw-proxy/src/pacer.rs
+++ b/crates/cicadagw-proxy/src/pacer.rs
@@ -74,7 +74,10 @@
             return;
         }
         // A body of unknown length reserves the link separately for each part.
-        if self.reservation.is_none() || rest.is_none() {
+        let is_used_up = self
+            .reservation
+            .is_none_or(|reservation| reservation.is_used_up());
+        if is_used_up || rest.is_none() {
             self.reservation = pacer.reserve(rest.unwrap_or(length));
         }
         if let Some(reservation) = &mut self.reservation {
