Do not reuse a connection that another node may be closing

Load pattern: in a large fleet a connection between two nodes carries a call every 20 to 30 s. Nodes close idle connections after the configured idle timeout (15 s on the platform's sites), and reused them for up to 20 s, whatever was configured: a call sent just as its connection was closed was lost, and one that is not idempotent ended with 502.

Change: a connection to another node is reused for at most 60 in 100 of the configured idle timeout.

Before: the new test reuses the connection after 450 ms of 500.

--- a/crates/cicadagw-proxy/src/attempts.rs
+++ b/crates/cicadagw-proxy/src/attempts.rs
@@ -30,6 +30,10 @@
 /// The maximum idle time of a connection to another node.
 const IDLE_MAX: Duration = Duration::from_secs(20);
 
+/// The share of the configured idle timeout, after which the other node closes a connection, for
+/// which it is reused, in thousandths. A call sent at that moment would be lost.
+const IDLE_PERMILLE_MAX: u32 = 600;
+
 /// An attempt in progress. Dropping it cancels it and closes its connection, which cancels the
 /// request at the backend server.
 pub(crate) struct RunningAttempt<'a> {
@@ -141,7 +145,7 @@
     let pool = node.peers.pool(record.address);
     let destination = Destination {
         pool: &pool,
-        idle_max: IDLE_MAX,
+        idle_max: idle_max(node),
         deadline: node.clock.instant(call.deadline),
         has_responded,
         echo_field: None,
@@ -162,6 +166,12 @@
     }
 }
 
+/// Returns how long a connection to another node may have been idle to be reused.
+fn idle_max(node: &Node) -> Duration {
+    let closed_after = Duration::from(node.caller_limits().idle_timeout);
+    IDLE_MAX.min(closed_after * IDLE_PERMILLE_MAX / 1_000)
+}
+
 fn fields(node: &Node, call: Call<'_>, record: &Record) -> Fields {
     let mut fields = call.request.fields.clone();
     let left = call.deadline.since(node.clock.now()).get();
--- a/crates/cicadagw-proxy/tests/failure.rs
+++ b/crates/cicadagw-proxy/tests/failure.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use support::backend::{Backend, Behavior, body};
 use support::caller::{Response, call, get, head, post};
@@ -213,3 +214,28 @@
 
     assert_eq!(refusing.connections(), 1);
 }
+
+/// A configuration by which nodes close idle connections after half a second.
+const SHORT_IDLE_CONFIG: &str = r#"{
+  "edge": { "idle_timeout": "500ms" },
+  "routes": { "orders": { "prefix": "/orders", "cluster": "orders", "policy": "plain" } },
+  "clusters": { "orders": { "service": "orders" } },
+  "policies": { "plain": { "timeout": "30000ms" } },
+  "presets": { "ordinary": {} },
+}"#;
+
+#[tokio::test]
+async fn connection_that_another_node_may_be_closing_is_not_reused() {
+    let mut mesh = Mesh::new();
+    mesh.configure(2, SHORT_IDLE_CONFIG);
+    let near = mesh.node("near");
+    let refusing = RefusingNode::start().await;
+    mesh.add_endpoint("orders-1", "kochi", refusing.address);
+    get("/orders").send(near.calls).await;
+    // Close to the idle timeout of the other node, the connection may end at any moment.
+    tokio::time::sleep(Duration::from_millis(450)).await;
+
+    get("/orders").send(near.calls).await;
+
+    assert_eq!(refusing.connections(), 2);
+}
