Attribute no response without the id of its request

Cause, found by reading the code for the report of a second copy on a reused connection: a response with another id was skipped, but one without any id counted as the one expected, unless it was a success. A late copy of a refusal without an id would have answered the next request as not run, though it ran later, and a late 500 would have reached another caller.

Change: where the dialect has ids, a response of any status must repeat the one of its request; else the outcome is unknown. The tests of refusals now repeat the id, as the protocol says all responses do; one test is added for four responses without it.

Before: the new test fails.

--- a/crates/cicadagw-proxy/src/delivery.rs
+++ b/crates/cicadagw-proxy/src/delivery.rs
@@ -266,6 +266,12 @@
     let Some(not_run) = names.not_run else {
         return Classification::Valid;
     };
+    let is_echoed = names
+        .attempt
+        .is_none_or(|name| head.fields.get(name) == request.attempt.as_ref());
+    if !is_echoed {
+        return Classification::Unusable("a response does not repeat the id of the request");
+    }
     let is_marked_not_run = head.fields.has(not_run);
     match head.status {
         421 => return Classification::NotRun(Reason::Gone),
@@ -283,13 +289,8 @@
         return Classification::Valid;
     }
     let is_sealed = names.seal.is_none_or(|seal| head.fields.has(seal));
-    let is_echoed = names
-        .attempt
-        .is_none_or(|name| head.fields.get(name) == request.attempt.as_ref());
-    if !is_sealed || !is_echoed {
-        return Classification::Unusable(
-            "a success response has no seal, or does not repeat the id of the request",
-        );
+    if !is_sealed {
+        return Classification::Unusable("a success response has no seal");
     }
     if head.fields.has("content-encoding") {
         return Classification::Unusable(
--- a/crates/cicadagw-proxy/tests/dialect.rs
+++ b/crates/cicadagw-proxy/tests/dialect.rs
@@ -14,6 +14,9 @@
 use support::mesh::{Mesh, Node};
 use support::scripted::{Scripted, response, sealed};
 
+/// The header lines of a refusal that states that the request was not executed.
+const REFUSAL: &str = "t-id: a1\r\nt-not-run: 1\r\n";
+
 /// A dialect with its own header names and all response checks; announcements are in the native
 /// format.
 struct Strict;
@@ -143,7 +146,7 @@
 #[tokio::test]
 async fn refusal_marked_not_run_is_retried_at_another_endpoint() {
     let (mut fixture, refusing) =
-        fixture(|_| Some(response("503 Service Unavailable", "t-not-run: 1\r\n", ""))).await;
+        fixture(|_| Some(response("503 Service Unavailable", REFUSAL, ""))).await;
     let healthy = Scripted::start(sealed).await;
     fixture.add("orders-2", &healthy).await;
 
@@ -165,9 +168,9 @@
     ] {
         let mut fixture = Fixture::new();
         let script: support::scripted::Script = match &status[..3] {
-            "408" => |_| Some(response("408 Request Timeout", "", "")),
-            "429" => |_| Some(response("429 Too Many Requests", "", "")),
-            _ => |_| Some(response("503 Service Unavailable", "", "")),
+            "408" => |_| Some(response("408 Request Timeout", "t-id: a1\r\n", "")),
+            "429" => |_| Some(response("429 Too Many Requests", "t-id: a1\r\n", "")),
+            _ => |_| Some(response("503 Service Unavailable", "t-id: a1\r\n", "")),
         };
         let backend = Scripted::start(script).await;
         fixture.add("orders-1", &backend).await;
@@ -182,9 +185,27 @@
     }
 }
 
+#[tokio::test]
+async fn response_without_id_is_not_attributed_to_the_request() {
+    for script in [
+        (|_| Some(response("503 Service Unavailable", "t-not-run: 1\r\n", "")))
+            as support::scripted::Script,
+        |_| Some(response("421 Misdirected Request", "", "")),
+        |_| Some(response("500 Internal Server Error", "", "no")),
+        |_| Some(response("200 OK", "t-seal: s\r\n", "other")),
+    ] {
+        let (fixture, _) = fixture(script).await;
+
+        let response = fixture.call(post("/orders", "x")).await;
+
+        assert_eq!((response.status, response.outcome()), (502, "unknown"));
+    }
+}
+
 #[tokio::test]
 async fn misdirected_request_ends_as_not_run() {
-    let (fixture, backend) = fixture(|_| Some(response("421 Misdirected Request", "", ""))).await;
+    let (fixture, backend) =
+        fixture(|_| Some(response("421 Misdirected Request", "t-id: a1\r\n", ""))).await;
 
     let response = fixture.call(post("/orders", "x")).await;
 
