Ask callers to come back when a node that has just started knows the endpoints

Load pattern: all machines lose power and return together. A caller retries once: it was refused twice and gave up.

Ruled out as the main cause in the seconds after: what is refused from 1 s on is shed, as the backend servers are cold.

Change: up to 800 ms after its start, a node that cannot serve a call for lack of a configuration or of endpoints asks the caller to come back after that time, spread over 400 ms.

--- a/crates/cicadagw-call/src/refusal.rs
+++ b/crates/cicadagw-call/src/refusal.rs
@@ -1,12 +1,22 @@
-//! Recently refused calls, so that a retry by the caller keeps the time of its first arrival.
+//! Refused calls: when their callers are asked to come back, and those refused recently, so that a
+//! retry keeps the time of its first arrival.
 
 use std::collections::VecDeque;
 
 use cicadagw_unit::time::{Span, Timestamp};
 
-/// How long the caller of a refused call is asked to wait before it retries: about as long as a
-/// call takes, after which a slot is likely free.
-pub const RETRY_AFTER: Span = Span::new(200);
+use crate::Reason;
+
+/// How long the caller of a call that was shed is asked to wait before it retries: about as long as
+/// a call takes, after which a slot is likely free.
+const SLOT_WAIT: Span = Span::new(200);
+
+/// How long after its start a node has usually learned the configuration and the endpoints, in a
+/// fleet of hundreds of nodes that start together.
+const DISCOVERY: Span = Span::new(800);
+
+/// The time over which callers that came too early come back, so that they do not come together.
+const RETURN_SPREAD: Span = Span::new(400);
 
 /// How many refused calls are kept: a few seconds of them at an overloaded node.
 const HISTORY_MAX: usize = 2_048;
@@ -15,6 +25,23 @@
 /// a request.
 const DEADLINE_TOLERANCE: Span = Span::new(60);
 
+/// Returns how long the caller of a call that was refused for `reason` is asked to wait before it
+/// retries. `uptime` is the time since the start of the node.
+///
+/// When all nodes have restarted together, a caller that comes back after the time of one call is
+/// refused again and gives up; so it is asked to wait until the node knows where to send it.
+pub fn retry_after(reason: Reason, uptime: Span, random: u64) -> Span {
+    let discovery_left = DISCOVERY.get().saturating_sub(uptime.get());
+    match reason {
+        Reason::NoConfiguration | Reason::NoEndpoint | Reason::Gone | Reason::Unreachable
+            if discovery_left > 0 =>
+        {
+            Span::new(discovery_left + random % RETURN_SPREAD.get()).max(SLOT_WAIT)
+        }
+        _ => SLOT_WAIT,
+    }
+}
+
 /// The recently refused calls, oldest first.
 #[derive(Clone, Debug, Default)]
 pub struct History {
--- a/crates/cicadagw-call/tests/refusal.rs
+++ b/crates/cicadagw-call/tests/refusal.rs
@@ -1,7 +1,8 @@
 //! A retry of a refused call is recognized by its digest and its deadline.
 
-use cicadagw_call::refusal::History;
-use cicadagw_unit::time::Timestamp;
+use cicadagw_call::Reason;
+use cicadagw_call::refusal::{History, retry_after};
+use cicadagw_unit::time::{Span, Timestamp};
 
 const DIGEST: u64 = 7;
 
@@ -77,3 +78,42 @@
 
     assert_eq!((oldest, newest), (None, Some(at(200))));
 }
+
+#[test]
+fn a_caller_that_is_shed_comes_back_after_the_time_of_a_call() {
+    for uptime in [Span::new(100), Span::seconds(100)] {
+        let wait = retry_after(Reason::Shed, uptime, 7);
+
+        assert_eq!(wait, Span::new(200));
+    }
+}
+
+#[test]
+fn callers_of_a_node_that_knows_nothing_yet_come_back_when_it_does_and_not_together() {
+    let mut arrivals = Vec::new();
+
+    // A hundred calls arrive in the first half second after all nodes have restarted.
+    for call in 0..100 {
+        let uptime = Span::new(call * 5);
+        let random = call.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let wait = retry_after(Reason::NoEndpoint, uptime, random);
+        arrivals.push(uptime.plus(wait).get());
+    }
+
+    arrivals.sort_unstable();
+    assert!(
+        arrivals[0] >= 800,
+        "the first comes back after {} ms",
+        arrivals[0]
+    );
+    let together = arrivals.chunk_by(|left, right| left / 100 == right / 100);
+    let most = together.map(<[u64]>::len).max();
+    assert!(most < Some(40), "{most:?} come back within 100 ms");
+}
+
+#[test]
+fn a_node_that_has_run_for_long_asks_for_a_short_wait() {
+    let wait = retry_after(Reason::NoEndpoint, Span::seconds(60), 7);
+
+    assert_eq!(wait, Span::new(200));
+}
--- a/crates/cicadagw-proxy/src/ingress.rs
+++ b/crates/cicadagw-proxy/src/ingress.rs
@@ -5,11 +5,11 @@
 use std::time::Instant;
 
 use cicadagw_call::Reason;
-use cicadagw_call::refusal::RETRY_AFTER;
+use cicadagw_call::refusal::retry_after;
 use cicadagw_call::route::Target;
 use cicadagw_http::Body;
 use cicadagw_http::server::Reply;
-use cicadagw_unit::time::Timestamp;
+use cicadagw_unit::time::{Span, Timestamp};
 use tokio::time::timeout_at;
 
 use crate::delivery::{self, Call, Outcome};
@@ -61,13 +61,24 @@
         response.hold_call_guard(guard);
         response.pace(node.pacer.clone());
     }
-    let mut reply = end.into_reply(&node.dialect.retry_after(RETRY_AFTER));
+    let retry_after = retry_hint(node, &end);
+    let mut reply = end.into_reply(&retry_after);
     if is_from_node {
         add_node_fields(&mut reply, load, work);
     }
     reply
 }
 
+/// Returns the value of `retry-after` in a refusal; empty for other ends.
+fn retry_hint(node: &Node, end: &End) -> String {
+    let End::NotRun(reason) = end else {
+        return String::new();
+    };
+    let uptime = node.clock.now().since(Timestamp::new(0));
+    let wait: Span = retry_after(*reason, uptime, node.peers.random());
+    node.dialect.retry_after(wait)
+}
+
 fn log_failure(request: &Request, end: &End, begin: Instant) {
     let (End::NotRun(reason) | End::Unknown(reason)) = end else {
         return;
