Do not use an endpoint that states an odd number of slots

Cause: a heartbeat or a record of another writer with four thousand million slots was accepted; every caller's node would have preferred that endpoint for its free slots. Products of such numbers could also overflow in the cost of an endpoint.

Change: the limit of 100,000 that the native announcements have is part of the type and applies to heartbeats, which are malformed above it, and to records of other nodes, which name no endpoint to use; one reported utilization counts as ten times the slots at most.

--- a/crates/cicadagw-call/src/balancer/utilization.rs
+++ b/crates/cicadagw-call/src/balancer/utilization.rs
@@ -15,6 +15,9 @@
 /// The smallest weight of a report in a sparse average, in thousandths.
 const WEIGHT_MIN: u64 = 125;
 
+/// The largest utilization of one sample, in thousandths; another node may report an odd load.
+const SAMPLE_MAX: u64 = 10_000;
+
 /// The average utilization of the endpoints of a service, from their load reports.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Utilization {
@@ -54,7 +57,7 @@
     /// Records the load that an endpoint of `tier` reported.
     pub(super) fn record(&mut self, now: Timestamp, tier: usize, load: Load) {
         let slots = u64::from(load.slots.get().max(1));
-        let sample = u64::from(load.in_flight.get()) * 1_000 / slots;
+        let sample = (u64::from(load.in_flight.get()) * 1_000 / slots).min(SAMPLE_MAX);
         self.all.record(now, sample);
         if tier == TIERS - 1 {
             self.other_regions.record(now, sample);
--- a/crates/cicadagw-dialect/src/native.rs
+++ b/crates/cicadagw-dialect/src/native.rs
@@ -11,9 +11,6 @@
 
 use crate::{Acknowledgement, DecodeError, Dialect, HeaderNames, Registration};
 
-/// The maximum number of slots or connections that a backend server may announce.
-const SLOTS_MAX: u64 = 100_000;
-
 /// The product's own dialect.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Native;
@@ -143,9 +140,9 @@
     in_flight
 }
 
-/// Parses a number from `min` to [`SLOTS_MAX`].
+/// Parses a number from `min` to [`Slots::MAX`].
 fn parse_slots(value: &Reader<'_, '_>, min: u64) -> Option<Slots> {
-    let number = value.number(min, SLOTS_MAX)?;
+    let number = value.number(min, u64::from(Slots::MAX.get()))?;
     u32::try_from(number).ok().map(Slots::new)
 }
 
--- a/crates/cicadagw-gossip/src/table.rs
+++ b/crates/cicadagw-gossip/src/table.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use cicadagw_endpoint::{Record, State};
+use cicadagw_unit::size::Slots;
 use cicadagw_unit::{Sequence, id};
 use cicadagw_view::Endpoints;
 
@@ -77,7 +78,8 @@
 /// Returns the endpoint record of a member, if its backend server accepts requests.
 fn endpoint_record(member: &Member) -> Option<Record> {
     let backend = member.backend.as_ref()?;
-    if !backend.is_ready || member.is_leaving {
+    // Another writer may have stated a number of slots that would draw all calls to the endpoint.
+    if !backend.is_ready || member.is_leaving || backend.slots > Slots::MAX {
         return None;
     }
     Some(Record {
--- a/crates/cicadagw-gossip/tests/odd.rs
+++ b/crates/cicadagw-gossip/tests/odd.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use cicadagw_endpoint::State;
-use cicadagw_gossip::{Effect, Event, Member, Message, Partition, Stamp, Table};
+use cicadagw_gossip::{Backend, Effect, Event, Member, Message, Partition, Stamp, Table};
+use cicadagw_unit::size::Slots;
 use cicadagw_unit::time::{Span, Timestamp};
 use quickcheck::{Gen, QuickCheck};
 use support::{Fleet, local, member, new_core};
@@ -75,6 +76,23 @@
     assert_eq!(fleet.endpoint_counts(), vec![4; 4]);
 }
 
+#[test]
+fn an_endpoint_with_an_odd_number_of_slots_is_not_used() {
+    let mut fleet = fleet(4);
+    let mut odd = member(9, Stamp(1, 1));
+    odd.backend = Some(Backend {
+        endpoint: "i-odd".parse().unwrap(),
+        is_ready: true,
+        service: "orders".parse().unwrap(),
+        slots: Slots::new(u32::MAX),
+    });
+
+    fleet.step(1, push(3, vec![odd]));
+    fleet.run(Span::new(500));
+
+    assert_eq!(fleet.endpoint_counts(), vec![4; 4]);
+}
+
 #[test]
 fn a_node_without_any_record_of_a_partition_asks_for_all() {
     let mut core = new_core(0, 1);
--- a/crates/cicadagw-proxy/src/ingress.rs
+++ b/crates/cicadagw-proxy/src/ingress.rs
@@ -9,7 +9,7 @@
 use cicadagw_call::route::Target;
 use cicadagw_http::Body;
 use cicadagw_http::server::Reply;
-use cicadagw_unit::time::{Span, Timestamp};
+use cicadagw_unit::time::Timestamp;
 use tokio::time::timeout_at;
 
 use crate::delivery::{self, Call, Outcome};
@@ -61,8 +61,8 @@
         response.hold_call_guard(guard);
         response.pace(node.pacer.clone());
     }
-    let retry_after = retry_hint(node, &end);
-    let mut reply = end.into_reply(&retry_after);
+    let retry_hint = retry_hint(node, &end);
+    let mut reply = end.into_reply(&retry_hint);
     if is_from_node {
         add_node_fields(&mut reply, load, work);
     }
@@ -75,7 +75,7 @@
         return String::new();
     };
     let uptime = node.clock.now().since(Timestamp::new(0));
-    let wait: Span = retry_after(*reason, uptime, node.peers.random());
+    let wait = retry_after(*reason, uptime, node.peers.random());
     node.dialect.retry_after(wait)
 }
 
--- a/crates/cicadagw-proxy/src/peers.rs
+++ b/crates/cicadagw-proxy/src/peers.rs
@@ -206,10 +206,9 @@
             .is_some_and(|service| service.balancer.has_reliable_endpoint(now, tried))
     }
 
-    /// Returns the region of this node, if the endpoint is in another one.
-    pub(crate) fn region_other_than(&self, record: &Record) -> Option<&id::Region> {
-        let own = &self.locality.region;
-        (*own != record.region).then_some(own)
+    /// Returns whether the endpoint is in another region than this node.
+    pub(crate) fn is_in_other_region(&self, record: &Record) -> bool {
+        record.region != self.locality.region
     }
 
     /// Returns whether a call that other endpoints have shed is worth an attempt at the endpoint of
@@ -224,7 +223,7 @@
     ) -> bool {
         let services = self.services.borrow();
         !has_crossed
-            || record.region == self.locality.region
+            || !self.is_in_other_region(record)
             || services
                 .get(&record.service)
                 .is_some_and(|service| service.balancer.expects_room(now, &record.endpoint))
--- a/crates/cicadagw-proxy/src/relay.rs
+++ b/crates/cicadagw-proxy/src/relay.rs
@@ -161,7 +161,7 @@
         match &self.chosen {
             Some(record) => {
                 self.tried.push(record.endpoint.clone());
-                self.has_crossed |= self.node.peers.region_other_than(record).is_some();
+                self.has_crossed |= self.node.peers.is_in_other_region(record);
                 Event::Chosen
             }
             None => Event::NoEndpoint,
--- a/crates/cicadagw-unit/src/size.rs
+++ b/crates/cicadagw-unit/src/size.rs
@@ -17,6 +17,11 @@
     Hops(u8), "number of hops", ""
 }
 
+impl Slots {
+    /// The largest number that a backend server may announce.
+    pub const MAX: Self = Self(100_000);
+}
+
 impl Bytes {
     /// Returns the sum of both sizes, saturating at the maximum.
     #[must_use]
