--- a/crates/cicadagw-proxy/src/listener.rs
+++ b/crates/cicadagw-proxy/src/listener.rs
@@ -9,13 +9,17 @@
 use cicadagw_http::{Body, Request};
 
 use crate::listener_kind::ListenerKind;
-use crate::node::{INTERIM_RESPONSE_DELAY, Node};
+use crate::node::Node;
 use crate::reply::End;
 use crate::{announce, header, ingress};
 
 /// The path from which other nodes fetch the current configuration snapshot.
 pub const SNAPSHOT_PATH: &str = "/snapshot";
 
+/// The delay after which a call of another node gets an interim response if its response is not
+/// ready.
+const INTERIM_RESPONSE_DELAY: Duration = Duration::from_millis(100);
+
 /// The amount by which a head may exceed the limit on its fields. A call over that limit is then
 /// still parsed and refused like any other call: with a reason, counted, and on a connection that
 /// stays open.
--- a/crates/cicadagw-proxy/src/node.rs
+++ b/crates/cicadagw-proxy/src/node.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use cicadagw_call::balancer::Locality;
 use cicadagw_call::lifecycle::{Announcement, Effect, Gone, State};
@@ -31,10 +30,6 @@
 use crate::request::Request;
 use crate::{Limits, Stats, stats};
 
-/// The delay after which a call of another node gets an interim response if its response is not
-/// ready.
-pub(crate) const INTERIM_RESPONSE_DELAY: Duration = Duration::from_millis(100);
-
 /// The shared state of the proxy.
 pub(crate) struct Node {
     pub(crate) budget: Budget,
--- a/crates/cicadagw-proxy/src/relay.rs
+++ b/crates/cicadagw-proxy/src/relay.rs
@@ -20,8 +20,8 @@
 use crate::response::Response;
 
 /// How long another node may send nothing at all. A node sends an interim response to every call
-/// that takes longer than [`crate::node::INTERIM_RESPONSE_DELAY`]; the round trip between regions
-/// is added to that.
+/// that takes longer than `INTERIM_RESPONSE_DELAY`; the round trip between regions is added to
+/// that.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(450);
 
 /// The multiple of the average work time of a call that is added to [`HEDGE_DELAY_MIN`].
