Report how old the confirmation of the configuration is

Adds the gauge configuration_confirmed_age_milliseconds, the age to the line platform unavailable, the line a call to the platform failed with its operation and pending time, and lines when a node begins or ceases to watch.

--- a/crates/cicadagw-admin/src/metrics.rs
+++ b/crates/cicadagw-admin/src/metrics.rs
@@ -166,6 +166,13 @@
     }
 
     fn add_platform(&self) {
+        self.gauge(
+            "configuration_confirmed_age_milliseconds",
+            "Time since the platform last confirmed the configuration to this node or to a watcher of its region",
+            |sources, instrument| {
+                instrument.observe(sources.meter.confirmed_age().get(), &[]);
+            },
+        );
         self.counter(
             "platform_calls",
             "",
--- a/crates/cicadagw-gossip/src/core/step.rs
+++ b/crates/cicadagw-gossip/src/core/step.rs
@@ -57,6 +57,9 @@
 pub struct Core {
     /// Earliest time of the next digest to a random peer.
     pub(super) digest_due: Timestamp,
+    /// When the platform last confirmed the configuration, to this node or to a watcher of its
+    /// region.
+    pub(super) confirmed_at: Timestamp,
     pub(super) effects: Vec<Effect>,
     pub(super) endpoints: Arc<Endpoints>,
     /// Earliest time of the next beacon.
@@ -96,6 +99,7 @@
         table.merge(&own);
         Self {
             digest_due: Timestamp::default(),
+            confirmed_at: Timestamp::default(),
             effects: Vec::new(),
             endpoints: Arc::default(),
             next_fetch: Timestamp::default(),
@@ -121,6 +125,12 @@
             .map_or_else(Version::default, |snapshot| snapshot.stamp.version)
     }
 
+    /// Returns how long ago the platform last confirmed the configuration, to this node or to a
+    /// watcher of its region.
+    pub fn confirmed_age(&self, now: Timestamp) -> Span {
+        now.since(self.confirmed_at)
+    }
+
     /// Returns the membership table, this node included.
     pub const fn table(&self) -> &Table {
         &self.table
@@ -144,10 +154,7 @@
     /// Does what is due: requests to the platform, beacons, retransmissions, and a digest to a
     /// random peer.
     fn tick(&mut self, now: Timestamp) {
-        let has_no_configuration = self.snapshot.is_none();
-        self.is_watcher =
-            self.watchers
-                .must_watch(now, &self.table, &self.own, has_no_configuration);
+        self.update_watching(now);
         if self.is_watcher
             && let Some(call) = self.source.tick(now, &mut self.rng)
         {
@@ -178,6 +185,18 @@
         }
     }
 
+    /// Updates whether this node watches the platform.
+    fn update_watching(&mut self, now: Timestamp) {
+        let has_no_configuration = self.snapshot.is_none();
+        let must_watch =
+            self.watchers
+                .must_watch(now, &self.table, &self.own, has_no_configuration);
+        if must_watch != self.is_watcher {
+            self.is_watcher = must_watch;
+            self.effects.push(Effect::Log(Notice::Watching(must_watch)));
+        }
+    }
+
     /// Sends a beacon to every other node of the region when it is due, if this node watches the
     /// platform successfully.
     fn send_beacon(&mut self, now: Timestamp) {
@@ -249,6 +268,9 @@
                 version,
             } => {
                 self.watchers.record(now, &from, follows);
+                if follows {
+                    self.confirmed_at = now;
+                }
                 self.handle_digest(now, &from, digest, version);
             }
             Message::Parts { from, digests } => self.compare_partitions(&from, &digests),
@@ -271,11 +293,11 @@
         match reply {
             Reply::Registered(outcome) => {
                 self.registration.written(now, &outcome, &mut self.rng);
-                self.track_platform(&outcome);
+                self.track_platform(now, &outcome);
             }
             Reply::Members(outcome) => {
                 let is_answered = outcome.is_ok();
-                self.track_platform(&outcome);
+                self.track_platform(now, &outcome);
                 self.merge_listed(now, outcome.unwrap_or_else(|_| Vec::new()));
                 let others = self.table.iter().count() - 1;
                 self.registration
@@ -301,7 +323,10 @@
         now: Timestamp,
         outcome: Result<(Revision, Option<Arc<Snapshot>>), Error>,
     ) {
-        self.track_platform(&outcome);
+        self.track_platform(now, &outcome);
+        if outcome.is_ok() {
+            self.confirmed_at = now;
+        }
         let (revision, snapshot) = match outcome {
             Ok((revision, snapshot)) => (Ok(revision), snapshot),
             Err(error) => (Err(error), None),
@@ -348,7 +373,7 @@
     }
 
     /// Logs when the platform becomes unavailable or available again.
-    fn track_platform<T>(&mut self, outcome: &Result<T, Error>) {
+    fn track_platform<T>(&mut self, now: Timestamp, outcome: &Result<T, Error>) {
         let reason = match outcome {
             Err(error @ (Error::Unavailable(_) | Error::Unknown(_))) => Some(error),
             _ => None,
@@ -358,7 +383,10 @@
         }
         self.is_platform_unavailable = reason.is_some();
         let notice = match reason {
-            Some(error) => Notice::PlatformUnavailable(error.to_string()),
+            Some(error) => Notice::PlatformUnavailable {
+                reason: error.to_string(),
+                confirmed_age: self.confirmed_age(now),
+            },
             None => Notice::PlatformAvailable,
         };
         self.effects.push(Effect::Log(notice));
--- a/crates/cicadagw-gossip/src/event.rs
+++ b/crates/cicadagw-gossip/src/event.rs
@@ -96,8 +96,16 @@
     MemberChanged(Box<Member>),
     /// The platform responds again after it was unavailable.
     PlatformAvailable,
-    /// The platform became unavailable, for this reason.
-    PlatformUnavailable(String),
+    /// The platform became unavailable.
+    PlatformUnavailable {
+        /// Why the last request failed.
+        reason: String,
+        /// How long ago the platform last confirmed the configuration, to this node or to a watcher
+        /// of its region.
+        confirmed_age: Span,
+    },
+    /// This node begins or ceases to watch the platform for configurations.
+    Watching(bool),
 }
 
 impl fmt::Display for Notice {
@@ -107,7 +115,9 @@
             Self::Refused(_) => "configuration refused",
             Self::MemberChanged(_) => "member record changed",
             Self::PlatformAvailable => "platform available again",
-            Self::PlatformUnavailable(_) => "platform unavailable",
+            Self::PlatformUnavailable { .. } => "platform unavailable",
+            Self::Watching(true) => "watching the platform",
+            Self::Watching(false) => "no longer watching the platform",
         })
     }
 }
--- a/crates/cicadagw-meter/src/meter.rs
+++ b/crates/cicadagw-meter/src/meter.rs
@@ -6,6 +6,7 @@
 use cicadagw_endpoint::State;
 use cicadagw_ring::Gauge;
 use cicadagw_unit::Version;
+use cicadagw_unit::time::Span;
 
 use crate::counts::Counts;
 use crate::{Operation, PlatformOutcome};
@@ -23,6 +24,8 @@
 
 #[derive(Debug, Default)]
 struct Counters {
+    /// The age of the last confirmation of the configuration, in milliseconds.
+    confirmed_age: AtomicU64,
     endpoints: Counts<STATES>,
     /// The highest version that the node has held.
     held: AtomicU64,
@@ -45,6 +48,11 @@
         self.0.seen.fetch_max(version.get(), Ordering::Relaxed);
     }
 
+    /// Sets how long ago the platform last confirmed the configuration.
+    pub fn set_confirmed_age(&self, age: Span) {
+        self.0.confirmed_age.store(age.get(), Ordering::Relaxed);
+    }
+
     /// Sets the number of known endpoints in `state`.
     pub fn set_endpoints(&self, state: State, number: u64) {
         self.0.endpoints.set(state_index(state), number);
@@ -73,6 +81,11 @@
         Version::new(self.0.seen.load(Ordering::Relaxed))
     }
 
+    /// Returns how long ago the platform last confirmed the configuration.
+    pub fn confirmed_age(&self) -> Span {
+        Span::new(self.0.confirmed_age.load(Ordering::Relaxed))
+    }
+
     /// Returns the number of calls to the platform of `operation` that ended with `outcome`.
     pub fn platform_calls(&self, operation: Operation, outcome: PlatformOutcome) -> u64 {
         self.0.platform.get(operation_index(operation, outcome))
--- a/crates/cicadagw-node/src/peering/gossip.rs
+++ b/crates/cicadagw-node/src/peering/gossip.rs
@@ -173,6 +173,8 @@
     fn record_metrics(&self) {
         self.meter.record_held(self.core.version());
         self.meter.record_seen(self.core.version());
+        let confirmed_age = self.core.confirmed_age(self.clock.now());
+        self.meter.set_confirmed_age(confirmed_age);
         let backends = || {
             let members = self.core.table().iter();
             members.filter_map(|member| member.backend.as_ref())
@@ -203,8 +205,12 @@
             log::info!(member:% = member.node, stamp:% = member.stamp, endpoint, is_ready, is_leaving = member.is_leaving; "{notice}");
         }
         Notice::PlatformAvailable => log::info!("{notice}"),
-        Notice::PlatformUnavailable(reason) => {
-            log::warn!(reason:%, next = "the node requests the configuration from other nodes"; "{notice}");
+        Notice::PlatformUnavailable {
+            reason,
+            confirmed_age,
+        } => {
+            log::warn!(reason:%, confirmed_age_ms = confirmed_age.get(), next = "the node requests the configuration from other nodes"; "{notice}");
         }
+        Notice::Watching(_) => log::info!("{notice}"),
     }
 }
--- a/crates/cicadagw-node/src/peering/platform.rs
+++ b/crates/cicadagw-node/src/peering/platform.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Instant;
 
 use bytes::Bytes;
 use cicadagw_config::{Snapshot, part};
@@ -78,20 +79,18 @@
     async fn execute(&self, call: Call) -> Reply {
         match call {
             Call::Register { member, create } => {
-                let outcome = self.register(&member, create).await;
-                Reply::Registered(self.count_outcome(Operation::Put, outcome))
+                let registering = self.register(&member, create);
+                Reply::Registered(self.observe(Operation::Put, registering).await)
             }
             Call::ListMembers => {
-                let outcome = self.members().await;
-                Reply::Members(self.count_outcome(Operation::Get, outcome))
+                Reply::Members(self.observe(Operation::Get, self.members()).await)
             }
             Call::ReadConfiguration => {
-                let outcome = self.read().await;
-                Reply::Configuration(self.count_outcome(Operation::Get, outcome))
+                Reply::Configuration(self.observe(Operation::Get, self.read()).await)
             }
             Call::WatchConfiguration { after, wait } => {
-                let outcome = self.watch(after, wait).await;
-                Reply::Configuration(self.count_outcome(Operation::Watch, outcome))
+                let watching = self.watch(after, wait);
+                Reply::Configuration(self.observe(Operation::Watch, watching).await)
             }
             Call::FetchConfiguration(address) => {
                 let fetched = self.client.fetch(address, SNAPSHOT_PATH).await;
@@ -169,16 +168,22 @@
             .ok()
     }
 
-    /// Counts a platform call, and returns its outcome unchanged. A conflict is an expected
-    /// outcome of a conditional write; all other errors count as failed.
-    fn count_outcome<T>(
+    /// Waits for the outcome of a platform call, counts it and returns it unchanged. A conflict is an
+    /// expected outcome of a conditional write; all other errors count as failed.
+    async fn observe<T>(
         &self,
         operation: Operation,
-        outcome: Result<T, Error>,
+        call: impl Future<Output = Result<T, Error>>,
     ) -> Result<T, Error> {
-        let platform_outcome = match outcome {
+        let begin = Instant::now();
+        let outcome = call.await;
+        let platform_outcome = match &outcome {
             Ok(_) | Err(Error::Conflict) => PlatformOutcome::Answered,
-            Err(_) => PlatformOutcome::Failed,
+            Err(error) => {
+                let pending_ms = u64::try_from(begin.elapsed().as_millis()).unwrap_or(u64::MAX);
+                log::info!(operation:%, pending_ms, error:%; "a call to the platform failed");
+                PlatformOutcome::Failed
+            }
         };
         self.meter.count_platform_call(operation, platform_outcome);
         outcome
