Add tests that show a change late on silent links

The simulated platform of the fleet tests gains these faults, and ends a watch when its wait is over.

--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -24,6 +24,9 @@
 /// Time between two ticks.
 pub const TICK: Span = Span::new(50);
 
+/// Timeout of a request to the platform; the wait of a watch is added to it.
+const CALL_TIMEOUT: Span = Span::seconds(2);
+
 /// The regions; nodes are assigned to them in turn.
 const REGIONS: [&str; 2] = ["kochi", "kozhikode"];
 
@@ -34,8 +37,10 @@
     pub notices: Vec<String>,
     /// Number of requests that the platform has received from the node.
     pub requests: usize,
-    /// Revision of the watch that waits for a change, if one does.
-    pending_watch: Option<Revision>,
+    /// The watch that waits for a change, if one does: its revision, and when its wait is over.
+    pending_watch: Option<(Revision, Timestamp)>,
+    /// Responses that arrive later, and when.
+    delayed: Vec<(Timestamp, Reply)>,
 }
 
 /// A simulated platform.
@@ -46,6 +51,10 @@
     pub revision: u64,
     /// Nodes whose requests fail.
     pub unavailable_to: BTreeSet<usize>,
+    /// Nodes whose requests get no response, so that they time out.
+    pub silent_to: BTreeSet<usize>,
+    /// Whether watches stay open without delivering any change.
+    pub is_deaf: bool,
     /// Whether watches fail because the history that they need was compacted.
     pub has_compacted: bool,
 }
@@ -156,6 +165,7 @@
             self.now = self.now.after(TICK);
             for index in 0..self.nodes.len() {
                 self.respond_to_watch(index);
+                self.respond_late(index);
                 self.step(index, Event::Tick);
             }
             self.deliver();
@@ -237,6 +247,9 @@
         self.config_reads += usize::from(matches!(call, Call::ReadConfiguration));
         let is_unavailable = self.platform.unavailable_to.contains(&index);
         let unavailable = || Error::Unavailable("unavailable".to_owned());
+        if self.platform.silent_to.contains(&index) {
+            return self.time_out(index, &call);
+        }
         let reply = match call {
             Call::Register { .. } if is_unavailable => Reply::Registered(Err(unavailable())),
             Call::ListMembers if is_unavailable => Reply::Members(Err(unavailable())),
@@ -260,8 +273,8 @@
                 Some((revision, snapshot)) => Ok((*revision, Some(snapshot.clone()))),
                 None => Err(Error::Compacted),
             }),
-            Call::WatchConfiguration { after, .. } => {
-                self.nodes[index].pending_watch = Some(after);
+            Call::WatchConfiguration { after, wait } => {
+                self.nodes[index].pending_watch = Some((after, self.now.after(wait)));
                 return;
             }
             Call::FetchConfiguration(_) => unreachable!("a fetch returns above"),
@@ -269,22 +282,55 @@
         self.step(index, Event::Reply(reply));
     }
 
-    /// Responds to a pending watch if the configuration has changed or the platform fails.
+    /// Lets a request end with a timeout.
+    fn time_out(&mut self, index: usize, call: &Call) {
+        let error = || Error::Unavailable("timeout".to_owned());
+        let (wait, reply) = match call {
+            Call::Register { .. } => (Span::new(0), Reply::Registered(Err(error()))),
+            Call::ListMembers => (Span::new(0), Reply::Members(Err(error()))),
+            Call::ReadConfiguration => (Span::new(0), Reply::Configuration(Err(error()))),
+            Call::WatchConfiguration { wait, .. } => (*wait, Reply::Configuration(Err(error()))),
+            Call::FetchConfiguration(_) => unreachable!("a fetch does not go to the platform"),
+        };
+        let at = self.now.after(wait).after(CALL_TIMEOUT);
+        self.nodes[index].delayed.push((at, reply));
+    }
+
+    /// Delivers the responses that are due.
+    fn respond_late(&mut self, index: usize) {
+        let delayed = std::mem::take(&mut self.nodes[index].delayed);
+        let (due, later) = delayed.into_iter().partition(|(at, _)| *at <= self.now);
+        self.nodes[index].delayed = later;
+        let due: Vec<(Timestamp, Reply)> = due;
+        for (_, reply) in due {
+            self.step(index, Event::Reply(reply));
+        }
+    }
+
+    /// Responds to a pending watch if the configuration has changed, the platform fails, or the
+    /// wait is over. A watch of a node to which the platform has fallen silent ends with a timeout.
     fn respond_to_watch(&mut self, index: usize) {
-        let Some(after) = self.nodes[index].pending_watch else {
+        let Some((after, until)) = self.nodes[index].pending_watch else {
             return;
         };
-        let reply = if self.platform.unavailable_to.contains(&index) {
+        let is_silent = self.platform.silent_to.contains(&index);
+        let change = match &self.platform.config {
+            Some((revision, snapshot)) if *revision > after && !self.platform.is_deaf => {
+                Some((*revision, Some(snapshot.clone())))
+            }
+            _ if self.now >= until => Some((after, None)),
+            _ => None,
+        };
+        let reply = if is_silent && self.now < until.after(CALL_TIMEOUT) {
+            return;
+        } else if is_silent || self.platform.unavailable_to.contains(&index) {
             Err(Error::Unavailable("unavailable".to_owned()))
         } else if self.platform.has_compacted {
             Err(Error::Compacted)
+        } else if let Some(change) = change {
+            Ok(change)
         } else {
-            match &self.platform.config {
-                Some((revision, snapshot)) if *revision > after => {
-                    Ok((*revision, Some(snapshot.clone())))
-                }
-                _ => return,
-            }
+            return;
         };
         self.nodes[index].pending_watch = None;
         self.step(index, Event::Reply(Reply::Configuration(reply)));
@@ -299,6 +345,7 @@
             notices: Vec::new(),
             requests: 0,
             pending_watch: None,
+            delayed: Vec::new(),
         }
     }
 
