Probe idle connections to the platform

A watch is idle until there is a change, so nothing showed that its connection was dead but its own timeout, 12 s after its start. Connections to the platform, and those on which nodes fetch a configuration, now have keep-alive probes each second and a limit of 1 s on unacknowledged data. The kernel of the other end answers, so a slow answer is not cut off, and no call to the platform is added.

--- a/crates/cicadagw-node/src/peering/platform.rs
+++ b/crates/cicadagw-node/src/peering/platform.rs
@@ -82,9 +82,7 @@
                 let registering = self.register(&member, create);
                 Reply::Registered(self.observe(Operation::Put, registering).await)
             }
-            Call::ListMembers => {
-                Reply::Members(self.observe(Operation::Get, self.members()).await)
-            }
+            Call::ListMembers => Reply::Members(self.observe(Operation::Get, self.members()).await),
             Call::ReadConfiguration => {
                 Reply::Configuration(self.observe(Operation::Get, self.read()).await)
             }
--- a/crates/cicadagw-platform/src/http/client.rs
+++ b/crates/cicadagw-platform/src/http/client.rs
@@ -4,14 +4,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use awc::Connector;
-use awc::http::header::{CONTENT_LENGTH, CONTENT_TYPE, ETAG, HeaderMap, HeaderValue, USER_AGENT};
+use awc::http::header::{CONTENT_LENGTH, CONTENT_TYPE, ETAG, HeaderMap, HeaderValue};
 use awc::http::{self, StatusCode};
 use bon::bon;
 use bytes::Bytes;
 use cicadagw_unit::time::Span;
 use smallvec::SmallVec;
 
+use super::connector::new_http_client;
 use super::failure::Failure;
 use crate::encoding::{Effect, Encoding, Method, Native, Request, Response};
 use crate::{Condition, Error, Freshness, Key, Object, Position, Revision, Store, Traffic};
@@ -64,17 +64,11 @@
             !addresses.is_empty(),
             "the client needs at least one platform address"
         );
-        let connector = Connector::new().timeout(connect_timeout.into());
-        let http = awc::Client::builder()
-            .connector(connector)
-            .add_default_header((USER_AGENT, agent))
-            .disable_redirects()
-            .finish();
         Self {
             addresses: addresses.into(),
             timeout,
             encoding,
-            http,
+            http: new_http_client(agent, connect_timeout),
             preferred: Cell::new(0),
             traffic,
         }
