Drop idle connections to the platform after one has been lost

After the watches of the late configuration had ended with a timeout, two watchers failed again for half a second and more: the HTTP client had handed out another idle connection that had fallen silent at the same moment.

A call without a response now replaces the HTTP client, so the next call opens a connection; calls in flight keep theirs. Ruled out: closing only the connection of the call, which the client did before. The test that a call after a timeout uses no connection that was open before failed with a second timeout, and passes.

--- a/crates/cicadagw-platform/src/http/client.rs
+++ b/crates/cicadagw-platform/src/http/client.rs
@@ -1,6 +1,6 @@
 //! The HTTP client of the object API and of the snapshots of other nodes.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -9,6 +9,7 @@
 use bon::bon;
 use bytes::Bytes;
 use cicadagw_unit::time::Span;
+use compact_str::CompactString;
 use smallvec::SmallVec;
 
 use super::connector::new_http_client;
@@ -25,7 +26,10 @@
     addresses: SmallVec<[SocketAddr; 2]>,
     timeout: Span,
     encoding: Arc<dyn Encoding>,
-    http: awc::Client,
+    agent: CompactString,
+    connect_timeout: Span,
+    /// The HTTP client; it keeps idle connections.
+    http: RefCell<awc::Client>,
     /// The index of the address that is tried first: that of the last call that did not fail to
     /// connect.
     preferred: Cell<usize>,
@@ -68,7 +72,9 @@
             addresses: addresses.into(),
             timeout,
             encoding,
-            http: new_http_client(agent, connect_timeout),
+            agent: agent.into(),
+            connect_timeout,
+            http: RefCell::new(new_http_client(agent, connect_timeout)),
             preferred: Cell::new(0),
             traffic,
         }
@@ -131,10 +137,8 @@
         timeout: Span,
     ) -> Result<Response, Failure> {
         let url = format!("http://{address}{}", request.path);
-        let mut outgoing = self
-            .http
-            .request(method(request.method), url)
-            .timeout(timeout.into());
+        let outgoing = self.http.borrow().request(method(request.method), url);
+        let mut outgoing = outgoing.timeout(timeout.into());
         for (name, value) in &request.fields {
             outgoing = outgoing.insert_header((*name, value.as_str()));
         }
@@ -148,6 +152,9 @@
             None => outgoing.send(),
         };
         let outcome = sending.await.map_err(Failure::from);
+        if matches!(outcome, Err(Failure::NoResponse(_))) {
+            self.drop_idle_connections();
+        }
         if !matches!(outcome, Err(Failure::Connect(_) | Failure::Invalid(_))) {
             self.traffic.count_sent(head + length);
         }
@@ -171,6 +178,15 @@
     }
 }
 
+impl Client {
+    /// Drops the idle connections. Whatever made one connection fall silent or end, such as a
+    /// failover of the platform, has likely affected the others as well.
+    fn drop_idle_connections(&self) {
+        let fresh = new_http_client(&self.agent, self.connect_timeout);
+        *self.http.borrow_mut() = fresh;
+    }
+}
+
 const fn method(method: Method) -> http::Method {
     match method {
         Method::Delete => http::Method::DELETE,
