Check at the platform whether a watch misses a change

Callers saw a confirmed change late by up to 7 s. Keep-alive probes notice a connection that is dead, but not a platform that keeps it open and delivers nothing, and a watcher vouched for its watch by beacons while it was pending: all nodes agreed on the old version, and no other node began to watch.

A watcher now asks each second without a response whether the configuration has changed. The question waits for nothing, may be answered from stale data, and costs a tenth of a watch; a watcher sends no beacons after one that failed, so others replace it within 2 s. A check that finds the history gone reads the configuration again. Watches last 15 s in place of 10 s, since they no longer bound the time until silence is noticed. Ruled out: shorter watches (twice the calls), and comparing what several watchers have heard, which shows nothing when all of them are struck.

--- a/crates/cicadagw-gossip/src/core/step.rs
+++ b/crates/cicadagw-gossip/src/core/step.rs
@@ -155,10 +155,9 @@
     /// random peer.
     fn tick(&mut self, now: Timestamp) {
         self.update_watching(now);
-        if self.is_watcher
-            && let Some(call) = self.source.tick(now, &mut self.rng)
-        {
-            self.effects.push(Effect::Call(call));
+        if self.is_watcher {
+            let calls = self.source.tick(now, &mut self.rng);
+            self.effects.extend(calls.into_iter().map(Effect::Call));
         }
         self.send_beacon(now);
         match self.registration.tick(now) {
@@ -304,6 +303,7 @@
                     .listed(now, is_answered, others, &mut self.rng);
             }
             Reply::Configuration(outcome) => self.handle_configuration(now, outcome),
+            Reply::Checked(outcome) => self.handle_check(now, outcome),
             Reply::Fetched(outcome) => {
                 self.fetch_deadline = None;
                 match outcome {
@@ -339,6 +339,28 @@
         }
     }
 
+    /// Processes the response to a check of the configuration.
+    fn handle_check(
+        &mut self,
+        now: Timestamp,
+        outcome: Result<(Revision, Option<Arc<Snapshot>>), Error>,
+    ) {
+        self.track_platform(now, &outcome);
+        let (revision, snapshot) = match outcome {
+            Ok((revision, snapshot)) => {
+                self.confirmed_at = now;
+                (Ok(revision), snapshot)
+            }
+            Err(error) => (Err(error), None),
+        };
+        if let Some(call) = self.source.checked(now, &revision, &mut self.rng) {
+            self.effects.push(Effect::Call(call));
+        }
+        if let Some(snapshot) = snapshot {
+            self.adopt(snapshot, false);
+        }
+    }
+
     /// Applies a configuration if its version is above the current one, so that the version never
     /// decreases.
     pub(super) fn adopt(&mut self, snapshot: Arc<Snapshot>, from_node: bool) {
--- a/crates/cicadagw-gossip/src/event.rs
+++ b/crates/cicadagw-gossip/src/event.rs
@@ -49,6 +49,14 @@
         /// How long the platform may hold the request open.
         wait: Span,
     },
+    /// Ask whether the platform has a configuration newer than the revision `after`, without waiting
+    /// for one; the response may be seconds old.
+    CheckConfiguration {
+        /// Revision up to which all changes are known.
+        after: Revision,
+        /// Timeout of the request.
+        timeout: Span,
+    },
     /// Fetch the configuration from the node at this address, instead of from the platform.
     FetchConfiguration(SocketAddr),
 }
@@ -63,6 +71,9 @@
     /// Response to [`Call::ReadConfiguration`] and [`Call::WatchConfiguration`]: the revision to
     /// continue from, and the configuration if it has changed.
     Configuration(Result<(Revision, Option<Arc<Snapshot>>), Error>),
+    /// Response to [`Call::CheckConfiguration`]: the revision of the last known configuration, and
+    /// the configuration if it has changed.
+    Checked(Result<(Revision, Option<Arc<Snapshot>>), Error>),
     /// Response to [`Call::FetchConfiguration`].
     Fetched(Result<Arc<Snapshot>, Error>),
 }
--- a/crates/cicadagw-gossip/src/source.rs
+++ b/crates/cicadagw-gossip/src/source.rs
@@ -1,5 +1,5 @@
 //! Watching of the configuration at the platform by long polling, as `charts/source.jsonc` defines
-//! it.
+//! it, and checks that the watch misses nothing.
 
 use std::sync::LazyLock;
 
@@ -7,6 +7,7 @@
 use cicadagw_platform::{Error, Revision};
 use cicadagw_unit::time::{Span, Timestamp};
 use rand::{Rng, RngExt};
+use smallvec::SmallVec;
 
 use crate::Call;
 
@@ -66,8 +67,17 @@
 const CALL_GAP: Span = Span::new(500);
 
 /// How long the platform may hold a watch open. It is shorter than the history of about 20 s that
-/// platforms keep, and it bounds the time until a dead connection is detected.
-const WATCH_WAIT: Span = Span::seconds(10);
+/// platforms keep.
+const WATCH_WAIT: Span = Span::seconds(15);
+
+/// Time after the last response of the platform after which a watcher checks whether the
+/// configuration has changed. A pending watch says nothing about that: it may have fallen silent, or
+/// the platform may not deliver the change. A check costs a tenth of a watch.
+const CHECK_INTERVAL: Span = Span::seconds(1);
+
+/// Timeout of a check. A node that has to wait longer for the platform leaves the watching to
+/// others, if they can.
+const CHECK_TIMEOUT: Span = Span::seconds(1);
 
 /// Wait after the first failure, without jitter; doubled for each further one.
 const BACKOFF_MIN: Span = Span::new(200);
@@ -83,8 +93,16 @@
     after: Revision,
     /// Earliest time of the next request.
     due: Timestamp,
-    /// Number of consecutive requests that failed or found no configuration.
+    /// Number of consecutive watches and reads that failed or found no configuration.
     failures: u32,
+    /// Revision of the last configuration that a check has found.
+    checked: Revision,
+    /// Earliest time of the next check.
+    check_due: Timestamp,
+    /// Whether a check is in flight.
+    is_checking: bool,
+    /// Whether the last response, to a check or another request, was a failure.
+    is_doubted: bool,
 }
 
 /// Returns the embedded chart.
@@ -107,6 +125,10 @@
             after: Revision::default(),
             due: Timestamp::default(),
             failures: 0,
+            checked: Revision::default(),
+            check_due: Timestamp::default(),
+            is_checking: false,
+            is_doubted: false,
         }
     }
 }
@@ -118,23 +140,57 @@
     }
 
     /// Returns whether the configuration has been read, is not being read again, and the last
-    /// request did not fail.
+    /// response was no failure.
     pub const fn is_synced(&self) -> bool {
-        self.failures == 0 && matches!(self.state, State::Synced | State::Watching)
+        !self.is_doubted && self.is_watched()
     }
 
-    /// Returns whether a request has failed or found no configuration, and none has succeeded
-    /// since.
+    /// Returns whether the last request failed or found no configuration.
     pub const fn is_failing(&self) -> bool {
-        self.failures > 0
+        self.is_doubted
     }
 
-    /// Returns the request that is due, if any.
-    pub fn tick(&mut self, now: Timestamp, rng: &mut impl Rng) -> Option<Call> {
-        if now < self.due {
-            return None;
+    /// Returns the requests that are due.
+    pub fn tick(&mut self, now: Timestamp, rng: &mut impl Rng) -> SmallVec<[Call; 2]> {
+        let mut calls = SmallVec::new();
+        if now >= self.due {
+            calls.extend(self.step(now, Event::Due, rng));
         }
-        self.step(now, Event::Due, rng)
+        if now >= self.check_due && self.is_watched() && !self.is_checking {
+            self.is_checking = true;
+            calls.push(Call::CheckConfiguration {
+                after: self.after.max(self.checked),
+                timeout: CHECK_TIMEOUT,
+            });
+        }
+        calls
+    }
+
+    /// Processes the outcome of a check: the revision of the last known configuration. Returns the
+    /// request that must follow without a wait, if any.
+    pub fn checked(
+        &mut self,
+        now: Timestamp,
+        outcome: &Result<Revision, Error>,
+        rng: &mut impl Rng,
+    ) -> Option<Call> {
+        self.is_checking = false;
+        self.check_due = now.after(CHECK_INTERVAL);
+        self.is_doubted = outcome.is_err();
+        match outcome {
+            Ok(revision) => {
+                self.checked = self.checked.max(*revision);
+                None
+            }
+            // The history that the pending watch needs is gone as well.
+            Err(Error::Compacted) => self.step(now, Event::Compacted, rng),
+            Err(_) => None,
+        }
+    }
+
+    /// Returns whether all changes up to a revision are known.
+    const fn is_watched(&self) -> bool {
+        matches!(self.state, State::Synced | State::Watching)
     }
 
     /// Processes the outcome of a request, successful or not, and returns the request that must
@@ -149,11 +205,13 @@
             Ok(revision) => {
                 self.after = *revision;
                 self.failures = 0;
+                self.check_due = now.after(CHECK_INTERVAL);
                 Event::Answered
             }
             Err(Error::Compacted) => Event::Compacted,
             Err(_) => Event::Failed,
         };
+        self.is_doubted = outcome.is_err();
         self.step(now, event, rng)
     }
 
@@ -176,6 +234,7 @@
                     let wait = BACKOFF_MIN.times(1 << self.failures.min(8));
                     self.failures += 1;
                     self.due = now.after(jittered(wait.min(BACKOFF_MAX), rng));
+                    self.check_due = self.due;
                 }
             }
         }
--- a/crates/cicadagw-gossip/tests/silence.rs
+++ b/crates/cicadagw-gossip/tests/silence.rs
@@ -38,6 +38,18 @@
     assert_eq!(fleet.versions(), vec![2; 12]);
 }
 
+#[test]
+fn a_change_is_in_force_in_time_although_no_watch_delivers_it_and_the_history_is_gone() {
+    let mut fleet = watching_fleet(12);
+    fleet.platform.is_deaf = true;
+    fleet.platform.checks_find_no_history = true;
+
+    fleet.publish_configuration(2);
+    fleet.run(IN_FORCE_MAX);
+
+    assert_eq!(fleet.versions(), vec![2; 12]);
+}
+
 #[test]
 fn a_change_is_in_force_in_time_although_the_platform_is_silent_to_all_watchers() {
     let mut fleet = watching_fleet(12);
--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -55,6 +55,8 @@
     pub silent_to: BTreeSet<usize>,
     /// Whether watches stay open without delivering any change.
     pub is_deaf: bool,
+    /// Whether checks fail because the history that they need was compacted.
+    pub checks_find_no_history: bool,
     /// Whether watches fail because the history that they need was compacted.
     pub has_compacted: bool,
 }
@@ -256,6 +258,18 @@
             Call::ReadConfiguration | Call::WatchConfiguration { .. } if is_unavailable => {
                 Reply::Configuration(Err(unavailable()))
             }
+            Call::CheckConfiguration { .. } if is_unavailable => Reply::Checked(Err(unavailable())),
+            Call::CheckConfiguration { .. } if self.platform.checks_find_no_history => {
+                Reply::Checked(Err(Error::Compacted))
+            }
+            Call::CheckConfiguration { after, .. } => {
+                Reply::Checked(Ok(match &self.platform.config {
+                    Some((revision, snapshot)) if *revision > after => {
+                        (*revision, Some(snapshot.clone()))
+                    }
+                    _ => (after, None),
+                }))
+            }
             Call::Register { member, create } => {
                 let exists = self.platform.members.contains_key(member.node.as_str());
                 Reply::Registered(if exists == create {
@@ -290,9 +304,14 @@
             Call::ListMembers => (Span::new(0), Reply::Members(Err(error()))),
             Call::ReadConfiguration => (Span::new(0), Reply::Configuration(Err(error()))),
             Call::WatchConfiguration { wait, .. } => (*wait, Reply::Configuration(Err(error()))),
+            Call::CheckConfiguration { .. } => (Span::new(0), Reply::Checked(Err(error()))),
             Call::FetchConfiguration(_) => unreachable!("a fetch does not go to the platform"),
         };
-        let at = self.now.after(wait).after(CALL_TIMEOUT);
+        let timeout = match call {
+            Call::CheckConfiguration { timeout, .. } => *timeout,
+            _ => CALL_TIMEOUT,
+        };
+        let at = self.now.after(wait).after(timeout);
         self.nodes[index].delayed.push((at, reply));
     }
 
--- a/crates/cicadagw-meter/src/label.rs
+++ b/crates/cicadagw-meter/src/label.rs
@@ -40,6 +40,8 @@
 label! {
     /// An operation on the object store of the platform.
     Operation {
+        /// Asks whether an object has changed; the response may be stale.
+        Check = "check",
         /// Removes an object.
         Delete = "delete",
         /// Reads an object.
--- a/crates/cicadagw-node/src/peering/gossip.rs
+++ b/crates/cicadagw-node/src/peering/gossip.rs
@@ -148,6 +148,7 @@
             Call::ReadConfiguration | Call::WatchConfiguration { .. } => {
                 Reply::Configuration(Err(error()))
             }
+            Call::CheckConfiguration { .. } => Reply::Checked(Err(error())),
             Call::FetchConfiguration(_) => Reply::Fetched(Err(error())),
         })
     }
--- a/crates/cicadagw-node/src/peering/platform.rs
+++ b/crates/cicadagw-node/src/peering/platform.rs
@@ -90,6 +90,10 @@
                 let watching = self.watch(after, wait);
                 Reply::Configuration(self.observe(Operation::Watch, watching).await)
             }
+            Call::CheckConfiguration { after, timeout } => {
+                let checking = self.check(after, timeout);
+                Reply::Checked(self.observe(Operation::Check, checking).await)
+            }
             Call::FetchConfiguration(address) => {
                 let fetched = self.client.fetch(address, SNAPSHOT_PATH).await;
                 Reply::Fetched(fetched.and_then(|bytes| decode_snapshot(&bytes)))
@@ -156,6 +160,21 @@
         Ok((position.at, snapshot))
     }
 
+    /// Checks whether there is a configuration after the revision `after`; the response may be stale.
+    /// Returns the revision of the newest one, whether or not it can be decoded.
+    async fn check(
+        &self,
+        after: Revision,
+        timeout: Span,
+    ) -> Result<(Revision, Option<Arc<Snapshot>>), Error> {
+        Ok(
+            match self.client.check(&Key::head(), after, timeout).await? {
+                Some(object) => (object.revision, self.decode(&object)),
+                None => (after, None),
+            },
+        )
+    }
+
     /// Decodes a configuration. One that cannot be decoded is logged and ignored as a whole.
     fn decode(&self, object: &Object) -> Option<Arc<Snapshot>> {
         (self.adapter.parse_snapshot)(&object.value)
--- a/crates/cicadagw-platform/src/encoding/interface.rs
+++ b/crates/cicadagw-platform/src/encoding/interface.rs
@@ -33,7 +33,11 @@
     /// Encodes a wait of up to `wait` for a change of an object after the revision `after`.
     fn watch(&self, key: &Key, after: Revision, wait: Span) -> Request;
 
-    /// Decodes the response to [`Encoding::watch`].
+    /// Encodes a check for a change of an object after the revision `after`, which does not wait and
+    /// may be answered from stale data.
+    fn check(&self, key: &Key, after: Revision) -> Request;
+
+    /// Decodes the response to [`Encoding::watch`] or [`Encoding::check`].
     ///
     /// # Errors
     ///
--- a/crates/cicadagw-platform/src/encoding/native.rs
+++ b/crates/cicadagw-platform/src/encoding/native.rs
@@ -53,6 +53,10 @@
         Request::read(path::watch(key, after, wait))
     }
 
+    fn check(&self, key: &Key, after: Revision) -> Request {
+        self.watch(key, after, Span::new(0))
+    }
+
     fn position(&self, key: &Key, after: Revision, response: &Response) -> Result<Position, Error> {
         match response.status {
             200 => {
--- a/crates/cicadagw-platform/src/http/client.rs
+++ b/crates/cicadagw-platform/src/http/client.rs
@@ -101,6 +101,23 @@
         }
     }
 
+    /// Returns the object if its revision is above `after`, without waiting for a change. The
+    /// response may be seconds old; it costs less than that of [`Store::watch`].
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no valid response within `timeout`.
+    pub async fn check(
+        &self,
+        key: &Key,
+        after: Revision,
+        timeout: Span,
+    ) -> Result<Option<Object>, Error> {
+        let request = self.encoding.check(key, after);
+        let response = self.call(&request, Effect::Read, timeout).await?;
+        Ok(self.encoding.position(key, after, &response)?.object)
+    }
+
     /// Sends `request`, which has `effect`, to the first address that accepts a connection.
     ///
     /// Only a failure to connect moves on to the next address: after it, the platform has not
--- a/crates/cicadagw-platform/tests/silence.rs
+++ b/crates/cicadagw-platform/tests/silence.rs
@@ -72,13 +72,13 @@
 fn time_to_probe(port: u16) -> Option<Duration> {
     let remote = format!(":{port:04X}");
     let table = fs::read_to_string("/proc/net/tcp").unwrap();
-    let timers = table.lines().filter_map(|line| {
+    let mut timers = table.lines().filter_map(|line| {
         let columns: Vec<&str> = line.split_whitespace().collect();
         let (timer, ticks) = columns.get(5)?.split_once(':')?;
         let is_client = columns.get(2)?.ends_with(&remote);
         (is_client && timer == KEEP_ALIVE_TIMER).then_some(ticks)
     });
-    let ticks = timers.last()?;
+    let ticks = timers.next_back()?;
     // The kernel shows timers in hundredths of a second.
     let hundredths = u64::from_str_radix(ticks, 16).unwrap();
     Some(Duration::from_millis(hundredths * 10))
