Let nodes replace a failed watcher one after the other

When all watchers of a region lose their connections for a moment, every node that hears of it began to read and watch the configuration; the larger the region, the more did.

A node now waits 300 ms, and 100 ms more for each place in the order of its region, while too few watchers before it send beacons. The test that bounds the time until the watchers of a silent platform are replaced still passes.

--- a/crates/cicadagw-gossip/src/watchers.rs
+++ b/crates/cicadagw-gossip/src/watchers.rs
@@ -43,11 +43,21 @@
 /// configuration, only a few of them ask for it until it is there, and the others get it from them.
 const NO_CONFIGURATION_WAIT_PER_NODE: Span = Span::new(200);
 
+/// How long a node waits before it replaces a failed watcher: a watcher that lost its connection is
+/// back sooner.
+const TAKEOVER_DELAY: Span = Span::new(300);
+
+/// How much longer each further node in the order waits, so that a region does not begin to watch as
+/// a whole when one watcher fails.
+const TAKEOVER_DELAY_PER_NODE: Span = Span::new(100);
+
 /// The watchers of the region, as this node knows them from their beacons.
 #[derive(Clone, Debug)]
 pub(crate) struct Watchers {
     /// When the last beacon of each watcher arrived.
     last_beacon: BTreeMap<id::Node, Timestamp>,
+    /// Since when too few nodes before this one in the order have sent beacons.
+    lacking_since: Option<Timestamp>,
     /// When this node started.
     started: Timestamp,
     /// Whether the whole fleet starts for the first time.
@@ -58,6 +68,7 @@
     pub(crate) const fn new(started: Timestamp, is_first_start: bool) -> Self {
         Self {
             last_beacon: BTreeMap::new(),
+            lacking_since: None,
             started,
             is_first_start,
         }
@@ -73,12 +84,13 @@
     }
 
     /// Returns whether this node must watch: it is among the first [`WATCHERS_PER_REGION`] nodes in
-    /// the order, or fewer than that many of the nodes before it send beacons, or it has had no
-    /// configuration for [`NO_CONFIGURATION_WAIT`] and its turn has come. At the first start of the
+    /// the order, or fewer than that many of the nodes before it have sent beacons for
+    /// [`TAKEOVER_DELAY`] and its turn has come, or it has had no configuration for
+    /// [`NO_CONFIGURATION_WAIT`] and its turn has come. At the first start of the
     /// fleet, a node that knows no other one waits as well; after a restart, it does not, because it
     /// has calls to serve.
     pub(crate) fn must_watch(
-        &self,
+        &mut self,
         now: Timestamp,
         table: &Table,
         own: &Member,
@@ -105,7 +117,13 @@
             let last = self.last_beacon.get(&member.node);
             last.is_some_and(|last| now.since(*last) < timeout)
         };
-        order[..position].iter().filter(is_alive).count() < WATCHERS_PER_REGION
+        if order[..position].iter().filter(is_alive).count() >= WATCHERS_PER_REGION {
+            self.lacking_since = None;
+            return false;
+        }
+        let since = *self.lacking_since.get_or_insert(now);
+        let delay = TAKEOVER_DELAY.plus(TAKEOVER_DELAY_PER_NODE.times(turn as u64));
+        now.since(since) >= delay
     }
 }
 
