Let a node that receives no messages watch the platform itself

A node that hears no other one held the old version until the beacons of the watchers timed out: 7.4 s at 295 nodes, 25 s at 1,300, where a change must be in force within 3 s.

A node that knows others and has received no message for 3 s now watches the platform. At two digests per second and node, one of 400 nodes does so by chance, so 1,300 nodes cost some three more watches at a time. The handling of configurations moves to a file of its own.

--- a/crates/cicadagw-gossip/src/core/mod.rs
+++ b/crates/cicadagw-gossip/src/core/mod.rs
@@ -1,6 +1,7 @@
 //! The gossip state machine of one node.
 
 mod anti_entropy;
+mod configuration;
 mod dissemination;
 mod step;
 
--- a/crates/cicadagw-gossip/src/watchers.rs
+++ b/crates/cicadagw-gossip/src/watchers.rs
@@ -51,6 +51,11 @@
 /// a whole when one watcher fails.
 const TAKEOVER_DELAY_PER_NODE: Span = Span::new(100);
 
+/// How long a node that knows others may receive no message of any before it watches the platform
+/// itself. At two digests per second and node, one of 400 nodes hears nothing for that long by
+/// chance.
+const MESSAGE_TIMEOUT: Span = Span::seconds(3);
+
 /// The watchers of the region, as this node knows them from their beacons.
 #[derive(Clone, Debug)]
 pub(crate) struct Watchers {
@@ -58,6 +63,8 @@
     last_beacon: BTreeMap<id::Node, Timestamp>,
     /// Since when too few nodes before this one in the order have sent beacons.
     lacking_since: Option<Timestamp>,
+    /// When the last message of another node arrived; the start of this node before the first.
+    last_message: Timestamp,
     /// When this node started.
     started: Timestamp,
     /// Whether the whole fleet starts for the first time.
@@ -69,11 +76,17 @@
         Self {
             last_beacon: BTreeMap::new(),
             lacking_since: None,
+            last_message: started,
             started,
             is_first_start,
         }
     }
 
+    /// Records that a message of another node has arrived.
+    pub(crate) const fn record_message(&mut self, now: Timestamp) {
+        self.last_message = now;
+    }
+
     /// Records whether a digest of `node` says that it watches the platform.
     pub(crate) fn record(&mut self, now: Timestamp, node: &id::Node, is_watching: bool) {
         if is_watching {
@@ -86,7 +99,7 @@
     /// Returns whether this node must watch: it is among the first [`WATCHERS_PER_REGION`] nodes in
     /// the order, or fewer than that many of the nodes before it have sent beacons for
     /// [`TAKEOVER_DELAY`] and its turn has come, or it has had no configuration for
-    /// [`NO_CONFIGURATION_WAIT`] and its turn has come. At the first start of the
+    /// [`NO_CONFIGURATION_WAIT`] and its turn has come, or it receives no messages. At the first start of the
     /// fleet, a node that knows no other one waits as well; after a restart, it does not, because it
     /// has calls to serve.
     pub(crate) fn must_watch(
@@ -109,6 +122,9 @@
         if has_no_configuration && uptime >= NO_CONFIGURATION_WAIT.plus(wait) {
             return true;
         }
+        if now.since(self.last_message) >= MESSAGE_TIMEOUT {
+            return true;
+        }
         let timeout = beacon_timeout(order.len());
         if uptime < timeout {
             return false;
