--- a/crates/cicadagw-gossip/tests/silence.rs
+++ b/crates/cicadagw-gossip/tests/silence.rs
@@ -83,3 +83,14 @@
 
     assert_eq!(fleet.versions(), vec![2; LARGE_FLEET]);
 }
+
+#[test]
+fn a_change_is_in_force_in_time_although_fetches_from_all_but_one_watcher_time_out() {
+    let mut fleet = watching_fleet(24);
+    fleet.silent_to_fetches = WATCHERS[1..].iter().copied().collect();
+
+    fleet.publish_configuration(2);
+    fleet.run(IN_FORCE_MAX);
+
+    assert_eq!(fleet.versions(), vec![2; 24]);
+}
--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -70,6 +70,8 @@
     pub loss_permille: u32,
     /// Nodes that neither send nor receive any message.
     pub isolated: BTreeSet<usize>,
+    /// Nodes from which a fetch of the configuration gets no response.
+    pub silent_to_fetches: BTreeSet<usize>,
     /// Total size of all messages sent, in bytes.
     pub bytes: usize,
     /// Total size of the messages sent to another region, in bytes.
@@ -145,6 +147,7 @@
             platform: Platform::default(),
             loss_permille: 0,
             isolated: BTreeSet::new(),
+            silent_to_fetches: BTreeSet::new(),
             bytes: 0,
             cross_region_bytes: 0,
             rng: StdRng::seed_from_u64(5),
@@ -236,6 +239,9 @@
     fn call(&mut self, index: usize, call: Call) {
         if let Call::FetchConfiguration(address) = &call {
             let from = usize::from(address.port()) - 1;
+            if self.silent_to_fetches.contains(&from) {
+                return self.time_out(index, &call);
+            }
             let version = self.nodes[from].core.version().get();
             let is_isolated = self.isolated.contains(&from) || self.isolated.contains(&index);
             let fetched = if is_isolated {
@@ -305,7 +311,7 @@
             Call::ReadConfiguration => (Span::new(0), Reply::Configuration(Err(error()))),
             Call::WatchConfiguration { wait, .. } => (*wait, Reply::Configuration(Err(error()))),
             Call::CheckConfiguration { .. } => (Span::new(0), Reply::Checked(Err(error()))),
-            Call::FetchConfiguration(_) => unreachable!("a fetch does not go to the platform"),
+            Call::FetchConfiguration(_) => (Span::new(0), Reply::Fetched(Err(error()))),
         };
         let timeout = match call {
             Call::CheckConfiguration { timeout, .. } => *timeout,
