--- a/crates/cicadagw-node/src/peering/gossip.rs
+++ b/crates/cicadagw-node/src/peering/gossip.rs
@@ -205,13 +205,12 @@
                 .is_some_and(|backend| backend.is_ready);
             log::info!(member:% = member.node, stamp:% = member.stamp, endpoint, is_ready, is_leaving = member.is_leaving; "{notice}");
         }
-        Notice::PlatformAvailable => log::info!("{notice}"),
+        Notice::PlatformAvailable | Notice::Watching(_) => log::info!("{notice}"),
         Notice::PlatformUnavailable {
             reason,
             confirmed_age,
         } => {
             log::warn!(reason:%, confirmed_age_ms = confirmed_age.get(), next = "the node requests the configuration from other nodes"; "{notice}");
         }
-        Notice::Watching(_) => log::info!("{notice}"),
     }
 }
