Drop idle connections to a node or server beside one that has fallen silent

After all connections had fallen silent, calls went on failing for two seconds: each idle connection of a pool took a call with it, which ended at its deadline. A request to the local backend server was given up only after 2 s without acknowledgement.

The kernel of a backend server on the same host acknowledges at once, so its limit is 300 ms now. A slow answer is not cut: it has been acknowledged. Ruled out: a shorter wait for another node's interim response, which a slow link between regions would exceed.

What is left are calls in flight at that moment and the first on each connection.

--- a/crates/cicadagw-http/src/client.rs
+++ b/crates/cicadagw-http/src/client.rs
@@ -63,6 +63,10 @@
     Ended,
     /// As `Ended`, on a connection that had served an earlier request.
     EndedReused,
+    /// The server has not acknowledged the request within [`Options::tcp_user_timeout`].
+    ///
+    /// [`Options::tcp_user_timeout`]: crate::pool::Options::tcp_user_timeout
+    Silent,
     /// The response, or a stale response before it, is invalid, was cut off by the end of the
     /// connection, or leaves the connection unusable: `101 Switching Protocols`, a stale response
     /// that is too long or has no length, or too many interim or stale responses.
@@ -76,6 +80,7 @@
         f.write_str(match self {
             Self::Ended => "the connection was closed before a response head arrived",
             Self::EndedReused => "the reused connection was closed before a response head arrived",
+            Self::Silent => "the connection has fallen silent",
             Self::Unusable => {
                 "the response was invalid, incomplete or left the connection unusable"
             }
@@ -332,10 +337,14 @@
     /// Receives more bytes; fails when the connection ends.
     async fn fill(&mut self, reader: &mut (impl AsyncReadExt + Unpin)) -> Result<(), Loss> {
         self.buffer.reserve(READ_BYTES);
-        if let Ok(1..) = reader.read_buf(self.buffer).await {
+        let read = reader.read_buf(self.buffer).await;
+        if let Ok(1..) = read {
             return Ok(());
         }
         *self.state = step(*self.state, Event::Broken, false);
+        if read.is_err_and(|error| error.kind() == io::ErrorKind::TimedOut) {
+            return Err(Loss::Silent);
+        }
         // Buffered bytes belong to an incomplete head or body, so the connection did not end
         // between two messages.
         Err(if self.buffer.is_empty() {
--- a/crates/cicadagw-http/src/pool.rs
+++ b/crates/cicadagw-http/src/pool.rs
@@ -79,6 +79,12 @@
         self.idle.borrow_mut().retain(|entry| now < entry.expires);
     }
 
+    /// Closes all idle connections, because another one of the pool has fallen silent: what made it
+    /// so has likely affected them as well.
+    pub fn drop_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Returns the number of idle connections.
     pub fn idle(&self) -> usize {
         self.idle.borrow().len()
--- a/crates/cicadagw-proxy/src/backend.rs
+++ b/crates/cicadagw-proxy/src/backend.rs
@@ -20,11 +20,12 @@
 use crate::clock::Clock;
 
 /// Timeouts of connections to a local backend server. The connection does not leave the host, so a
-/// backend server that takes longer has stalled.
+/// backend server that takes longer to accept it has stalled, and a request that the kernel does not
+/// acknowledge at once is on a connection that has fallen silent.
 const CONNECTIONS: Options = Options {
     connect_timeout: Duration::from_millis(500),
     idle_timeout: Duration::from_secs(30),
-    tcp_user_timeout: Duration::from_secs(2),
+    tcp_user_timeout: Duration::from_millis(300),
 };
 
 /// A local backend server: its admission control, the queued calls, and its connection pool.
--- a/crates/cicadagw-proxy/src/exchange.rs
+++ b/crates/cicadagw-proxy/src/exchange.rs
@@ -72,7 +72,12 @@
         .track_wait(timeout_at(destination.deadline, exchanging))
         .await
         .map_err(|_| Failure::Sent(Reason::Deadline, None))?
-        .map_err(|loss| Failure::Sent(Reason::Lost, Some(loss)))
+        .map_err(|loss| {
+            if loss == Loss::Silent {
+                destination.pool.drop_idle();
+            }
+            Failure::Sent(Reason::Lost, Some(loss))
+        })
 }
 
 fn not_sent(error: &io::Error) -> Failure {
--- a/crates/cicadagw-proxy/src/relay.rs
+++ b/crates/cicadagw-proxy/src/relay.rs
@@ -297,6 +297,7 @@
             any_silent = true;
             log::warn!(node:% = record.node, next = "its endpoint is avoided for a while"; "another node has not responded at all");
             peers.record_outcome(now, service, &record.endpoint, Signal::Unreachable, None);
+            peers.pool(record.address).drop_idle();
         }
         any_silent
     }
--- a/crates/cicadagw-proxy/tests/support/mod.rs
+++ b/crates/cicadagw-proxy/tests/support/mod.rs
@@ -12,3 +12,4 @@
 pub mod mesh;
 pub mod refusing;
 pub mod scripted;
+pub mod silencing;
