Hold the rate limits that backend servers name

Cause: the limit was not read at all. The limit is in the endpoint's record, so nodes that never met the server place calls by it, and a refusal tells the caller's node how long to avoid the endpoint. Calls beyond it go where room is or are refused at once, the less urgent first, with a Retry-After spread over what the limits allow. It ends with the first response to an executed request that does not name it; a restarted node makes few calls until a response tells.

The tests of the named limit cannot be met by the code before, which has no limit: each call beyond it was sent.

--- a/crates/cicadagw-admin/src/metrics.rs
+++ b/crates/cicadagw-admin/src/metrics.rs
@@ -250,6 +250,19 @@
             "Calls refused by admission control because the local backend server had no free slot",
             |sources, instrument| instrument.observe(sources.calls.counts().shed, &[]),
         );
+        self.counter(
+            "calls_limited",
+            "",
+            "Calls refused because of the rate limit that the local backend server names",
+            |sources, instrument| instrument.observe(sources.calls.counts().limited, &[]),
+        );
+        self.gauge(
+            "limited_endpoints",
+            "Known endpoints whose backend servers name a rate limit",
+            |sources, instrument| {
+                instrument.observe(sources.calls.counts().limited_endpoints, &[]);
+            },
+        );
         self.gauge(
             "calls_in_flight",
             "Calls in flight",
--- a/crates/cicadagw-call/src/admission/core.rs
+++ b/crates/cicadagw-call/src/admission/core.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use cicadagw_unit::id;
+use cicadagw_unit::rate::{CallRate, Priority};
 use cicadagw_unit::size::{Bytes, Slots};
 use cicadagw_unit::time::{Span, Timestamp};
 
@@ -11,6 +12,7 @@
 use super::wait::{is_acceptable_wait, share, slack, updated_average};
 use crate::Load;
 use crate::average::{RESPONSE_MAX, smooth};
+use crate::limit::Limit;
 
 /// Admission control for one backend server: its running calls and a short queue.
 #[derive(Clone, Debug)]
@@ -29,6 +31,7 @@
     response_sizes: BTreeMap<id::Policy, u64>,
     /// The longest target latency of any call so far; it never decreases, see [`BRIEF_FACTOR`].
     longest_latency: Span,
+    limit: Limit,
     last_ticket: Ticket,
 }
 
@@ -51,7 +54,7 @@
 
 impl Admission {
     /// Creates the admission control of a backend server that runs `slots` calls concurrently.
-    pub const fn new(slots: Slots) -> Self {
+    pub fn new(slots: Slots) -> Self {
         Self {
             slots,
             running: 0,
@@ -61,10 +64,20 @@
             work_by_policy: BTreeMap::new(),
             response_sizes: BTreeMap::new(),
             longest_latency: Span::new(0),
+            limit: Limit::default(),
             last_ticket: Ticket(0),
         }
     }
 
+    /// Creates the admission control of a backend server that an earlier process of this node has
+    /// served, and whose rate limit this process does not know.
+    pub fn with_forgotten_limit(now: Timestamp, slots: Slots) -> Self {
+        Self {
+            limit: Limit::forgotten(now),
+            ..Self::new(slots)
+        }
+    }
+
     /// Changes how many calls the backend server runs concurrently.
     pub fn resize(&mut self, now: Timestamp, slots: Slots) -> Release {
         self.slots = slots;
@@ -111,18 +124,46 @@
             deadline,
             constraints,
         };
-        let decision = self.decide(now, key, &call);
+        let decision = match self.decide(now, key, &call) {
+            Decision::Start | Decision::Queue { .. }
+                if let Err(wait) = self.take(now, key, &call) =>
+            {
+                Decision::Limited { wait }
+            }
+            decision => decision,
+        };
         match decision {
             Decision::Start => self.start(call.constraints.policy),
             Decision::Queue { displaced } => {
                 self.queue.retain(|key, _| Some(key.ticket) != displaced);
                 self.queue.insert(key, call);
             }
-            Decision::Shed | Decision::Expired => {}
+            Decision::Shed | Decision::Limited { .. } | Decision::Expired => {}
         }
         (ticket, decision)
     }
 
+    /// Takes a call that will start or be queued from the backend server's limit.
+    fn take(&mut self, now: Timestamp, key: Key, call: &QueuedCall) -> Result<(), Span> {
+        let priority = match key.is_long {
+            true => call.constraints.priority,
+            false => Priority::default(),
+        };
+        let in_flight = self.load().in_flight.get();
+        self.limit.take(now, priority, in_flight)
+    }
+
+    /// Returns the rate limit of the backend server.
+    pub const fn limit(&self) -> &Limit {
+        &self.limit
+    }
+
+    /// Processes the rate limit that a response of the backend server names; returns whether it has
+    /// changed.
+    pub fn observe_limit(&mut self, now: Timestamp, stated: Option<CallRate>) -> bool {
+        self.limit.observe(now, stated)
+    }
+
     /// Records that a running call under `policy` completed after `elapsed`.
     pub fn finish(&mut self, now: Timestamp, policy: &id::Policy, elapsed: Span) -> Release {
         self.record_work(policy, elapsed);
@@ -169,7 +210,11 @@
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
         let before = self.queue.len();
         self.queue.retain(|key, _| key.ticket != ticket);
-        self.queue.len() < before
+        let was_queued = self.queue.len() < before;
+        if was_queued {
+            self.limit.give_back();
+        }
+        was_queued
     }
 
     /// Removes all calls from the queue and returns them. Later calls may be queued again.
--- a/crates/cicadagw-call/src/admission/decision.rs
+++ b/crates/cicadagw-call/src/admission/decision.rs
@@ -1,5 +1,6 @@
 //! Decisions of admission control.
 
+use cicadagw_unit::time::Span;
 use smallvec::SmallVec;
 
 /// Identifies one call at one backend server; never reused.
@@ -32,6 +33,12 @@
     /// The call is shed: the queue is full, or the call would not be answered in time here. The
     /// caller's node may try another endpoint.
     Shed,
+    /// The backend server names a rate limit that does not allow the call now. The caller's node may
+    /// try another endpoint.
+    Limited {
+        /// The time after which the limit allows the call.
+        wait: Span,
+    },
     /// The call is refused because its deadline passed before it arrived.
     Expired,
 }
--- a/crates/cicadagw-call/src/balancer/core.rs
+++ b/crates/cicadagw-call/src/balancer/core.rs
@@ -4,7 +4,7 @@
 
 use cicadagw_endpoint::Record;
 use cicadagw_unit::id;
-use cicadagw_unit::rate::Permille;
+use cicadagw_unit::rate::{CallRate, Permille, Priority};
 use cicadagw_unit::size::Bytes;
 use cicadagw_unit::time::{Span, Timestamp};
 use rand::{Rng, RngExt};
@@ -112,7 +112,8 @@
     }
 
     /// Chooses an endpoint for a call under `policy` that is not in `tried`: of the healthy and
-    /// reachable ones, the one with the lowest expected cost in time and bytes.
+    /// reachable ones whose rate limit allows a call of `priority`, the one with the lowest expected
+    /// cost in time and bytes.
     ///
     /// Observed failures alone never leave a service without endpoints: health is ignored if the
     /// share of healthy endpoints is below `panic_threshold` or no healthy one is left, and
@@ -124,17 +125,22 @@
         rng: &mut impl Rng,
         tried: &[id::Endpoint],
         panic_threshold: Permille,
-        policy: &id::Policy,
+        (policy, priority): (&id::Policy, Priority),
     ) -> Option<&Record> {
         let counts_failures = !self.is_panicking(now, panic_threshold);
-        let mut tiers = self.eligible(tried, |endpoint| {
+        let eligible = |accepts: &dyn Fn(&Endpoint) -> bool| {
+            self.eligible(tried, |endpoint| {
+                endpoint.limited_for(now, priority).is_none() && accepts(endpoint)
+            })
+        };
+        let mut tiers = eligible(&|endpoint| {
             endpoint.is_reachable(now) && (!counts_failures || endpoint.is_healthy(now))
         });
         if tiers.iter().all(SmallVec::is_empty) {
-            tiers = self.eligible(tried, |endpoint| endpoint.is_reachable(now));
+            tiers = eligible(&|endpoint| endpoint.is_reachable(now));
         }
         if tiers.iter().all(SmallVec::is_empty) {
-            tiers = self.eligible(tried, |_| true);
+            tiers = eligible(&|_| true);
         }
         let profile = self.profiles.get(policy).copied().unwrap_or_default();
         if profile.bytes >= LOCAL_RESPONSE_BYTES_MIN && self.has_usable_endpoint_in_region(now) {
@@ -178,6 +184,35 @@
         }
     }
 
+    /// Records that the rate limit of the endpoint `id` refused a call of `priority`, and allows one
+    /// after `wait`.
+    pub fn record_limited(
+        &mut self,
+        now: Timestamp,
+        id: &id::Endpoint,
+        wait: Span,
+        priority: Priority,
+    ) {
+        if let Some(endpoint) = self.find(id) {
+            endpoint.record_limited(now, wait, priority);
+        }
+    }
+
+    /// Returns whether the rate limit of an endpoint refuses calls of `priority`.
+    pub fn is_limited(&self, now: Timestamp, priority: Priority) -> bool {
+        let mut endpoints = self.endpoints.iter();
+        endpoints.any(|endpoint| endpoint.limited_for(now, priority).is_some())
+    }
+
+    /// Returns the rate of calls that all endpoints together take, if each of them names a limit.
+    pub fn total_limit(&self) -> Option<CallRate> {
+        let limits = self.endpoints.iter().map(|endpoint| endpoint.record.limit);
+        let total: u64 = limits
+            .map(|limit| limit.map(CallRate::milli))
+            .sum::<Option<u64>>()?;
+        Some(CallRate::from_milli(total))
+    }
+
     /// Returns whether a reachable endpoint that is not in `tried` is reliable, that is, has a
     /// failure rate below `RELIABLE_FAILURE_PERMILLE_MAX`.
     pub fn has_reliable_endpoint(&self, now: Timestamp, tried: &[id::Endpoint]) -> bool {
--- a/crates/cicadagw-call/src/balancer/endpoint.rs
+++ b/crates/cicadagw-call/src/balancer/endpoint.rs
@@ -1,6 +1,7 @@
 //! One endpoint and the cost of a call to it.
 
 use cicadagw_endpoint::Record;
+use cicadagw_unit::rate::Priority;
 use cicadagw_unit::time::{Span, Timestamp};
 
 use super::decay::DecayingAverage;
@@ -28,6 +29,10 @@
 /// The largest multiple of [`EJECTION_BASE`] to which repeated ejections grow.
 const EJECTION_FACTOR_MAX: u64 = 6;
 
+/// The longest time for which an endpoint is avoided because of its rate limit; the limit may have
+/// ended meanwhile.
+const LIMITED_MAX: Span = Span::seconds(1);
+
 /// How long an endpoint is avoided after the first failure to reach it.
 const UNREACHABLE_BACKOFF: Span = Span::new(500);
 
@@ -91,6 +96,9 @@
     /// Ejections since the last successful call, up to [`EJECTION_FACTOR_MAX`].
     pub(super) ejections: u64,
     pub(super) ejected_until: Timestamp,
+    /// Until when the rate limit of the backend server refuses calls, and the most urgent priority
+    /// that it refuses.
+    pub(super) limited: Option<(Timestamp, Priority)>,
     /// The recent share of calls that failed, in thousandths.
     pub(super) failure_rate: DecayingAverage,
     /// The work time of a call relative to the other endpoints, in thousandths.
@@ -128,6 +136,22 @@
         self.unreachable_until <= now
     }
 
+    /// Returns how long the rate limit still refuses calls of `priority`; `None` if it does not.
+    pub(super) fn limited_for(&self, now: Timestamp, priority: Priority) -> Option<Span> {
+        let (until, refused) = self.limited?;
+        (now < until && priority >= refused).then(|| until.since(now))
+    }
+
+    /// Records that the rate limit refused a call of `priority`, and allows one after `wait`.
+    pub(super) fn record_limited(&mut self, now: Timestamp, wait: Span, priority: Priority) {
+        let until = now.after(wait.min(LIMITED_MAX));
+        let refused = match self.limited {
+            Some((until, refused)) if now < until => refused.min(priority),
+            _ => priority,
+        };
+        self.limited = Some((until, refused));
+    }
+
     /// Counts a failure, and ejects the endpoint after [`CONSECUTIVE_FAILURES_MAX`] in a row.
     pub(super) fn record_failure(&mut self, now: Timestamp) {
         self.failures += 1;
@@ -164,7 +188,7 @@
     ) -> u64 {
         let work = profile.work_us * self.relative_work.get(now) / AVERAGE_RELATIVE_WORK;
         let load = self.load(now, utilization) + 1_000;
-        let capacity = self.capacity(now).max(1);
+        let capacity = self.capacity(now, work).max(1);
         let busy = FULL_LOAD_US * load.min(capacity) / capacity * load.min(capacity) / capacity;
         let wait = match load.checked_sub(capacity) {
             None | Some(0) => 0,
@@ -183,7 +207,7 @@
     /// Returns whether a further call is expected to find a free slot. `utilization` is that of
     /// other endpoints.
     pub(super) fn expects_room(&self, now: Timestamp, utilization: u64) -> bool {
-        self.load(now, utilization) + 1_000 <= self.capacity(now)
+        self.load(now, utilization) + 1_000 <= self.capacity(now, DEFAULT_WORK_US)
     }
 
     /// Returns the estimated number of calls in flight at the endpoint, in thousandths of a call:
@@ -204,14 +228,19 @@
         others + own
     }
 
-    /// Returns how many calls the endpoint may run concurrently, in thousandths of a call; less
-    /// than its slots during slow start.
-    fn capacity(&self, now: Timestamp) -> u64 {
+    /// Returns how many calls that take `work_us` the endpoint may run concurrently, in thousandths of
+    /// a call; less than its slots during slow start. A backend server with a rate limit runs as many
+    /// as arrive at that rate during the time of one call (Little's law).
+    fn capacity(&self, now: Timestamp, work_us: u64) -> u64 {
         let weight = self.added.map_or(1_000, |added| {
             let age = now.since(added).get().min(SLOW_START.get());
             SLOW_START_PERMILLE + (1_000 - SLOW_START_PERMILLE) * age / SLOW_START.get()
         });
-        u64::from(self.record.slots.get().max(1)) * weight
+        let by_slots = u64::from(self.record.slots.get().max(1)) * weight;
+        let by_limit = self.record.limit.map_or(u64::MAX, |limit| {
+            limit.milli().saturating_mul(work_us) / 1_000_000
+        });
+        by_slots.min(by_limit)
     }
 }
 
@@ -233,6 +262,7 @@
         failures: 0,
         ejections: 0,
         ejected_until: Timestamp::default(),
+        limited: None,
         failure_rate: DecayingAverage::new(0, FAILURE_HALF_LIFE),
         relative_work: DecayingAverage::new(AVERAGE_RELATIVE_WORK, RELATIVE_WORK_HALF_LIFE),
         unreachable: 0,
--- a/crates/cicadagw-call/src/lib.rs
+++ b/crates/cicadagw-call/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod balancer;
 mod budget;
 pub mod lifecycle;
+pub mod limit;
 mod load;
 mod outcome;
 pub mod pacing;
--- a/crates/cicadagw-call/src/lifecycle.rs
+++ b/crates/cicadagw-call/src/lifecycle.rs
@@ -8,6 +8,7 @@
 use cicadagw_chart::names;
 use cicadagw_endpoint::{LocalUpdate, State as EndpointState};
 use cicadagw_unit::id;
+use cicadagw_unit::rate::CallRate;
 use cicadagw_unit::size::Slots;
 use cicadagw_unit::time::{Span, Timestamp};
 
@@ -150,6 +151,8 @@
     /// The last announcement.
     announcement: Announcement,
     state: State,
+    /// The rate of calls that it takes from the whole fleet, while it names one.
+    limit: Option<CallRate>,
     /// When the registration timeout was last restarted.
     renewed_at: Timestamp,
 }
@@ -186,6 +189,7 @@
             .or_insert_with(|| Backend {
                 announcement: announcement.clone(),
                 state: chart().initial(),
+                limit: None,
                 renewed_at: now,
             });
         let is_resized = backend.announcement.slots != announcement.slots;
@@ -252,6 +256,17 @@
             .collect()
     }
 
+    /// Sets the limit that the backend server of an endpoint names, and publishes a change.
+    pub fn set_limit(&mut self, endpoint: &id::Endpoint, limit: Option<CallRate>) -> Vec<Effect> {
+        match self.backends.get_mut(endpoint) {
+            Some(backend) if backend.limit != limit => {
+                backend.limit = limit;
+                vec![Effect::Publish(backend.update())]
+            }
+            _ => Vec::new(),
+        }
+    }
+
     /// Restarts the registration timeout of all endpoints after the node itself was suspended:
     /// announcements from that time are still waiting to be read.
     pub fn renew_all(&mut self, now: Timestamp) {
@@ -366,6 +381,7 @@
     fn update(&self) -> LocalUpdate {
         LocalUpdate {
             endpoint: self.announcement.endpoint.clone(),
+            limit: self.limit,
             service: self.announcement.service.clone(),
             slots: self.announcement.slots,
             state: match self.state {
--- a/crates/cicadagw-call/src/outcome.rs
+++ b/crates/cicadagw-call/src/outcome.rs
@@ -39,6 +39,8 @@
         /// The HTTP version of the request does not let the caller tell a truncated response from a
         /// complete one.
         HttpVersion = "http-version",
+        /// The call exceeds the rate limit that the backend server names, or those of all endpoints.
+        Limited = "limited",
         /// The connection failed after part of the request was sent, or the attempt could not be
         /// made because the streamed body was consumed before.
         Lost = "lost",
@@ -77,7 +79,7 @@
             // The event `shed` is a refusal by the backend server itself; admission control at its
             // node sheds a call with the event `full`.
             Self::Rejected => Event::Shed,
-            Self::Shed => Event::Full,
+            Self::Limited | Self::Shed => Event::Full,
             Self::BadRequest
             | Self::BodyLimit
             | Self::Deadline
--- a/crates/cicadagw-call/tests/admission/property.rs
+++ b/crates/cicadagw-call/tests/admission/property.rs
@@ -42,7 +42,7 @@
                     self.waiting.remove(&displaced).expect("the call is queued");
                 }
             }
-            Decision::Shed | Decision::Expired => {}
+            Decision::Shed | Decision::Limited { .. } | Decision::Expired => {}
         }
     }
 
--- a/crates/cicadagw-call/tests/balancer.rs
+++ b/crates/cicadagw-call/tests/balancer.rs
@@ -6,7 +6,7 @@
 use cicadagw_call::Load;
 use cicadagw_call::balancer::{Balancer, Locality, Signal};
 use cicadagw_endpoint::{Record, State};
-use cicadagw_unit::rate::Permille;
+use cicadagw_unit::rate::{CallRate, Permille, Priority};
 use cicadagw_unit::size::{Bytes, Slots};
 use cicadagw_unit::time::{Span, Timestamp};
 use cicadagw_unit::{Sequence, id};
@@ -41,6 +41,7 @@
         sequence: Sequence::new(1),
         service: "orders".parse().unwrap(),
         slots: Slots::new(slots),
+        limit: None,
         state: State::Ready,
     }
 }
@@ -73,7 +74,7 @@
     let mut counts = BTreeMap::new();
     for _ in 0..count {
         let chosen = balancer
-            .choose(now, &mut rng, &[], HALF, &policy())
+            .choose(now, &mut rng, &[], HALF, (&policy(), Priority::default()))
             .unwrap()
             .endpoint
             .clone();
@@ -112,10 +113,22 @@
     balancer.record_outcome(at(0), &endpoint("near"), Signal::Neutral, Some(full));
 
     let before_expiry = balancer
-        .choose(at(10), &mut rng(), &[], HALF, &policy())
+        .choose(
+            at(10),
+            &mut rng(),
+            &[],
+            HALF,
+            (&policy(), Priority::default()),
+        )
         .unwrap();
     let after_expiry = balancer
-        .choose(at(1_000), &mut rng(), &[], HALF, &policy())
+        .choose(
+            at(1_000),
+            &mut rng(),
+            &[],
+            HALF,
+            (&policy(), Priority::default()),
+        )
         .unwrap();
 
     assert_eq!(before_expiry.endpoint, endpoint("middle"));
@@ -224,7 +237,13 @@
             .collect();
 
         let mut rng = StdRng::seed_from_u64(seed);
-        let chosen = balancer.choose(at(0), &mut rng, &tried, HALF, &policy());
+        let chosen = balancer.choose(
+            at(0),
+            &mut rng,
+            &tried,
+            HALF,
+            (&policy(), Priority::default()),
+        );
 
         match chosen {
             Some(record) => !tried.contains(&record.endpoint),
@@ -248,7 +267,7 @@
     for step in 0..1_000 {
         let now = at(step * 10);
         let chosen = balancer
-            .choose(now, &mut rng, &[], HALF, &policy())
+            .choose(now, &mut rng, &[], HALF, (&policy(), Priority::default()))
             .unwrap();
         let (chosen, region) = (chosen.endpoint.clone(), chosen.region.clone());
         crossed += usize::from(region != own_locality().region);
@@ -268,7 +287,13 @@
     balancer.record_outcome(at(0), &endpoint("near"), Signal::Neutral, Some(full));
     balancer.record_outcome(at(0), &endpoint("far"), Signal::Neutral, Some(idle));
 
-    let chosen = balancer.choose(at(10), &mut rng(), &[], HALF, &policy());
+    let chosen = balancer.choose(
+        at(10),
+        &mut rng(),
+        &[],
+        HALF,
+        (&policy(), Priority::default()),
+    );
 
     assert_eq!(chosen.unwrap().endpoint, endpoint("far"));
 }
@@ -285,7 +310,13 @@
         let load = load.parse().unwrap();
         balancer.record_outcome(at(0), &endpoint("near"), Signal::Neutral, Some(load));
         balancer.record_outcome(at(0), &endpoint("far"), Signal::Neutral, Some(idle));
-        let chosen = balancer.choose(at(10), &mut rng(), &[], HALF, &policy());
+        let chosen = balancer.choose(
+            at(10),
+            &mut rng(),
+            &[],
+            HALF,
+            (&policy(), Priority::default()),
+        );
         chosen.unwrap().endpoint.clone()
     };
 
@@ -295,3 +326,36 @@
     assert_eq!(with_short_queue, endpoint("near"));
     assert_eq!(with_long_queue, endpoint("far"));
 }
+
+#[test]
+fn endpoint_with_a_rate_limit_gets_calls_in_proportion() {
+    let mut limited = record("near", "kochi-a", 9);
+    limited.limit = Some(CallRate::from_milli(10_000));
+    let balancer = balancer(&[limited, record("other", "kochi-b", 9)]);
+    // At 10 calls/s of 50 ms each, half a call runs on average, so the endpoint counts as full.
+    let chosen = balancer.choose(
+        at(10),
+        &mut rng(),
+        &[],
+        HALF,
+        (&policy(), Priority::default()),
+    );
+
+    assert_eq!(chosen.unwrap().endpoint.as_str(), "other");
+}
+
+#[test]
+fn endpoint_that_refused_by_its_rate_limit_is_avoided_until_it_allows_a_call() {
+    let mut balancer = balancer(&[record("near", "kochi-a", 9)]);
+    let id = "near".parse().unwrap();
+    balancer.record_limited(at(0), &id, Span::new(80), Priority::new(1));
+    let choose = |time, priority| {
+        let call = (&policy(), Priority::new(priority));
+        let chosen = balancer.choose(at(time), &mut rng(), &[], HALF, call);
+        chosen.is_some()
+    };
+
+    assert!(!choose(79, 1));
+    assert!(choose(79, 0), "a more urgent call may be allowed");
+    assert!(choose(80, 1));
+}
--- a/crates/cicadagw-control/src/endpoints.rs
+++ b/crates/cicadagw-control/src/endpoints.rs
@@ -308,6 +308,7 @@
             address: self.identity.calls,
             domain: self.identity.domain.clone(),
             endpoint: local.endpoint.clone(),
+            limit: local.limit,
             link: self.identity.member.link,
             node: self.identity.member.node.clone(),
             rack: self.identity.member.rack.clone(),
--- a/crates/cicadagw-control/tests/control/fixture.rs
+++ b/crates/cicadagw-control/tests/control/fixture.rs
@@ -110,6 +110,7 @@
         endpoint: endpoint.parse().unwrap(),
         service: "shop".parse().unwrap(),
         slots: Slots::new(10),
+        limit: None,
         state,
     }
 }
@@ -127,6 +128,7 @@
         sequence: Sequence::new(sequence),
         service: "shop".parse().unwrap(),
         slots: Slots::new(10),
+        limit: None,
         state,
     }
 }
--- a/crates/cicadagw-dialect/src/header_names.rs
+++ b/crates/cicadagw-dialect/src/header_names.rs
@@ -13,6 +13,9 @@
     pub deadline: &'static str,
     /// The endpoint that the request is meant for; any other backend server refuses it.
     pub endpoint: Option<&'static str>,
+    /// The rate of calls that a backend server takes from the whole fleet, in calls per second, as it
+    /// states it in its responses for as long as it applies.
+    pub limit: Option<&'static str>,
     /// The number of hops between nodes that the request has made.
     pub hops: Option<&'static str>,
     /// The load that a backend server reports in a response, see [`crate::Dialect::parse_load`].
--- a/crates/cicadagw-endpoint/src/local.rs
+++ b/crates/cicadagw-endpoint/src/local.rs
@@ -1,6 +1,7 @@
 //! Updates about the backend server on the node's own host.
 
 use cicadagw_unit::id;
+use cicadagw_unit::rate::CallRate;
 use cicadagw_unit::size::Slots;
 
 use crate::State;
@@ -14,6 +15,9 @@
 pub struct LocalUpdate {
     /// The endpoint of the backend server.
     pub endpoint: id::Endpoint,
+    /// The rate of calls that the backend server takes from the whole fleet, while it names one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<CallRate>,
     /// The service that the backend server implements.
     pub service: id::Service,
     /// The number of requests that the backend server executes concurrently.
--- a/crates/cicadagw-endpoint/src/record.rs
+++ b/crates/cicadagw-endpoint/src/record.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use cicadagw_unit::rate::CallRate;
 use cicadagw_unit::size::Slots;
 use cicadagw_unit::{Sequence, id};
 
@@ -17,6 +18,9 @@
     pub domain: id::Domain,
     /// The endpoint that the record describes.
     pub endpoint: id::Endpoint,
+    /// The rate of calls that the backend server takes from the whole fleet, while it names one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<CallRate>,
     /// The address at which the owner accepts links from its peers.
     pub link: SocketAddr,
     /// The owner.
--- a/crates/cicadagw-gossip/src/core/step.rs
+++ b/crates/cicadagw-gossip/src/core/step.rs
@@ -192,6 +192,7 @@
             State::Ready => Some(Backend {
                 endpoint: local.endpoint.clone(),
                 is_ready: true,
+                limit: local.limit,
                 service: local.service.clone(),
                 slots: local.slots,
             }),
--- a/crates/cicadagw-gossip/src/member.rs
+++ b/crates/cicadagw-gossip/src/member.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use cicadagw_unit::id;
+use cicadagw_unit::rate::CallRate;
 use cicadagw_unit::size::Slots;
 
 /// Logical timestamp that orders the records of one node: by process start first, then by a counter
@@ -87,6 +88,9 @@
     pub endpoint: id::Endpoint,
     /// Whether it accepts new requests.
     pub is_ready: bool,
+    /// The rate of calls that it takes from the whole fleet, while it names one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<CallRate>,
     /// The service that it provides.
     pub service: id::Service,
     /// How many requests it can process concurrently.
--- a/crates/cicadagw-gossip/src/table.rs
+++ b/crates/cicadagw-gossip/src/table.rs
@@ -86,6 +86,7 @@
         address: member.calls,
         domain: member.domain.clone(),
         endpoint: backend.endpoint.clone(),
+        limit: backend.limit,
         // Gossiping nodes have no links, so the gossip address fills the field.
         link: member.gossip,
         node: member.node.clone(),
--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -96,6 +96,7 @@
         endpoint: endpoint.parse().unwrap(),
         service: "orders".parse().unwrap(),
         slots: Slots::new(9),
+        limit: None,
         state,
     }
 }
--- a/crates/cicadagw-proxy/src/attempts.rs
+++ b/crates/cicadagw-proxy/src/attempts.rs
@@ -207,6 +207,7 @@
     let reason = text(header::REASON).and_then(|text| text.parse().ok());
     let load: Option<Load> = text(header::LOAD).and_then(|text| text.parse().ok());
     let work = text(header::WORK).and_then(|text| text.parse().ok());
+    let wait = text(header::LIMITED).and_then(|text| text.parse().ok());
     let end = match (kind, reason) {
         (Some(Kind::Answered), _) => {
             End::Answered(Box::new(Response::new(response, idle_max, deadline)))
@@ -221,5 +222,6 @@
         end,
         load,
         work: work.map(Span::new),
+        retry_in: wait.map(Span::new),
     }
 }
--- a/crates/cicadagw-proxy/src/backend.rs
+++ b/crates/cicadagw-proxy/src/backend.rs
@@ -12,6 +12,7 @@
 use cicadagw_http::Pool;
 use cicadagw_http::pool::Options;
 use cicadagw_unit::id;
+use cicadagw_unit::rate::CallRate;
 use cicadagw_unit::size::{Bytes, Slots};
 use cicadagw_unit::time::{Span, Timestamp};
 use tokio::sync::oneshot;
@@ -50,8 +51,14 @@
 
 impl Backend {
     pub(crate) fn new(clock: Clock, announcement: &Announcement) -> Rc<Self> {
+        let slots = slots(announcement);
+        let admission = if announcement.order.sequence > 1 {
+            Admission::with_forgotten_limit(clock.now(), slots)
+        } else {
+            Admission::new(slots)
+        };
         Rc::new(Self {
-            admission: RefCell::new(Admission::new(slots(announcement))),
+            admission: RefCell::new(admission),
             waiting: RefCell::default(),
             clock,
             endpoint: announcement.endpoint.clone(),
@@ -83,12 +90,12 @@
     ///
     /// # Errors
     ///
-    /// Returns the reason why admission control refuses the call.
+    /// Returns why admission control refuses the call.
     pub(crate) async fn acquire_slot(
         self: &Rc<Self>,
         deadline: Timestamp,
         constraints: Constraints,
-    ) -> Result<Slot, Reason> {
+    ) -> Result<Slot, Refusal> {
         let now = self.clock.now();
         let policy = constraints.policy.clone();
         let (ticket, decision) = self
@@ -97,17 +104,36 @@
             .offer(now, deadline, constraints);
         match decision {
             Decision::Start => Ok(Slot::new(self, policy)),
-            Decision::Shed => Err(Reason::Shed),
-            Decision::Expired => Err(Reason::Deadline),
+            Decision::Shed => Err(Reason::Shed.into()),
+            Decision::Limited { wait } => Err(Refusal {
+                reason: Reason::Limited,
+                wait: Some(wait),
+            }),
+            Decision::Expired => Err(Reason::Deadline.into()),
             Decision::Queue { displaced } => {
                 if let Some(displaced) = displaced {
                     self.notify(displaced, Notification::Refused(Reason::Shed));
                 }
-                self.wait(deadline, ticket, policy).await
+                let waiting = self.wait(deadline, ticket, policy);
+                waiting.await.map_err(Refusal::from)
             }
         }
     }
 
+    /// Returns the rate of calls that the backend server takes, while it names one.
+    pub(crate) fn limit(&self) -> Option<CallRate> {
+        self.admission.borrow().limit().rate()
+    }
+
+    /// Processes the rate limit that a response of the backend server names.
+    pub(crate) fn observe_limit(&self, stated: Option<CallRate>) {
+        let now = self.clock.now();
+        if self.admission.borrow_mut().observe_limit(now, stated) {
+            let limit = stated.map(|limit| limit.to_string());
+            log::info!(endpoint:% = self.endpoint, limit:?; "the rate limit of a local backend server changed");
+        }
+    }
+
     /// Refuses all queued calls.
     pub(crate) fn close(&self) {
         let refused = self.admission.borrow_mut().close();
@@ -168,6 +194,20 @@
     }
 }
 
+/// The refusal of a call by admission control.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Refusal {
+    pub(crate) reason: Reason,
+    /// The time after which a limited call is allowed.
+    pub(crate) wait: Option<Span>,
+}
+
+impl From<Reason> for Refusal {
+    fn from(reason: Reason) -> Self {
+        Self { reason, wait: None }
+    }
+}
+
 /// A position in the queue. Dropping it removes the call from the queue if it was cancelled.
 struct Waiter<'g> {
     backend: &'g Rc<Backend>,
--- a/crates/cicadagw-proxy/src/delivery.rs
+++ b/crates/cicadagw-proxy/src/delivery.rs
@@ -11,11 +11,12 @@
 use cicadagw_dialect::HeaderNames;
 use cicadagw_http::client::Incoming;
 use cicadagw_http::{Fields, Response as ResponseHead};
+use cicadagw_unit::rate::CallRate;
 use cicadagw_unit::time::{Span, Timestamp};
 use cicadagw_unit::{id, size};
 use tokio::time::timeout;
 
-use crate::backend::{Backend, Slot};
+use crate::backend::{Backend, Refusal, Slot};
 use crate::exchange::{Destination, Failure, exchange};
 use crate::node::Node;
 use crate::reply::End;
@@ -58,6 +59,8 @@
     pub(crate) load: Option<Load>,
     /// The time from sending the request to the head of the response.
     pub(crate) work: Option<Span>,
+    /// The time after which a refused call may be made again, if it is known.
+    pub(crate) retry_in: Option<Span>,
 }
 
 impl Outcome {
@@ -70,6 +73,7 @@
             end,
             load: None,
             work: None,
+            retry_in: None,
         }
     }
 
@@ -114,12 +118,15 @@
     let acquiring = backend.acquire_slot(call.deadline, constraints);
     match call.request.track_wait(acquiring).await {
         Ok(slot) => send(node, &backend, slot, call).await,
-        Err(reason) => {
-            if reason == Reason::Shed {
-                node.stats.count_shed();
+        Err(Refusal { reason, wait }) => {
+            match reason {
+                Reason::Limited => node.stats.count_limited(),
+                Reason::Shed => node.stats.count_shed(),
+                _ => {}
             }
             Outcome {
                 load: Some(backend.load()),
+                retry_in: wait,
                 ..Outcome::not_run(reason)
             }
         }
@@ -145,6 +152,9 @@
     let fields = fields(node, backend, call);
     let outcome = exchange(&destination, call.request, &fields, call.upload).await;
     let work = node.clock.now().since(begin);
+    if let Ok(response) = &outcome {
+        observe_state(node, backend, &response.head, call.request);
+    }
     let end = match outcome {
         Ok(response) => match classify(names, &response.head, call.request) {
             Classification::Valid => {
@@ -192,6 +202,30 @@
         work: matches!(end, End::Answered(_)).then_some(work),
         end,
         load: Some(backend.load()),
+        retry_in: None,
+    }
+}
+
+/// Processes what a response says of the state of the backend server: its rate limit, and whether it
+/// is leaving. A refusal need not repeat the limit, so only a response to an executed request ends
+/// it.
+fn observe_state(node: &Node, backend: &Backend, head: &ResponseHead, request: &Request) {
+    let names = node.dialect.header_names();
+    let text = |name: Option<&str>| name.and_then(|name| head.fields.text(name));
+    let is_echoed = names
+        .attempt
+        .is_none_or(|name| head.fields.get(name) == request.attempt.as_ref());
+    if !is_echoed {
+        return;
+    }
+    let is_executed = names.not_run.is_none_or(|name| !head.fields.has(name));
+    match text(names.limit).map(str::parse::<CallRate>) {
+        Some(Ok(limit)) => backend.observe_limit(Some(limit)),
+        Some(Err(error)) => {
+            log::warn!(endpoint:% = backend.endpoint, error:%; "ignored an unreadable rate limit of a local backend server");
+        }
+        None if is_executed => backend.observe_limit(None),
+        None => {}
     }
 }
 
--- a/crates/cicadagw-proxy/src/header.rs
+++ b/crates/cicadagw-proxy/src/header.rs
@@ -23,6 +23,8 @@
 pub(crate) const REASON: &str = "x-cicadagw-reason";
 /// The load that the backend server's node reports, as `in_flight/slots`.
 pub(crate) const LOAD: &str = "x-cicadagw-load";
+/// The time after which the rate limit of the backend server allows a refused call, in milliseconds.
+pub(crate) const LIMITED: &str = "x-cicadagw-limited-ms";
 /// The time from sending the request to the backend server to its response head, in milliseconds.
 pub(crate) const WORK: &str = "x-cicadagw-work-ms";
 
--- a/crates/cicadagw-proxy/src/ingress.rs
+++ b/crates/cicadagw-proxy/src/ingress.rs
@@ -9,15 +9,16 @@
 use cicadagw_call::route::Target;
 use cicadagw_http::Body;
 use cicadagw_http::server::Reply;
-use cicadagw_unit::time::Timestamp;
+use cicadagw_unit::time::{Span, Timestamp};
 use tokio::time::timeout_at;
 
 use crate::delivery::{self, Call, Outcome};
 use crate::listener_kind::ListenerKind;
-use crate::node::{Node, Routing};
+use crate::node::Node;
 use crate::relay::Relay;
 use crate::reply::{End, add_node_fields};
 use crate::request::Request;
+use crate::routing::Routing;
 use crate::upload::Upload;
 
 /// Handles a call received on a listener of `kind`.
@@ -34,6 +35,7 @@
         mut end,
         load,
         work,
+        retry_in,
     } = match admit(node, kind, head) {
         Ok(request) => {
             let outcome = tokio::select! {
@@ -61,21 +63,22 @@
         response.hold_call_guard(guard);
         response.pace(node.pacer.clone());
     }
-    let retry_hint = retry_hint(node, &end);
+    let retry_hint = retry_hint(node, &end, retry_in);
     let mut reply = end.into_reply(&retry_hint);
     if is_from_node {
-        add_node_fields(&mut reply, load, work);
+        add_node_fields(&mut reply, load, work, retry_in);
     }
     reply
 }
 
-/// Returns the value of `retry-after` in a refusal; empty for other ends.
-fn retry_hint(node: &Node, end: &End) -> String {
+/// Returns the value of `retry-after` in a refusal, which is `retry_in` if it is known; empty for
+/// other ends.
+fn retry_hint(node: &Node, end: &End, retry_in: Option<Span>) -> String {
     let End::NotRun(reason) = end else {
         return String::new();
     };
     let uptime = node.clock.now().since(Timestamp::new(0));
-    let wait = retry_after(*reason, uptime, node.peers.random());
+    let wait = retry_in.unwrap_or_else(|| retry_after(*reason, uptime, node.peers.random()));
     node.dialect.retry_after(wait)
 }
 
@@ -173,6 +176,6 @@
                 .buffer_short()
                 .await
         }
-        None => Outcome::of(Relay::new(node, call).run().await),
+        None => Relay::new(node, call).run().await,
     }
 }
--- a/crates/cicadagw-proxy/src/maintenance.rs
+++ b/crates/cicadagw-proxy/src/maintenance.rs
@@ -45,6 +45,7 @@
 fn maintain(node: &Node) {
     node.expire();
     node.peers.prune_idle();
+    node.publish_limits();
     node.flush();
     node.publish();
 }
--- a/crates/cicadagw-proxy/src/node.rs
+++ b/crates/cicadagw-proxy/src/node.rs
@@ -5,20 +5,16 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use cicadagw_call::balancer::Locality;
 use cicadagw_call::lifecycle::{Announcement, Effect, Gone, State};
 use cicadagw_call::refusal::History;
 use cicadagw_call::route::Index;
 use cicadagw_call::{Reason, Registry};
 use cicadagw_config::{Edge, Snapshot};
 use cicadagw_dialect::Dialect;
-use cicadagw_endpoint::LocalUpdate;
-use cicadagw_ring::Sender;
 use cicadagw_settings::{Budget, Timing};
 use cicadagw_unit::id;
-use cicadagw_unit::rate::Throughput;
 use cicadagw_unit::time::Span;
-use cicadagw_view::{Endpoints, Shared, View};
+use cicadagw_view::{Shared, View};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
@@ -26,8 +22,10 @@
 use crate::clock::Clock;
 use crate::outbox::Outbox;
 use crate::pacer::Pacer;
+use crate::parts::Parts;
 use crate::peers::Peers;
 use crate::request::Request;
+use crate::routing::Routing;
 use crate::{Limits, Stats, stats};
 
 /// The shared state of the proxy.
@@ -58,37 +56,6 @@
     view: Shared,
 }
 
-/// The state by which calls are routed, derived from the view.
-#[derive(Clone, Default)]
-pub(crate) struct Routing {
-    /// The route index; `None` before there is a snapshot.
-    pub(crate) index: Option<Rc<Index>>,
-    /// Counts the changes of `endpoints`, so that derived state can be refreshed when it is
-    /// outdated.
-    pub(crate) epoch: u64,
-    pub(crate) endpoints: Arc<Endpoints>,
-    /// The limits on callers' requests.
-    caller_limits: Edge,
-    view: Option<Arc<View>>,
-}
-
-/// The parameters of [`Node::new`].
-pub(crate) struct Parts {
-    pub(crate) budget: Budget,
-    pub(crate) control: Sender<LocalUpdate>,
-    pub(crate) dialect: Arc<dyn Dialect>,
-    pub(crate) limits: Limits,
-    pub(crate) shutdown_delay: Span,
-    pub(crate) link_rate: Option<Throughput>,
-    pub(crate) locality: Locality,
-    pub(crate) retry_slack: Option<u64>,
-    pub(crate) seed: u64,
-    pub(crate) service: Option<id::Service>,
-    pub(crate) stats: Arc<Stats>,
-    pub(crate) timing: Timing,
-    pub(crate) view: Shared,
-}
-
 impl Node {
     pub(crate) fn new(parts: Parts) -> Self {
         Self {
@@ -200,6 +167,28 @@
         is_known
     }
 
+    /// Publishes changes of the rate limits that local backend servers name.
+    pub(crate) fn publish_limits(&self) {
+        let limits: Vec<_> = self
+            .local_backends
+            .borrow()
+            .values()
+            .map(|backend| (backend.endpoint.clone(), backend.limit()))
+            .collect();
+        for (endpoint, limit) in limits {
+            let effects = self.registry.borrow_mut().set_limit(&endpoint, limit);
+            if !effects.is_empty() {
+                self.apply(effects);
+            }
+        }
+        let endpoints = &self.view.load().endpoints;
+        let limited = endpoints
+            .values()
+            .flatten()
+            .filter(|record| record.limit.is_some());
+        self.stats.set_limited_endpoints(limited.count() as u64);
+    }
+
     /// Returns the current configuration snapshot, if there is one.
     pub(crate) fn snapshot(&self) -> Option<Arc<Snapshot>> {
         self.view.load().snapshot.clone()
@@ -338,6 +327,7 @@
                     endpoint: endpoint.clone(),
                     service: announcement.service.clone(),
                     state,
+                    limit: backend.limit(),
                     load: backend.load(),
                     says_in_flight: announcement.in_flight,
                 })
--- a/crates/cicadagw-proxy/src/peers.rs
+++ b/crates/cicadagw-proxy/src/peers.rs
@@ -7,13 +7,14 @@
 use std::time::Duration;
 
 use cicadagw_call::balancer::{Balancer, Locality, Signal, Summary};
+use cicadagw_call::limit::Returns;
 use cicadagw_call::{Budget, Load};
 use cicadagw_config::Cluster;
 use cicadagw_endpoint::Record;
 use cicadagw_http::Pool;
 use cicadagw_http::pool::Options;
 use cicadagw_unit::id;
-use cicadagw_unit::rate::Permille;
+use cicadagw_unit::rate::{CallRate, Permille, Priority};
 use cicadagw_unit::size::Bytes;
 use cicadagw_unit::time::{Span, Timestamp};
 use cicadagw_view::Endpoints;
@@ -52,6 +53,8 @@
     epoch: Option<u64>,
     balancer: Balancer,
     budget: Budget,
+    /// When callers that a rate limit refused are asked to come back.
+    returns: Returns,
 }
 
 impl Peers {
@@ -126,7 +129,7 @@
         cluster: &Cluster,
         (epoch, endpoints): (u64, &Endpoints),
         tried: &[id::Endpoint],
-        policy: &id::Policy,
+        (policy, priority): (&id::Policy, Priority),
     ) -> Option<Record> {
         let service = &cluster.service;
         let mut services = self.services.borrow_mut();
@@ -138,10 +141,51 @@
         }
         let rng = &mut *self.rng.borrow_mut();
         let threshold = cluster.panic_threshold;
-        let chosen = state.balancer.choose(now, rng, tried, threshold, policy);
+        let call = (policy, priority);
+        let chosen = state.balancer.choose(now, rng, tried, threshold, call);
         chosen.cloned()
     }
 
+    /// Records that the rate limit of the endpoint of `record` refused a call of `priority`, and
+    /// allows one after `wait`.
+    pub(crate) fn record_limited(
+        &self,
+        now: Timestamp,
+        record: &Record,
+        wait: Span,
+        priority: Priority,
+    ) {
+        if let Some(service) = self.services.borrow_mut().get_mut(&record.service) {
+            service
+                .balancer
+                .record_limited(now, &record.endpoint, wait, priority);
+        }
+    }
+
+    /// Returns whether the rate limit of an endpoint of `service` refuses calls of `priority`.
+    pub(crate) fn is_limited(
+        &self,
+        now: Timestamp,
+        service: &id::Service,
+        priority: Priority,
+    ) -> bool {
+        let services = self.services.borrow();
+        services
+            .get(service)
+            .is_some_and(|service| service.balancer.is_limited(now, priority))
+    }
+
+    /// Returns how long the caller of a call that the rate limits of `service` refuse is asked to
+    /// wait, if all its endpoints name one.
+    pub(crate) fn return_wait(&self, now: Timestamp, service: &id::Service) -> Option<Span> {
+        let mut services = self.services.borrow_mut();
+        let service = services.get_mut(service)?;
+        let total = service.balancer.total_limit()?;
+        let members = self.members.get().max(1) as u64;
+        let share = CallRate::from_milli(total.milli() / members);
+        Some(service.returns.next(now, share))
+    }
+
     /// Records the result of an attempt at `endpoint` and the load that it reported.
     pub(crate) fn record_outcome(
         &self,
--- a/crates/cicadagw-proxy/src/relay.rs
+++ b/crates/cicadagw-proxy/src/relay.rs
@@ -15,9 +15,10 @@
 
 use crate::attempts::{FinishedAttempt, RunningAttempt, RunningAttempts};
 use crate::delivery::{Call, Outcome};
-use crate::node::{Node, Routing};
+use crate::node::Node;
 use crate::reply::End;
 use crate::response::Response;
+use crate::routing::Routing;
 
 /// How long another node may send nothing at all. A node sends an interim response to every call
 /// that takes longer than `INTERIM_RESPONSE_DELAY`; the round trip between regions is added to
@@ -59,7 +60,7 @@
     }
 
     /// Performs the actions of the call's state chart until the call is over.
-    pub(crate) async fn run(mut self) -> End {
+    pub(crate) async fn run(mut self) -> Outcome {
         let service = &self.call.target.cluster.service;
         let policy = &self.call.target.policy;
         let peers = &self.node.peers;
@@ -76,16 +77,16 @@
             };
             let actions = attempts.step(event, conditions);
             if actions.is_empty() {
-                return self.end_unknown();
+                return Outcome::of(self.end_unknown());
             }
             for action in actions {
                 match action {
                     Action::Spend => self.spend_retry(),
                     Action::Choose => event = self.choose(),
                     Action::Send => event = self.send(&mut attempts).await,
-                    Action::ForwardResponse => return self.forward_response(),
-                    Action::ReplyNotRun => return End::NotRun(self.reason),
-                    Action::ReplyUnknown => return self.end_unknown(),
+                    Action::ForwardResponse => return Outcome::of(self.forward_response()),
+                    Action::ReplyNotRun => return self.refuse(),
+                    Action::ReplyUnknown => return Outcome::of(self.end_unknown()),
                 }
             }
         }
@@ -97,6 +98,19 @@
         self.node.peers.spend(&self.call.target.cluster.service);
     }
 
+    /// Refuses the call; a rate limit tells when its caller may come back.
+    fn refuse(&self) -> Outcome {
+        let service = &self.call.target.cluster.service;
+        let retry_in = match self.reason {
+            Reason::Limited => self.node.peers.return_wait(self.node.clock.now(), service),
+            _ => None,
+        };
+        Outcome {
+            retry_in,
+            ..Outcome::not_run(self.reason)
+        }
+    }
+
     fn forward_response(self) -> End {
         self.response
             .map_or(End::Unknown(Reason::Lost), End::Answered)
@@ -151,7 +165,7 @@
         // tried again if there is no other.
         self.chosen = match chosen {
             None if self.reason == Reason::Lost => self.select_endpoint(now, &routing, &[]),
-            Some(record) if self.reason == Reason::Shed => {
+            Some(record) if matches!(self.reason, Reason::Limited | Reason::Shed) => {
                 let peers = &self.node.peers;
                 let is_worth_asking = peers.is_worth_asking(now, &record, self.has_crossed);
                 is_worth_asking.then_some(record)
@@ -164,10 +178,22 @@
                 self.has_crossed |= self.node.peers.is_in_other_region(record);
                 Event::Chosen
             }
-            None => Event::NoEndpoint,
+            None => {
+                if self.reason == Reason::NoEndpoint && self.is_limited(now) {
+                    self.reason = Reason::Limited;
+                }
+                Event::NoEndpoint
+            }
         }
     }
 
+    /// Returns whether a rate limit of the service refuses such calls.
+    fn is_limited(&self, now: Timestamp) -> bool {
+        let target = self.call.target;
+        let peers = &self.node.peers;
+        peers.is_limited(now, &target.cluster.service, target.policy.priority)
+    }
+
     fn select_endpoint(
         &self,
         now: Timestamp,
@@ -176,9 +202,9 @@
     ) -> Option<Record> {
         let target = self.call.target;
         let endpoints = (routing.epoch, &*routing.endpoints);
-        self.node
-            .peers
-            .choose(now, &target.cluster, endpoints, tried, &target.policy_name)
+        let call = (&target.policy_name, target.policy.priority);
+        let peers = &self.node.peers;
+        peers.choose(now, &target.cluster, endpoints, tried, call)
     }
 
     /// Makes an attempt at the selected endpoint. If it takes unusually long and the call may be
@@ -251,7 +277,13 @@
     fn record_result(&mut self, finished: FinishedAttempt) -> Event {
         let FinishedAttempt {
             record,
-            outcome: Outcome { end, load, work },
+            outcome:
+                Outcome {
+                    end,
+                    load,
+                    work,
+                    retry_in,
+                },
             endpoint_call,
         } = finished;
         let (event, signal) = classify(&end);
@@ -259,6 +291,9 @@
         let target = self.call.target;
         let peers = &self.node.peers;
         peers.record_outcome(now, &target.cluster.service, &record.endpoint, signal, load);
+        if let Some(wait) = retry_in {
+            peers.record_limited(now, &record, wait, target.policy.priority);
+        }
         match end {
             End::Answered(mut response) => {
                 if let Some(work) = work
--- a/crates/cicadagw-proxy/src/reply.rs
+++ b/crates/cicadagw-proxy/src/reply.rs
@@ -56,7 +56,15 @@
 }
 
 /// Adds the fields for other nodes.
-pub(crate) fn add_node_fields(reply: &mut Reply, load: Option<Load>, work: Option<Span>) {
+pub(crate) fn add_node_fields(
+    reply: &mut Reply,
+    load: Option<Load>,
+    work: Option<Span>,
+    retry_in: Option<Span>,
+) {
+    if let Some(wait) = retry_in {
+        set(reply, header::LIMITED, &wait.get());
+    }
     if let Some(load) = load {
         set(reply, header::LOAD, &load);
     }
@@ -77,6 +85,7 @@
         Reason::HopLimit => 508,
         Reason::Draining
         | Reason::Gone
+        | Reason::Limited
         | Reason::Lost
         | Reason::NoConfiguration
         | Reason::NoEndpoint
--- a/crates/cicadagw-proxy/src/run.rs
+++ b/crates/cicadagw-proxy/src/run.rs
@@ -12,7 +12,8 @@
 
 use crate::listener::Listener;
 use crate::listener_kind::ListenerKind;
-use crate::node::{Node, Parts};
+use crate::node::Node;
+use crate::parts::Parts;
 use crate::{Setup, maintenance};
 
 /// The maximum time for writing the last responses after the last call has ended.
--- a/crates/cicadagw-proxy/src/stats.rs
+++ b/crates/cicadagw-proxy/src/stats.rs
@@ -8,6 +8,7 @@
 use cicadagw_call::{Load, Outcome, lifecycle};
 use cicadagw_meter::{Histogram, Latency};
 use cicadagw_unit::id;
+use cicadagw_unit::rate::CallRate;
 use cicadagw_unit::size::Slots;
 
 /// The counters, the latency histogram and the state that the proxy publishes; other duties may
@@ -17,6 +18,8 @@
     added_latency: Histogram,
     answered: AtomicU64,
     in_flight: AtomicU64,
+    limited: AtomicU64,
+    limited_endpoints: AtomicU64,
     not_run: AtomicU64,
     retries: AtomicU64,
     shed: AtomicU64,
@@ -32,6 +35,10 @@
     pub answered: u64,
     /// Calls in flight, including those of other nodes.
     pub in_flight: u64,
+    /// Calls refused because of the rate limit of a local backend server.
+    pub limited: u64,
+    /// Known endpoints whose backend servers name a rate limit.
+    pub limited_endpoints: u64,
     /// Calls of local callers whose requests were not executed.
     pub not_run: u64,
     /// Attempts that took a retry from the retry budget: retries and hedges, but not new attempts
@@ -65,6 +72,8 @@
     pub service: id::Service,
     /// The lifecycle state.
     pub state: lifecycle::State,
+    /// The rate of calls that it takes from the whole fleet, while it names one.
+    pub limit: Option<CallRate>,
     /// The load as counted by the node.
     pub load: Load,
     /// The number of running calls according to the backend server itself.
@@ -78,6 +87,8 @@
         Counts {
             answered: read(&self.answered),
             in_flight: read(&self.in_flight),
+            limited: read(&self.limited),
+            limited_endpoints: read(&self.limited_endpoints),
             not_run: read(&self.not_run),
             retries: read(&self.retries),
             shed: read(&self.shed),
@@ -117,6 +128,15 @@
         self.retries.fetch_add(1, Ordering::Relaxed);
     }
 
+    pub(crate) fn count_limited(&self) {
+        self.limited.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Sets the number of known endpoints whose backend servers name a rate limit.
+    pub(crate) fn set_limited_endpoints(&self, number: u64) {
+        self.limited_endpoints.store(number, Ordering::Relaxed);
+    }
+
     pub(crate) fn count_shed(&self) {
         self.shed.fetch_add(1, Ordering::Relaxed);
     }
--- a/crates/cicadagw-proxy/tests/support/mesh.rs
+++ b/crates/cicadagw-proxy/tests/support/mesh.rs
@@ -177,6 +177,7 @@
                 sequence: Sequence::new(1),
                 service: update.service.clone(),
                 slots: update.slots,
+                limit: None,
                 state: update.state,
             },
         );
@@ -200,6 +201,7 @@
                 sequence: Sequence::new(1),
                 service: "orders".parse().unwrap(),
                 slots: Slots::new(20),
+                limit: None,
                 state: State::Ready,
             },
         );
