Stop calls to a backend server that says in a response that it is leaving

A server that says so in its responses, and whose heartbeats still say that it is ready, or whose node has restarted since, went on getting calls: the header was not read.

Its node now drains it, and no later announcement makes it ready again. The caller's node, which passed the response on, remembers this start of the server and makes no further call to it, so that a restart of the node beside the server changes nothing. Records say when the server started, so a later start under the same id is not concerned.

The two tests of such a server cannot pass without it: it got the second call.

--- a/crates/cicadagw-call/src/lifecycle.rs
+++ b/crates/cicadagw-call/src/lifecycle.rs
@@ -256,6 +256,12 @@
             .collect()
     }
 
+    /// Drains an endpoint whose backend server has said in a response that it is leaving. A later
+    /// announcement does not make it ready again.
+    pub fn leave(&mut self, now: Timestamp, endpoint: &id::Endpoint) -> Vec<Effect> {
+        self.apply_event(now, endpoint, Event::Draining)
+    }
+
     /// Sets the limit that the backend server of an endpoint names, and publishes a change.
     pub fn set_limit(&mut self, endpoint: &id::Endpoint, limit: Option<CallRate>) -> Vec<Effect> {
         match self.backends.get_mut(endpoint) {
@@ -384,6 +390,7 @@
             limit: self.limit,
             service: self.announcement.service.clone(),
             slots: self.announcement.slots,
+            started_ms: self.announcement.order.started_ms,
             state: match self.state {
                 // Never published as `announced`: the first announcement leaves that state at once.
                 State::Announced | State::Ready => EndpointState::Ready,
--- a/crates/cicadagw-call/tests/balancer.rs
+++ b/crates/cicadagw-call/tests/balancer.rs
@@ -42,6 +42,7 @@
         service: "orders".parse().unwrap(),
         slots: Slots::new(slots),
         limit: None,
+        started_ms: 0,
         state: State::Ready,
     }
 }
--- a/crates/cicadagw-control/src/endpoints.rs
+++ b/crates/cicadagw-control/src/endpoints.rs
@@ -316,6 +316,7 @@
             sequence,
             service: local.service.clone(),
             slots: local.slots,
+            started_ms: local.started_ms,
             state: local.state,
         }
     }
--- a/crates/cicadagw-control/tests/control/fixture.rs
+++ b/crates/cicadagw-control/tests/control/fixture.rs
@@ -111,6 +111,7 @@
         service: "shop".parse().unwrap(),
         slots: Slots::new(10),
         limit: None,
+        started_ms: 0,
         state,
     }
 }
@@ -129,6 +130,7 @@
         service: "shop".parse().unwrap(),
         slots: Slots::new(10),
         limit: None,
+        started_ms: 0,
         state,
     }
 }
--- a/crates/cicadagw-dialect/src/header_names.rs
+++ b/crates/cicadagw-dialect/src/header_names.rs
@@ -13,6 +13,9 @@
     pub deadline: &'static str,
     /// The endpoint that the request is meant for; any other backend server refuses it.
     pub endpoint: Option<&'static str>,
+    /// The field by which a backend server says in its responses, with the value `1`, that it is
+    /// leaving and takes no further calls.
+    pub leaving: Option<&'static str>,
     /// The rate of calls that a backend server takes from the whole fleet, in calls per second, as it
     /// states it in its responses for as long as it applies.
     pub limit: Option<&'static str>,
--- a/crates/cicadagw-dialect/src/native.rs
+++ b/crates/cicadagw-dialect/src/native.rs
@@ -33,6 +33,7 @@
             deadline: "x-cicadagw-deadline-ms",
             endpoint: None,
             hops: Some("x-cicadagw-hops"),
+            leaving: Some("backend-leaving"),
             limit: Some("backend-limit"),
             load: None,
             not_run: None,
--- a/crates/cicadagw-endpoint/src/local.rs
+++ b/crates/cicadagw-endpoint/src/local.rs
@@ -5,6 +5,7 @@
 use cicadagw_unit::size::Slots;
 
 use crate::State;
+use crate::record::is_zero;
 
 /// A state change of a backend server on the node's own host.
 ///
@@ -22,6 +23,9 @@
     pub service: id::Service,
     /// The number of requests that the backend server executes concurrently.
     pub slots: Slots,
+    /// When the backend server started, in milliseconds since the Unix epoch; 0 if it does not say so.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub started_ms: u64,
     /// The state that the endpoint has entered.
     pub state: State,
 }
--- a/crates/cicadagw-endpoint/src/record.rs
+++ b/crates/cicadagw-endpoint/src/record.rs
@@ -35,10 +35,22 @@
     pub service: id::Service,
     /// The number of requests that the backend server executes concurrently.
     pub slots: Slots,
+    /// When the backend server started, in milliseconds since the Unix epoch; 0 if it does not say so.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub started_ms: u64,
     /// The state of the backend server.
     pub state: State,
 }
 
+/// Returns whether the number is zero, and so not written.
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+pub(crate) const fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
 /// The lifecycle state of an endpoint; a later state compares greater.
 #[derive(
     Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
--- a/crates/cicadagw-gossip/src/core/step.rs
+++ b/crates/cicadagw-gossip/src/core/step.rs
@@ -195,6 +195,7 @@
                 limit: local.limit,
                 service: local.service.clone(),
                 slots: local.slots,
+                started_ms: local.started_ms,
             }),
             // A late update of a backend server that another one has replaced.
             State::Draining | State::Gone if !is_current => return,
--- a/crates/cicadagw-gossip/src/member.rs
+++ b/crates/cicadagw-gossip/src/member.rs
@@ -95,4 +95,7 @@
     pub service: id::Service,
     /// How many requests it can process concurrently.
     pub slots: Slots,
+    /// When it started, in milliseconds since the Unix epoch; 0 if it does not say so.
+    #[serde(default)]
+    pub started_ms: u64,
 }
--- a/crates/cicadagw-gossip/src/table.rs
+++ b/crates/cicadagw-gossip/src/table.rs
@@ -99,6 +99,7 @@
         sequence: Sequence::new(member.stamp.0.saturating_add(member.stamp.1)),
         service: backend.service.clone(),
         slots: backend.slots,
+        started_ms: backend.started_ms,
         state: State::Ready,
     })
 }
--- a/crates/cicadagw-gossip/tests/limit.rs
+++ b/crates/cicadagw-gossip/tests/limit.rs
@@ -67,5 +67,5 @@
     let member: Member = serde_json::from_str(text).unwrap();
 
     let backend = member.backend.unwrap();
-    assert_eq!(backend.limit, None);
+    assert_eq!((backend.limit, backend.started_ms), (None, 0));
 }
--- a/crates/cicadagw-gossip/tests/odd.rs
+++ b/crates/cicadagw-gossip/tests/odd.rs
@@ -86,6 +86,7 @@
         service: "orders".parse().unwrap(),
         slots: Slots::new(u32::MAX),
         limit: None,
+        started_ms: 0,
     });
 
     fleet.step(1, push(3, vec![odd]));
--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -97,6 +97,7 @@
         service: "orders".parse().unwrap(),
         slots: Slots::new(9),
         limit: None,
+        started_ms: 0,
         state,
     }
 }
--- a/crates/cicadagw-proxy/src/delivery.rs
+++ b/crates/cicadagw-proxy/src/delivery.rs
@@ -218,6 +218,9 @@
     if !is_echoed {
         return;
     }
+    if text(names.leaving) == Some("1") {
+        node.leave(&backend.endpoint);
+    }
     let is_executed = names.not_run.is_none_or(|name| !head.fields.has(name));
     match text(names.limit).map(str::parse::<CallRate>) {
         Some(Ok(limit)) => backend.observe_limit(Some(limit)),
--- a/crates/cicadagw-proxy/src/lib.rs
+++ b/crates/cicadagw-proxy/src/lib.rs
@@ -13,6 +13,7 @@
 mod exchange;
 mod header;
 mod ingress;
+mod leaving;
 mod listener;
 mod listener_kind;
 mod maintenance;
--- a/crates/cicadagw-proxy/src/node.rs
+++ b/crates/cicadagw-proxy/src/node.rs
@@ -167,6 +167,15 @@
         is_known
     }
 
+    /// Drains a local backend server that has said in a response that it is leaving.
+    pub(crate) fn leave(&self, endpoint: &id::Endpoint) {
+        let effects = self.registry.borrow_mut().leave(self.clock.now(), endpoint);
+        if !effects.is_empty() {
+            log::info!(endpoint:%; "a local backend server says in a response that it is leaving");
+            self.apply(effects);
+        }
+    }
+
     /// Publishes changes of the rate limits that local backend servers name.
     pub(crate) fn publish_limits(&self) {
         let limits: Vec<_> = self
--- a/crates/cicadagw-proxy/src/peers.rs
+++ b/crates/cicadagw-proxy/src/peers.rs
@@ -21,6 +21,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::leaving::Leaving;
+
 /// The share of the retry slack of all nodes that the retry budgets may accumulate.
 const RESERVE_SHARE: Permille = Permille::new(600);
 
@@ -42,6 +44,8 @@
     /// The number of nodes.
     members: Cell<usize>,
     services: RefCell<HashMap<id::Service, Service>>,
+    /// The backend servers that said in a response that they are leaving.
+    leaving: RefCell<Leaving>,
     pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
     rng: RefCell<StdRng>,
 }
@@ -64,6 +68,7 @@
             retry_slack,
             members: Cell::new(0),
             services: RefCell::default(),
+            leaving: RefCell::default(),
             pools: RefCell::default(),
             rng: RefCell::new(StdRng::seed_from_u64(seed)),
         }
@@ -136,7 +141,10 @@
         let state = services.get_mut(service)?;
         if state.epoch != Some(epoch) {
             let records = endpoints.get(service).map_or(&[][..], Vec::as_slice);
-            state.balancer.update(now, &self.locality, records);
+            let leaving = self.leaving.borrow();
+            let stays = |record: &&Record| !leaving.contains(&record.endpoint, record.started_ms);
+            let records: Vec<Record> = records.iter().filter(stays).cloned().collect();
+            state.balancer.update(now, &self.locality, &records);
             state.epoch = Some(epoch);
         }
         let rng = &mut *self.rng.borrow_mut();
@@ -146,6 +154,21 @@
         chosen.cloned()
     }
 
+    /// Makes no further call to the backend server of `record`, which has said in a response that it
+    /// is leaving.
+    pub(crate) fn leave(&self, record: &Record) {
+        let is_new = self
+            .leaving
+            .borrow_mut()
+            .insert(&record.endpoint, record.started_ms);
+        if is_new {
+            log::info!(endpoint:% = record.endpoint, next = "this node makes no further call to it"; "a backend server says in a response that it is leaving");
+            if let Some(service) = self.services.borrow_mut().get_mut(&record.service) {
+                service.epoch = None;
+            }
+        }
+    }
+
     /// Records that the rate limit of the endpoint of `record` refused a call of `priority`, and
     /// allows one after `wait`.
     pub(crate) fn record_limited(
--- a/crates/cicadagw-proxy/src/relay.rs
+++ b/crates/cicadagw-proxy/src/relay.rs
@@ -296,6 +296,9 @@
         }
         match end {
             End::Answered(mut response) => {
+                if response.says_leaving(self.node.dialect.header_names()) {
+                    peers.leave(&record);
+                }
                 if let Some(work) = work
                     && event == Event::Answer
                 {
--- a/crates/cicadagw-proxy/tests/dialect.rs
+++ b/crates/cicadagw-proxy/tests/dialect.rs
@@ -29,6 +29,7 @@
             deadline: "t-left",
             endpoint: Some("t-endpoint"),
             hops: None,
+            leaving: Some("t-leaving"),
             limit: Some("t-limit"),
             load: None,
             not_run: Some("t-not-run"),
--- a/crates/cicadagw-proxy/tests/limit.rs
+++ b/crates/cicadagw-proxy/tests/limit.rs
@@ -1,4 +1,4 @@
-//! The rate limit that backend servers name in responses.
+//! What backend servers say of themselves in responses: a rate limit, and that they are leaving.
 
 mod support;
 
@@ -47,6 +47,11 @@
     Some(response("200 OK", "backend-limit: 0.5\r\n", "ok"))
 }
 
+#[expect(clippy::unnecessary_wraps, reason = "it has the type of a script")]
+fn leaving(_: &Received) -> Option<String> {
+    Some(response("200 OK", "backend-leaving: 1\r\n", "ok"))
+}
+
 #[expect(clippy::unnecessary_wraps, reason = "it has the type of a script")]
 fn unreadable_limit(_: &Received) -> Option<String> {
     Some(response("200 OK", "backend-limit: many\r\n", "ok"))
@@ -132,3 +137,38 @@
         assert_eq!(answer.status, 200);
     }
 }
+
+#[tokio::test]
+async fn server_that_says_it_is_leaving_gets_no_call_although_it_announces_itself_as_ready() {
+    let mut fixture = fixture(leaving).await;
+    let answer = fixture.call().await;
+    assert_eq!((answer.status, answer.text()), (200, "ok"));
+    let update = fixture.mesh.propagate(&fixture.far).await;
+    assert_eq!(update.state, State::Draining);
+
+    fixture
+        .far
+        .announce("orders-1", fixture.backend.address, "ready")
+        .await;
+    let refused = fixture.call().await;
+
+    assert_eq!((refused.status, refused.outcome()), (503, "not-run"));
+    assert_eq!(fixture.backend.received().len(), 1);
+}
+
+#[tokio::test]
+async fn leaving_outlives_a_restart_of_the_node_beside_the_server() {
+    let mut fixture = fixture(leaving).await;
+    assert_eq!(fixture.call().await.status, 200);
+    // The new process of the node knows nothing of the response, and the server still says `ready`.
+    let restarted = fixture.mesh.node("far");
+    restarted
+        .announce("orders-1", fixture.backend.address, "ready")
+        .await;
+    fixture.mesh.propagate(&restarted).await;
+
+    let refused = fixture.call().await;
+
+    assert_eq!((refused.status, refused.reason()), (503, "no-endpoint"));
+    assert_eq!(fixture.backend.received().len(), 1);
+}
--- a/crates/cicadagw-proxy/tests/support/mesh.rs
+++ b/crates/cicadagw-proxy/tests/support/mesh.rs
@@ -178,6 +178,7 @@
                 service: update.service.clone(),
                 slots: update.slots,
                 limit: None,
+                started_ms: 0,
                 state: update.state,
             },
         );
@@ -202,6 +203,7 @@
                 service: "orders".parse().unwrap(),
                 slots: Slots::new(20),
                 limit: None,
+                started_ms: 0,
                 state: State::Ready,
             },
         );
