--- a/crates/cicadagw-call/src/admission/core.rs
+++ b/crates/cicadagw-call/src/admission/core.rs
@@ -55,6 +55,11 @@
 impl Admission {
     /// Creates the admission control of a backend server that runs `slots` calls concurrently.
     pub fn new(slots: Slots) -> Self {
+        Self::with_limit(slots, Limit::default())
+    }
+
+    /// Creates the admission control of a backend server with this rate limit.
+    pub fn with_limit(slots: Slots, limit: Limit) -> Self {
         Self {
             slots,
             running: 0,
@@ -64,20 +69,11 @@
             work_by_policy: BTreeMap::new(),
             response_sizes: BTreeMap::new(),
             longest_latency: Span::new(0),
-            limit: Limit::default(),
+            limit,
             last_ticket: Ticket(0),
         }
     }
 
-    /// Creates the admission control of a backend server that an earlier process of this node has
-    /// served, and whose rate limit this process does not know.
-    pub fn with_forgotten_limit(now: Timestamp, slots: Slots) -> Self {
-        Self {
-            limit: Limit::forgotten(now),
-            ..Self::new(slots)
-        }
-    }
-
     /// Changes how many calls the backend server runs concurrently.
     pub fn resize(&mut self, now: Timestamp, slots: Slots) -> Release {
         self.slots = slots;
@@ -145,12 +141,12 @@
 
     /// Takes a call that will start or be queued from the backend server's limit.
     fn take(&mut self, now: Timestamp, key: Key, call: &QueuedCall) -> Result<(), Span> {
-        let priority = match key.is_long {
-            true => call.constraints.priority,
-            false => Priority::default(),
+        let priority = if key.is_long {
+            call.constraints.priority
+        } else {
+            Priority::default()
         };
-        let in_flight = self.load().in_flight.get();
-        self.limit.take(now, priority, in_flight)
+        self.limit.take(now, priority, self.load().in_flight.get())
     }
 
     /// Returns the rate limit of the backend server.
--- a/crates/cicadagw-node/src/peering/node.rs
+++ b/crates/cicadagw-node/src/peering/node.rs
@@ -8,6 +8,7 @@
 use cicadagw_meter::Meter;
 use cicadagw_ring::channel;
 use cicadagw_settings::{Peering, Settings};
+use cicadagw_unit::rate::Permille;
 use cicadagw_unit::time::Span;
 use cicadagw_view::Shared;
 use tokio_util::sync::CancellationToken;
@@ -26,6 +27,10 @@
 /// that it is not ready, and the calls that were sent before that have to arrive.
 const SHUTDOWN_DELAY: Span = Span::new(2_800);
 
+/// The largest share of the drain time for which a stopping node still accepts calls; the rest is
+/// for those accepted last.
+const SHUTDOWN_DELAY_SHARE: Permille = Permille::new(600);
+
 /// Divides the drain time: calls in flight are ended when only a sixth of it is left. That rest is
 /// for their last responses and the end of the process. The platform counts calls that are cut within
 /// the last sixth of the drain time as ended by the drain.
@@ -93,6 +98,7 @@
     let drain_time = timing.drain.get();
     timing.drain =
         Span::new(drain_time - drain_time / DRAIN_RESERVE_DIVISOR + DRAIN_END_DELAY.get());
+    let accepting_max = Span::new(SHUTDOWN_DELAY_SHARE.of(timing.drain.get()));
     let calls = cicadagw_proxy::Setup::builder()
         .announce(sockets.announce)
         .budget(settings.budget.clone())
@@ -100,7 +106,7 @@
         .control(rings.locals)
         .dialect(adapter.dialect.clone())
         .link_rate(peering.link_rate)
-        .shutdown_delay(SHUTDOWN_DELAY.min(timing.drain))
+        .shutdown_delay(SHUTDOWN_DELAY.min(accepting_max))
         .nodes(sockets.nodes)
         .locality(Locality {
             domain: settings.domain.clone(),
--- a/crates/cicadagw-proxy/src/backend.rs
+++ b/crates/cicadagw-proxy/src/backend.rs
@@ -8,6 +8,7 @@
 
 use cicadagw_call::admission::{Constraints, Decision, Release, Ticket};
 use cicadagw_call::lifecycle::Announcement;
+use cicadagw_call::limit::Limit;
 use cicadagw_call::{Admission, Load, Reason};
 use cicadagw_http::Pool;
 use cicadagw_http::pool::Options;
@@ -51,12 +52,13 @@
 
 impl Backend {
     pub(crate) fn new(clock: Clock, announcement: &Announcement) -> Rc<Self> {
-        let slots = slots(announcement);
-        let admission = if announcement.order.sequence > 1 {
-            Admission::with_forgotten_limit(clock.now(), slots)
+        let was_served_before = announcement.order.sequence > 1;
+        let limit = if was_served_before {
+            Limit::forgotten(clock.now())
         } else {
-            Admission::new(slots)
+            Limit::default()
         };
+        let admission = Admission::with_limit(slots(announcement), limit);
         Rc::new(Self {
             admission: RefCell::new(admission),
             waiting: RefCell::default(),
--- a/crates/cicadagw-proxy/src/node.rs
+++ b/crates/cicadagw-proxy/src/node.rs
@@ -13,12 +13,13 @@
 use cicadagw_dialect::Dialect;
 use cicadagw_settings::{Budget, Timing};
 use cicadagw_unit::id;
-use cicadagw_unit::time::Span;
+use cicadagw_unit::time::{Span, Timestamp};
 use cicadagw_view::{Shared, View};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::backend::Backend;
+use crate::call_guard::CallGuard;
 use crate::clock::Clock;
 use crate::outbox::Outbox;
 use crate::pacer::Pacer;
@@ -48,7 +49,8 @@
     became_idle: Notify,
     in_flight: Cell<usize>,
     is_refusing: Cell<bool>,
-    is_shutting_down: Cell<bool>,
+    /// When the calls in flight are aborted; `None` before the shutdown starts.
+    aborts_at: Cell<Option<Timestamp>>,
     limits: Limits,
     outbox: RefCell<Outbox>,
     routing: RefCell<Routing>,
@@ -74,7 +76,7 @@
             became_idle: Notify::new(),
             in_flight: Cell::new(0),
             is_refusing: Cell::new(false),
-            is_shutting_down: Cell::new(false),
+            aborts_at: Cell::new(None),
             limits: parts.limits,
             outbox: RefCell::new(Outbox::new(parts.control)),
             routing: RefCell::default(),
@@ -117,7 +119,17 @@
     pub(crate) fn start_call(self: &Rc<Self>) -> CallGuard {
         self.in_flight.set(self.in_flight.get() + 1);
         self.stats.start_call();
-        CallGuard(self.clone())
+        CallGuard::new(self)
+    }
+
+    /// Counts a call in flight as ended.
+    pub(crate) fn end_call(&self) {
+        let left = self.in_flight.get() - 1;
+        self.in_flight.set(left);
+        self.stats.end_call();
+        if left == 0 {
+            self.became_idle.notify_waiters();
+        }
     }
 
     /// Waits until no call is in flight.
@@ -129,7 +141,13 @@
 
     /// Returns whether the shutdown of the node has started.
     pub(crate) fn is_shutting_down(&self) -> bool {
-        self.is_shutting_down.get()
+        self.aborts_at.get().is_some()
+    }
+
+    /// Returns whether calls in flight are aborted within `span` from now.
+    pub(crate) fn aborts_within(&self, span: Span) -> bool {
+        let at = self.aborts_at.get();
+        at.is_some_and(|at| self.clock.now().after(span) >= at)
     }
 
     /// Applies the announcement of a local backend server; fails if its endpoint is already gone.
@@ -272,7 +290,8 @@
     /// Starts the shutdown: local backend servers get no new calls, while local callers are still
     /// served.
     pub(crate) fn start_shutdown(&self) {
-        self.is_shutting_down.set(true);
+        let now = self.clock.now();
+        self.aborts_at.set(Some(now.after(self.timing.drain)));
         self.drain_backends();
     }
 
@@ -373,23 +392,3 @@
         self.outbox.borrow_mut().flush();
     }
 }
-
-/// Counts a call as in flight until it is dropped.
-pub(crate) struct CallGuard(Rc<Node>);
-
-impl std::fmt::Debug for CallGuard {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("CallGuard").finish_non_exhaustive()
-    }
-}
-
-impl Drop for CallGuard {
-    fn drop(&mut self) {
-        let left = self.0.in_flight.get() - 1;
-        self.0.in_flight.set(left);
-        self.0.stats.end_call();
-        if left == 0 {
-            self.0.became_idle.notify_waiters();
-        }
-    }
-}
--- a/crates/cicadagw-proxy/src/relay.rs
+++ b/crates/cicadagw-proxy/src/relay.rs
@@ -67,6 +67,9 @@
         peers.deposit(service, policy.retry_budget);
         let method = std::str::from_utf8(&self.call.request.method).unwrap_or_default();
         let mut attempts = Attempts::new(policy, method);
+        if self.ends_too_late() {
+            return Outcome::not_run(Reason::Draining);
+        }
         let mut event = self.choose();
         loop {
             let conditions = Conditions {
@@ -133,6 +136,13 @@
         peers.average_work(&target.cluster.service, &target.policy_name)
     }
 
+    /// Returns whether this node, which is shutting down, would likely abort the call: twice the
+    /// average work time of such calls does not fit.
+    fn ends_too_late(&self) -> bool {
+        let work = self.average_work().unwrap_or_default();
+        self.node.aborts_within(work.times(2))
+    }
+
     /// Returns whether the deadline leaves time for another attempt.
     fn has_time_for_attempt(&self) -> bool {
         let left = self.call.deadline.since(self.node.clock.now());
@@ -172,19 +182,15 @@
             }
             chosen => chosen,
         };
-        match &self.chosen {
-            Some(record) => {
-                self.tried.push(record.endpoint.clone());
-                self.has_crossed |= self.node.peers.is_in_other_region(record);
-                Event::Chosen
-            }
-            None => {
-                if self.reason == Reason::NoEndpoint && self.is_limited(now) {
-                    self.reason = Reason::Limited;
-                }
-                Event::NoEndpoint
-            }
+        if let Some(record) = &self.chosen {
+            self.tried.push(record.endpoint.clone());
+            self.has_crossed |= self.node.peers.is_in_other_region(record);
+            return Event::Chosen;
+        }
+        if self.reason == Reason::NoEndpoint && self.is_limited(now) {
+            self.reason = Reason::Limited;
         }
+        Event::NoEndpoint
     }
 
     /// Returns whether a rate limit of the service refuses such calls.
--- a/crates/cicadagw-proxy/src/response.rs
+++ b/crates/cicadagw-proxy/src/response.rs
@@ -14,8 +14,8 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::backend::Slot;
+use crate::call_guard::CallGuard;
 use crate::header;
-use crate::node::CallGuard;
 use crate::pacer::{Pace, Pacer};
 use crate::peers::EndpointCall;
 
--- a/crates/cicadagw-proxy/tests/dialect.rs
+++ b/crates/cicadagw-proxy/tests/dialect.rs
@@ -5,75 +5,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use cicadagw_call::Load;
-use cicadagw_dialect::{Acknowledgement, DecodeError, Dialect, HeaderNames, Native, Registration};
-use cicadagw_unit::id;
 use cicadagw_unit::time::Span;
 use support::caller::{Call, Response, get, post};
 use support::mesh::{Mesh, Node};
 use support::scripted::{Scripted, response, sealed};
+use support::strict::Strict;
 
 /// The header lines of a refusal that states that the request was not executed.
 const REFUSAL: &str = "t-id: a1\r\nt-not-run: 1\r\n";
 
-/// A dialect with its own header names and all response checks; announcements are in the native
-/// format.
-struct Strict;
-
-impl Dialect for Strict {
-    fn header_names(&self) -> &HeaderNames {
-        &HeaderNames {
-            attempt: Some("t-id"),
-            caller: Some("t-caller"),
-            deadline: "t-left",
-            endpoint: Some("t-endpoint"),
-            hops: None,
-            leaving: Some("t-leaving"),
-            limit: Some("t-limit"),
-            load: None,
-            not_run: Some("t-not-run"),
-            seal: Some("t-seal"),
-        }
-    }
-
-    fn is_readiness_path(&self, path: &str) -> bool {
-        path == "/ready"
-    }
-
-    fn retry_after(&self, wait: Span) -> String {
-        format!("0.{:03}", wait.get())
-    }
-
-    fn parse_load(&self, _: &str) -> Option<Load> {
-        None
-    }
-
-    fn decode_registration(
-        &self,
-        method: &str,
-        path: &str,
-        body: &[u8],
-    ) -> Result<Registration, DecodeError> {
-        Native.decode_registration(method, path, body)
-    }
-
-    fn acknowledge(&self, renew: Span) -> Acknowledgement {
-        Native.acknowledge(renew)
-    }
-
-    fn refuse_gone(&self, endpoint: &id::Endpoint) -> Acknowledgement {
-        Native.refuse_gone(endpoint)
-    }
-
-    fn acknowledge_end(&self, _: bool) -> Acknowledgement {
-        Acknowledgement {
-            status: 200,
-            body: Bytes::new(),
-        }
-    }
-}
-
 /// A mesh that uses the dialect, with one node for callers and one for backend servers.
 struct Fixture {
     mesh: Mesh,
--- a/crates/cicadagw-proxy/tests/support/mesh.rs
+++ b/crates/cicadagw-proxy/tests/support/mesh.rs
@@ -56,6 +56,7 @@
     pub view: Shared,
     dialect: Arc<dyn Dialect>,
     shutdown_delay: Span,
+    drain: Span,
     records: BTreeMap<id::Endpoint, Record>,
     snapshot: Arc<Snapshot>,
 }
@@ -78,6 +79,7 @@
             view: Shared::default(),
             dialect: Arc::new(Native),
             shutdown_delay: Span::new(0),
+            drain: Timing::default().drain,
             records: BTreeMap::new(),
             snapshot: snapshot(1, CONFIG),
         };
@@ -101,6 +103,11 @@
         self.shutdown_delay = span;
     }
 
+    /// Sets the time after which nodes started from now on abort their calls when they shut down.
+    pub fn set_drain(&mut self, span: Span) {
+        self.drain = span;
+    }
+
     /// Starts a node.
     pub fn node(&self, name: &str) -> Node {
         let calls = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -136,6 +143,7 @@
             .service("shop".parse().unwrap())
             .stats(stats.clone())
             .timing(Timing {
+                drain: self.drain,
                 renewal: Span::seconds(600),
                 ..Timing::default()
             })
--- a/crates/cicadagw-proxy/tests/support/mod.rs
+++ b/crates/cicadagw-proxy/tests/support/mod.rs
@@ -13,3 +13,4 @@
 pub mod refusing;
 pub mod scripted;
 pub mod silencing;
+pub mod strict;
--- a/crates/cicadagw-proxy/tests/support/scripted.rs
+++ b/crates/cicadagw-proxy/tests/support/scripted.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
@@ -19,13 +20,18 @@
 
 impl Scripted {
     pub async fn start(script: Script) -> Self {
+        Self::start_slow(script, Duration::ZERO).await
+    }
+
+    /// Starts a server that takes `work` for each response.
+    pub async fn start_slow(script: Script, work: Duration) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let received = Arc::<Mutex<Vec<Received>>>::default();
         let all = received.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, script, all.clone()));
+                tokio::spawn(serve(stream, script, work, all.clone()));
             }
         });
         Self { address, received }
@@ -37,7 +43,7 @@
     }
 }
 
-async fn serve(stream: TcpStream, script: Script, all: Arc<Mutex<Vec<Received>>>) {
+async fn serve(stream: TcpStream, script: Script, work: Duration, all: Arc<Mutex<Vec<Received>>>) {
     let mut stream = BufReader::new(stream);
     while let Some(request) = read(&mut stream).await {
         let response = script(&request);
@@ -46,6 +52,7 @@
             std::future::pending::<()>().await;
             return;
         };
+        tokio::time::sleep(work).await;
         if stream.write_all(response.as_bytes()).await.is_err() {
             return;
         }
