Give the times at which callers come back a file of their own

Read as a newcomer: constants of a limit stand together, one function tells whether a response says that its server is leaving, the log line of a limit names it or none, and a doc comment of the watchers fits its line. Behaviour is unchanged.

--- a/crates/cicadagw-call/src/lib.rs
+++ b/crates/cicadagw-call/src/lib.rs
@@ -14,6 +14,7 @@
 mod outcome;
 pub mod pacing;
 pub mod refusal;
+mod returns;
 pub mod route;
 
 pub use admission::Admission;
@@ -22,3 +23,4 @@
 pub use lifecycle::Registry;
 pub use load::Load;
 pub use outcome::{Outcome, Reason};
+pub use returns::Returns;
--- a/crates/cicadagw-call/src/limit.rs
+++ b/crates/cicadagw-call/src/limit.rs
@@ -65,6 +65,10 @@
 /// How long that holds; responses of a backend server may take much longer than a call usually does.
 const UNKNOWN_MAX: Span = Span::seconds(1);
 
+/// How long a call is asked to wait while it is not known whether a limit applies: about the time
+/// of a call.
+const UNKNOWN_WAIT: Span = Span::new(100);
+
 /// The time whose calls may be made at once, in milliseconds.
 const BURST_MS: u64 = 500;
 
@@ -204,34 +208,3 @@
         (self.burst() - CALL) * permille.min(RESERVE_PERMILLE_MAX) / 1_000
     }
 }
-
-/// How long a call is asked to wait while it is not known whether a limit applies: about the time
-/// of a call.
-const UNKNOWN_WAIT: Span = Span::new(100);
-
-/// The shortest time after which the caller of a refused call is asked to come back.
-const RETURN_MIN: Span = Span::new(200);
-
-/// The longest time after which the caller of a refused call is asked to come back.
-const RETURN_MAX: Span = Span::seconds(2);
-
-/// The times at which one node asks the callers of a limited service to come back: one after the
-/// other, at this node's share of what the limits allow, so that they are not refused again
-/// together.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Returns {
-    /// The time given to the last caller.
-    last: Timestamp,
-}
-
-impl Returns {
-    /// Returns how long the next caller is asked to wait. `share` is this node's share of the limits
-    /// of all endpoints.
-    pub fn next(&mut self, now: Timestamp, share: CallRate) -> Span {
-        let interval = Span::new(CALL / share.milli().max(1));
-        let earliest = now.after(RETURN_MIN);
-        let latest = now.after(RETURN_MAX);
-        self.last = self.last.after(interval).clamp(earliest, latest);
-        self.last.since(now)
-    }
-}
--- a/crates/cicadagw-call/tests/limit.rs
+++ b/crates/cicadagw-call/tests/limit.rs
@@ -1,9 +1,9 @@
 //! The rate limit that a backend server names is held, by priority, and ends with the first response
 //! that does not name it.
 
-use cicadagw_call::Admission;
 use cicadagw_call::admission::{Constraints, Decision};
-use cicadagw_call::limit::{Limit, Returns, State, chart};
+use cicadagw_call::limit::{Limit, State, chart};
+use cicadagw_call::{Admission, Returns};
 use cicadagw_unit::rate::{CallRate, Priority};
 use cicadagw_unit::size::Slots;
 use cicadagw_unit::time::{Span, Timestamp};
--- a/crates/cicadagw-gossip/src/watchers.rs
+++ b/crates/cicadagw-gossip/src/watchers.rs
@@ -99,9 +99,11 @@
     /// Returns whether this node must watch: it is among the first [`WATCHERS_PER_REGION`] nodes in
     /// the order, or fewer than that many of the nodes before it have sent beacons for
     /// [`TAKEOVER_DELAY`] and its turn has come, or it has had no configuration for
-    /// [`NO_CONFIGURATION_WAIT`] and its turn has come, or it receives no messages. At the first start of the
-    /// fleet, a node that knows no other one waits as well; after a restart, it does not, because it
-    /// has calls to serve.
+    /// [`NO_CONFIGURATION_WAIT`] and its turn has come, or it has received no message for
+    /// [`MESSAGE_TIMEOUT`].
+    ///
+    /// At the first start of the fleet, a node that knows no other one waits as well; after a
+    /// restart, it does not, because it has calls to serve.
     pub(crate) fn must_watch(
         &mut self,
         now: Timestamp,
--- a/crates/cicadagw-proxy/src/backend.rs
+++ b/crates/cicadagw-proxy/src/backend.rs
@@ -131,8 +131,8 @@
     pub(crate) fn observe_limit(&self, stated: Option<CallRate>) {
         let now = self.clock.now();
         if self.admission.borrow_mut().observe_limit(now, stated) {
-            let limit = stated.map(|limit| limit.to_string());
-            log::info!(endpoint:% = self.endpoint, limit:?; "the rate limit of a local backend server changed");
+            let limit = stated.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+            log::info!(endpoint:% = self.endpoint, limit = limit.as_str(); "the rate limit of a local backend server changed");
         }
     }
 
--- a/crates/cicadagw-proxy/src/delivery.rs
+++ b/crates/cicadagw-proxy/src/delivery.rs
@@ -18,6 +18,7 @@
 
 use crate::backend::{Backend, Refusal, Slot};
 use crate::exchange::{Destination, Failure, exchange};
+use crate::header;
 use crate::node::Node;
 use crate::reply::End;
 use crate::request::Request;
@@ -218,7 +219,7 @@
     if !is_echoed {
         return;
     }
-    if text(names.leaving) == Some("1") {
+    if header::says_leaving(&head.fields, names) {
         node.leave(&backend.endpoint);
     }
     let is_executed = names.not_run.is_none_or(|name| !head.fields.has(name));
--- a/crates/cicadagw-proxy/src/header.rs
+++ b/crates/cicadagw-proxy/src/header.rs
@@ -54,6 +54,12 @@
     fields.end_to_end(is_internal)
 }
 
+/// Returns whether a backend server says in a response with these fields that it is leaving.
+pub(crate) fn says_leaving(fields: &Fields, names: &HeaderNames) -> bool {
+    let text = names.leaving.and_then(|name| fields.text(name));
+    text == Some("1")
+}
+
 fn is_internal(name: &[u8]) -> bool {
     let prefix = name.get(..PREFIX.len());
     prefix.is_some_and(|prefix| prefix.eq_ignore_ascii_case(PREFIX))
--- a/crates/cicadagw-proxy/src/peers.rs
+++ b/crates/cicadagw-proxy/src/peers.rs
@@ -7,8 +7,7 @@
 use std::time::Duration;
 
 use cicadagw_call::balancer::{Balancer, Locality, Signal, Summary};
-use cicadagw_call::limit::Returns;
-use cicadagw_call::{Budget, Load};
+use cicadagw_call::{Budget, Load, Returns};
 use cicadagw_config::Cluster;
 use cicadagw_endpoint::Record;
 use cicadagw_http::Pool;
--- a/crates/cicadagw-proxy/src/relay.rs
+++ b/crates/cicadagw-proxy/src/relay.rs
@@ -15,6 +15,7 @@
 
 use crate::attempts::{FinishedAttempt, RunningAttempt, RunningAttempts};
 use crate::delivery::{Call, Outcome};
+use crate::header;
 use crate::node::Node;
 use crate::reply::End;
 use crate::response::Response;
@@ -302,7 +303,7 @@
         }
         match end {
             End::Answered(mut response) => {
-                if response.says_leaving(self.node.dialect.header_names()) {
+                if header::says_leaving(&response.fields, self.node.dialect.header_names()) {
                     peers.leave(&record);
                 }
                 if let Some(work) = work
--- a/crates/cicadagw-proxy/src/response.rs
+++ b/crates/cicadagw-proxy/src/response.rs
@@ -5,7 +5,6 @@
 
 use bytes::{Bytes, BytesMut};
 use cicadagw_call::pacing::UNPACED_MAX;
-use cicadagw_dialect::HeaderNames;
 use cicadagw_http::body::{Sender, Truncated};
 use cicadagw_http::client::{self, Incoming};
 use cicadagw_http::server::Reply;
@@ -74,12 +73,6 @@
         }
     }
 
-    /// Returns whether the backend server says that it is leaving.
-    pub(crate) fn says_leaving(&self, names: &HeaderNames) -> bool {
-        let text = names.leaving.and_then(|name| self.fields.text(name));
-        text == Some("1")
-    }
-
     /// Paces the body to the throughput of the link.
     pub(crate) fn pace(&mut self, pacer: Rc<Pacer>) {
         self.pacer = Some(pacer);
