--- a/crates/cicadagw-call/src/lifecycle.rs
+++ b/crates/cicadagw-call/src/lifecycle.rs
@@ -256,21 +256,19 @@
             .collect()
     }
 
-    /// Drains an endpoint whose backend server has said in a response that it is leaving. A later
-    /// announcement does not make it ready again.
+    /// Drains an endpoint whose backend server has said in a response that it is leaving.
     pub fn leave(&mut self, now: Timestamp, endpoint: &id::Endpoint) -> Vec<Effect> {
         self.apply_event(now, endpoint, Event::Draining)
     }
 
     /// Sets the limit that the backend server of an endpoint names, and publishes a change.
     pub fn set_limit(&mut self, endpoint: &id::Endpoint, limit: Option<CallRate>) -> Vec<Effect> {
-        match self.backends.get_mut(endpoint) {
-            Some(backend) if backend.limit != limit => {
-                backend.limit = limit;
-                vec![Effect::Publish(backend.update())]
-            }
-            _ => Vec::new(),
-        }
+        let backend = self.backends.get_mut(endpoint);
+        let Some(backend) = backend.filter(|backend| backend.limit != limit) else {
+            return Vec::new();
+        };
+        backend.limit = limit;
+        vec![Effect::Publish(backend.update())]
     }
 
     /// Restarts the registration timeout of all endpoints after the node itself was suspended:
--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -307,19 +307,17 @@
     /// Lets a request end with a timeout.
     fn time_out(&mut self, index: usize, call: &Call) {
         let error = || Error::Unavailable("timeout".to_owned());
-        let (wait, reply) = match call {
-            Call::Register { .. } => (Span::new(0), Reply::Registered(Err(error()))),
-            Call::ListMembers => (Span::new(0), Reply::Members(Err(error()))),
-            Call::ReadConfiguration => (Span::new(0), Reply::Configuration(Err(error()))),
-            Call::WatchConfiguration { wait, .. } => (*wait, Reply::Configuration(Err(error()))),
-            Call::CheckConfiguration { .. } => (Span::new(0), Reply::Checked(Err(error()))),
-            Call::FetchConfiguration(_) => (Span::new(0), Reply::Fetched(Err(error()))),
-        };
-        let timeout = match call {
-            Call::CheckConfiguration { timeout, .. } => *timeout,
-            _ => CALL_TIMEOUT,
+        let (timeout, reply) = match call {
+            Call::Register { .. } => (CALL_TIMEOUT, Reply::Registered(Err(error()))),
+            Call::ListMembers => (CALL_TIMEOUT, Reply::Members(Err(error()))),
+            Call::ReadConfiguration => (CALL_TIMEOUT, Reply::Configuration(Err(error()))),
+            Call::WatchConfiguration { wait, .. } => {
+                (wait.plus(CALL_TIMEOUT), Reply::Configuration(Err(error())))
+            }
+            Call::CheckConfiguration { timeout, .. } => (*timeout, Reply::Checked(Err(error()))),
+            Call::FetchConfiguration(_) => (CALL_TIMEOUT, Reply::Fetched(Err(error()))),
         };
-        let at = self.now.after(wait).after(timeout);
+        let at = self.now.after(timeout);
         self.nodes[index].delayed.push((at, reply));
     }
 
