--- a/review/standins/deployment.rs
+++ b/review/standins/deployment.rs
@@ -37,8 +37,8 @@
         })
     }
 
-    /// Writes a configuration, as the operator does.
-    pub fn configure(&self, version: u64, services: &[&str], routes: &[Route<'_>]) {
+    /// Writes a configuration, as the operator does; returns its size in bytes.
+    pub fn configure(&self, version: u64, services: &[&str], routes: &[Route<'_>]) -> usize {
         let rows: Vec<String> = routes
             .iter()
             .map(|route| {
@@ -64,8 +64,11 @@
             services.join(",")
         );
         self.store.write("config", "main", &spec);
-        self.record
-            .add(format!("OPERATOR has written configuration r{version}"));
+        self.record.add(format!(
+            "OPERATOR has written configuration r{version}, {} bytes",
+            spec.len()
+        ));
+        spec.len()
     }
 
     /// Starts a node.
--- a/review/standins/leaving.rs
+++ b/review/standins/leaving.rs
@@ -43,6 +43,7 @@
         zone,
         region: "kochi",
         link: "1000Mbit/s",
+        is_late: false,
     };
     let caller = deployment.node(&place("sidecar-kochi-a-1", "orders", "kochi-a"))?;
     let mut node = deployment.node(&place("sidecar-kochi-a-2", "catalogue", "kochi-a"))?;
--- a/review/standins/pipeline.rs
+++ b/review/standins/pipeline.rs
@@ -71,6 +71,7 @@
         zone: "kochi-a",
         region: "kochi",
         link: "30Mbit/s",
+        is_late: false,
     };
     let mut caller = deployment.node(&place("sidecar-kochi-a-1", "catalogue"))?;
     let other = deployment.node(&place("sidecar-kochi-a-2", "media"))?;
