Show that requests with long bodies are broken off while their instance is at work

Review case 2 (LOST): TCP_USER_TIMEOUT also ends a connection to an instance that is alive but does not read on for some hundred milliseconds.

--- a/review/standins/instance.rs
+++ b/review/standins/instance.rs
@@ -18,6 +18,9 @@
 /// How long the instance waits for the acknowledgement of a heartbeat.
 const ACKNOWLEDGEMENT: Duration = Duration::from_secs(1);
 
+/// The length of a body, in bytes, from which on the instance works before it reads the body.
+const LONG_BODY: u64 = 64 << 10;
+
 /// What the instance answers to a request that it has run.
 pub enum Answer {
     /// A whole body of this many bytes.
@@ -186,11 +189,11 @@
         };
         let mut reader = Reader::new(stream);
         while let Ok(Some(head)) = reader.head() {
-            if reader.body(&head).is_err() || self.has_exited.load(Ordering::SeqCst) {
+            if self.has_exited.load(Ordering::SeqCst) {
                 return;
             }
             self.running.fetch_add(1, Ordering::SeqCst);
-            let written = self.answer(&head, &mut writer);
+            let written = self.answer(&head, &mut reader, &mut writer);
             self.running.fetch_sub(1, Ordering::SeqCst);
             if written.is_err() {
                 return;
@@ -198,13 +201,15 @@
         }
     }
 
-    fn answer(&self, head: &Head, writer: &mut TcpStream) -> io::Result<()> {
+    /// Reads the rest of a request and answers it; works first if its body is long.
+    fn answer(&self, head: &Head, reader: &mut Reader, writer: &mut TcpStream) -> io::Result<()> {
         let id = head
             .get("Cicadagw-Attempt-Id")
             .unwrap_or_default()
             .to_owned();
         let target = head.get("Cicadagw-Target-Instance");
         if target.is_some_and(|target| target != self.id) {
+            reader.body(head)?;
             let response = format!(
                 "HTTP/1.1 421 Misdirected Request\r\nCicadagw-Instance-Id: {}\r\nCicadagw-Attempt-Id: {id}\r\nCicadagw-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
                 self.id
@@ -223,7 +228,21 @@
             run
         };
         let (work, answer) = (self.behaviour)(&run);
+        let is_long = head.number("content-length") > Some(LONG_BODY);
+        if !is_long {
+            reader.body(head)?;
+        }
         thread::sleep(work);
+        if is_long {
+            let body = reader.body(head);
+            if let Err(error) = &body {
+                self.record.add(format!(
+                    "INSTANCE {} was at work on {id} and reads on: {error}",
+                    self.id
+                ));
+            }
+            body?;
+        }
         let length = match answer {
             Answer::Whole(length) => length as u64,
             Answer::Endless => 1 << 40,
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -15,6 +15,7 @@
 mod record;
 mod replaced;
 mod store;
+mod upload;
 
 use std::path::Path;
 use std::process::exit;
@@ -52,6 +53,7 @@
         "pipeline" => pipeline::run(&record, &trouble),
         "leaving" => leaving::run(&record, &trouble),
         "endless" => endless::run(&record, &trouble),
+        "upload" => upload::run(&record, &trouble),
         "replaced" => replaced::run(&record, &trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
