--- a/crates/cicadagw-http/src/server/accept.rs
+++ b/crates/cicadagw-http/src/server/accept.rs
@@ -92,6 +92,10 @@
             end = writer.run() => end,
         }
     };
+    let unanswered = queue.pending.borrow().len();
+    if end == End::Closed && unanswered > 0 {
+        log::warn!(unanswered, next = "they are aborted"; "closed a connection before all of its requests were answered");
+    }
     // The client can no longer get the responses to requests in flight; dropping the queue aborts
     // them.
     drop(queue);
