--- a/crates/cicadagw-http/src/server/queue.rs
+++ b/crates/cicadagw-http/src/server/queue.rs
@@ -20,6 +20,9 @@
     pub(super) pending: RefCell<VecDeque<Pending>>,
     /// The number of requests in `pending`, plus the one whose response is being written, if any.
     pub(super) in_flight: Cell<usize>,
+    /// Whether the connection closes after the response that is being written; requests behind it
+    /// are not dispatched.
+    is_closing: Cell<bool>,
     /// Whether the client waits for `100 Continue` before it sends its body.
     awaits_continue: Cell<bool>,
     pushed: Notify,
@@ -61,6 +64,16 @@
         self.pushed.notify_one();
     }
 
+    /// Marks the connection as one that closes after the response that is written next.
+    pub(super) fn close(&self) {
+        self.is_closing.set(true);
+    }
+
+    /// Returns whether the connection closes after the response that is being written.
+    pub(super) const fn is_closing(&self) -> bool {
+        self.is_closing.get()
+    }
+
     /// Makes the writer send `100 Continue` before the next response.
     pub(super) fn send_continue(&self) {
         self.awaits_continue.set(true);
--- a/crates/cicadagw-http/src/server/reader.rs
+++ b/crates/cicadagw-http/src/server/reader.rs
@@ -56,6 +56,9 @@
                 Ok(false) => return self.wait_for_end().await,
                 Err(NoRequest::Disconnected) => return End::Disconnected,
                 Err(NoRequest::Idle) => return End::Closed,
+                Err(NoRequest::Refused(_)) if self.queue.is_closing() => {
+                    return self.wait_for_end().await;
+                }
                 Err(NoRequest::Refused(refusal)) => {
                     self.queue.push(Pending {
                         reply: Source::Ready(Box::new(self.service.refuse(refusal))),
@@ -117,14 +120,15 @@
             self.queue.send_continue();
         }
         match head.framing {
-            Framing::Empty | Framing::Close => self.dispatch(head, Body::Empty, Rc::default()),
+            Framing::Empty | Framing::Close => {
+                Ok(self.dispatch(head, Body::Empty, Rc::default()) && keep_alive)
+            }
             Framing::Length(length) if length <= BUFFERED_BODY_BYTES_MAX => {
-                let body = self.read_buffered_body(length).await?;
-                self.dispatch(head, Body::Buffered(body), Rc::default());
+                let body = Body::Buffered(self.read_buffered_body(length).await?);
+                Ok(self.dispatch(head, body, Rc::default()) && keep_alive)
             }
-            framing => return self.stream_body(head, framing).await,
+            framing => self.stream_body(head, framing).await,
         }
-        Ok(keep_alive)
     }
 
     async fn read_buffered_body(&mut self, length: u64) -> Result<Bytes, NoRequest> {
@@ -147,11 +151,10 @@
         };
         let is_body_abandoned = Rc::new(Cell::new(false));
         let keep_alive = head.keep_alive;
-        self.dispatch(
-            head,
-            Body::Streamed { length, parts },
-            is_body_abandoned.clone(),
-        );
+        let body = Body::Streamed { length, parts };
+        if !self.dispatch(head, body, is_body_abandoned.clone()) {
+            return Ok(false);
+        }
         let mut decoder = Decoder::new(framing);
         let mut remaining = self.service.limits().body;
         loop {
@@ -187,7 +190,13 @@
         }
     }
 
-    fn dispatch(&self, head: Request, body: Body, is_body_abandoned: Rc<Cell<bool>>) {
+    /// Hands a request to the service, unless the connection closes after the response that is being
+    /// written: its client sends the request again. Returns whether it did.
+    fn dispatch(&self, head: Request, body: Body, is_body_abandoned: Rc<Cell<bool>>) -> bool {
+        if self.queue.is_closing() {
+            log::info!(next = "its client sends it again"; "a request behind the last response of its connection was not run");
+            return false;
+        }
         let is_head = &head.method[..] == b"HEAD";
         let closes_after = !head.keep_alive;
         let task = Task::spawn(self.service.clone().handle(head, body));
@@ -197,6 +206,7 @@
             closes_after,
             is_body_abandoned,
         });
+        true
     }
 
     async fn fill(&mut self) -> Result<(), NoRequest> {
--- a/crates/cicadagw-http/src/server/writer.rs
+++ b/crates/cicadagw-http/src/server/writer.rs
@@ -52,6 +52,10 @@
             let closes = pending.closes_after
                 || pending.is_body_abandoned.get()
                 || (self.service.is_draining() && is_last);
+            if closes {
+                // From the head on, the client takes what it sends as not read.
+                self.queue.close();
+            }
             let written = self.write(reply, pending.is_head, closes).await;
             self.queue.finish();
             match written {
--- a/crates/cicadagw-http/tests/server.rs
+++ b/crates/cicadagw-http/tests/server.rs
@@ -4,10 +4,10 @@
 
 use std::time::Duration;
 
-use support::{Script, exchange, local, rest};
+use support::{Script, exchange, local, read_until, rest};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 /// The timeout for conditions that must become true; far longer than they take.
@@ -183,6 +183,30 @@
     .await;
 }
 
+// Guards against requests that are passed on and then cut: while the last response of a draining
+// server is still being written, its client may not have seen `connection: close` yet.
+#[tokio::test]
+async fn request_behind_a_response_that_closes_the_connection_is_not_handled() {
+    local(async {
+        let script = Script::new();
+        script.is_draining.set(true);
+        let address = script.start().await;
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(get("/stream/a").as_bytes()).await.unwrap();
+        let begin = read_until(&mut stream, "first").await;
+
+        stream.write_all(get("/behind").as_bytes()).await.unwrap();
+        sleep(Duration::from_millis(50)).await;
+        script.release("a");
+
+        let end = timeout(TIMEOUT, rest(&mut stream)).await.unwrap();
+        assert!(begin.contains("connection: close"), "{begin}");
+        assert!(end.ends_with("0\r\n\r\n"), "{end}");
+        assert_eq!(script.handled.get(), 1);
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn slow_request_gets_102_processing() {
     local(async {
--- a/crates/cicadagw-http/tests/support/mod.rs
+++ b/crates/cicadagw-http/tests/support/mod.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use cicadagw_http::server::{Limits, Refusal, Reply, Service, serve};
-use cicadagw_http::{Body, Request};
+use cicadagw_http::{Body, Request, body};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot};
@@ -29,7 +29,8 @@
 }
 
 /// A service that echoes path and body. It responds to `/hold/NAME` only after [`Script::release`]
-/// of NAME, and to `/unread` with 413 without reading the body.
+/// of NAME, and to `/unread` with 413 without reading the body. The end of the response to
+/// `/stream/NAME` is held back until [`Script::release`] of NAME.
 pub struct Script {
     pub limits: Cell<Limits>,
     pub is_draining: Cell<bool>,
@@ -37,6 +38,8 @@
     /// The number of requests that were dropped before the response.
     pub dropped: Rc<Cell<usize>>,
     pub started: Notify,
+    /// The number of requests that were handed to the service.
+    pub handled: Cell<usize>,
     gates: RefCell<BTreeMap<String, Rc<Notify>>>,
 }
 
@@ -67,6 +70,7 @@
             interim_response_delay: Cell::default(),
             dropped: Rc::default(),
             started: Notify::new(),
+            handled: Cell::default(),
             gates: RefCell::default(),
         })
     }
@@ -105,6 +109,7 @@
             has_responded: false,
         };
         self.started.notify_one();
+        self.handled.set(self.handled.get() + 1);
         let path = String::from_utf8(head.target.to_vec()).unwrap();
         if let Some(name) = path.strip_prefix("/hold/") {
             self.gate(name).notified().await;
@@ -112,6 +117,19 @@
         let mut reply = Reply::new(200);
         if path == "/unread" {
             reply.status = 413;
+        } else if let Some(name) = path.strip_prefix("/stream/") {
+            let (sender, parts) = body::channel();
+            reply.body = Body::Streamed {
+                length: None,
+                parts,
+            };
+            let gate = self.gate(name);
+            tokio::task::spawn_local(async move {
+                sender.send("first".into()).await.unwrap();
+                gate.notified().await;
+                sender.send("last".into()).await.unwrap();
+                sender.end().await.unwrap();
+            });
         } else {
             let mut text = path.into_bytes();
             text.push(b' ');
@@ -167,6 +185,15 @@
     String::from_utf8_lossy(&all).into_owned()
 }
 
+/// Returns everything received up to the first occurrence of `end`.
+pub async fn read_until(stream: &mut TcpStream, end: &str) -> String {
+    let mut all = Vec::new();
+    while !String::from_utf8_lossy(&all).contains(end) {
+        assert_ne!(stream.read_buf(&mut all).await.unwrap(), 0);
+    }
+    String::from_utf8_lossy(&all).into_owned()
+}
+
 /// What a scripted server does with a connection after each response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AfterResponse {
