--- a/crates/cicadagw-http/src/server/queue.rs
+++ b/crates/cicadagw-http/src/server/queue.rs
@@ -99,6 +99,13 @@
         self.finished.notify_one();
     }
 
+    /// Waits until no request is in flight.
+    pub(super) async fn wait_until_idle(&self) {
+        while self.in_flight.get() > 0 {
+            self.finished.notified().await;
+        }
+    }
+
     /// Waits until fewer than [`PIPELINED_REQUESTS_MAX`] requests are in flight.
     pub(super) async fn wait_for_capacity(&self) {
         while self.in_flight.get() >= PIPELINED_REQUESTS_MAX {
--- a/crates/cicadagw-http/src/server/reader.rs
+++ b/crates/cicadagw-http/src/server/reader.rs
@@ -90,12 +90,15 @@
                 limits.idle_timeout
             };
             let left = limit.saturating_sub(begin.elapsed());
-            let is_idle = !has_started && self.queue.in_flight.get() == 0;
-            let token = self.token;
+            let (token, queue) = (self.token, self.queue);
+            let closed = async {
+                token.cancelled().await;
+                queue.wait_until_idle().await;
+            };
             let received = tokio::select! {
                 biased;
                 received = timeout(left, self.fill()) => received,
-                () = token.cancelled(), if is_idle => return Err(NoRequest::Idle),
+                () = closed, if !has_started => return Err(NoRequest::Idle),
             };
             match received {
                 Ok(filled) => {
--- a/crates/cicadagw-http/tests/server.rs
+++ b/crates/cicadagw-http/tests/server.rs
@@ -207,6 +207,35 @@
     .await;
 }
 
+// Guards against requests that cross the stop: a connection whose response was begun before it must
+// not stay open without `connection: close` until the process is gone.
+#[tokio::test]
+async fn connection_that_becomes_idle_after_the_server_closed_is_closed() {
+    local(async {
+        let script = Script::new();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let token = CancellationToken::new();
+        let serving = {
+            let (script, token) = (script.clone(), token.clone());
+            tokio::task::spawn_local(async move { script.serve(listener, token).await })
+        };
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(get("/stream/a").as_bytes()).await.unwrap();
+        let begin = read_until(&mut stream, "first").await;
+
+        script.is_draining.set(true);
+        token.cancel();
+        script.release("a");
+
+        let end = timeout(Duration::from_secs(2), rest(&mut stream)).await;
+        assert!(!begin.contains("connection: close"), "{begin}");
+        assert!(end.unwrap().ends_with("0\r\n\r\n"));
+        timeout(TIMEOUT, serving).await.unwrap().unwrap();
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn slow_request_gets_102_processing() {
     local(async {
