--- a/crates/cicadagw-call/src/lib.rs
+++ b/crates/cicadagw-call/src/lib.rs
@@ -4,10 +4,12 @@
 //! the thread that serves calls, executes the decisions.
 
 pub mod admission;
+mod announcement;
 pub mod attempt;
 mod average;
 pub mod balancer;
 mod budget;
+mod gone;
 pub mod lifecycle;
 pub mod limit;
 mod load;
--- a/crates/cicadagw-call/src/lifecycle.rs
+++ b/crates/cicadagw-call/src/lifecycle.rs
@@ -1,17 +1,18 @@
 //! The lifecycle of the backend servers on a node's own host, from the first announcement to the
 //! end, driven by the state chart `charts/backend.jsonc`.
 
-use std::collections::{BTreeMap, VecDeque};
-use std::net::SocketAddr;
+use std::collections::BTreeMap;
 use std::sync::LazyLock;
 
 use cicadagw_chart::names;
-use cicadagw_endpoint::{LocalUpdate, State as EndpointState};
+use cicadagw_endpoint::{Departure, LocalUpdate, State as EndpointState};
 use cicadagw_unit::id;
 use cicadagw_unit::rate::CallRate;
-use cicadagw_unit::size::Slots;
 use cicadagw_unit::time::{Span, Timestamp};
 
+pub use crate::announcement::{Announcement, Order};
+use crate::gone::GoneList;
+
 names! {
     /// The state of an endpoint.
     pub enum State {
@@ -66,10 +67,6 @@
 /// The state chart of an endpoint's lifecycle.
 pub type Chart = cicadagw_chart::Chart<State, Event, Guard, Action>;
 
-/// How many ids of gone endpoints are kept, so that they cannot register again. Beyond that, the
-/// oldest id is evicted and may be registered again.
-const GONE_MAX: usize = 1_024;
-
 /// How long a delayed announcement may arrive after the deregistration that overtook it. For that
 /// time, the id of an endpoint that was never registered here cannot register.
 const LATE_ANNOUNCEMENT_MAX: Span = Span::seconds(5);
@@ -83,37 +80,6 @@
     &CHART
 }
 
-/// The order of announcements: the newer one is greater. A backend server that sends neither field
-/// has the default, with which no announcement is newer than another.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-pub struct Order {
-    /// When the backend server started, in milliseconds since the Unix epoch.
-    pub started_ms: u64,
-    /// The number of the announcement since that start.
-    pub sequence: u64,
-}
-
-/// An announcement, by which a backend server registers and renews its registration.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Announcement {
-    /// The address on which it accepts calls.
-    pub address: SocketAddr,
-    /// How many connections it accepts.
-    pub connections: Slots,
-    /// The endpoint id, usually new for every start of the backend server.
-    pub endpoint: id::Endpoint,
-    /// How many calls run now, as reported by the backend server.
-    pub in_flight: Slots,
-    /// Whether it drains and accepts no new calls.
-    pub is_draining: bool,
-    /// The order among the announcements of the backend server.
-    pub order: Order,
-    /// The service that it belongs to.
-    pub service: id::Service,
-    /// How many calls it can run concurrently.
-    pub slots: Slots,
-}
-
 /// A side effect of a state change, for the caller to carry out.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Effect {
@@ -131,18 +97,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     backends: BTreeMap<id::Endpoint, Backend>,
-    /// The endpoints that are gone, oldest first.
-    gone: VecDeque<GoneEndpoint>,
-}
-
-/// An endpoint that is gone and cannot register again.
-#[derive(Clone, Debug)]
-struct GoneEndpoint {
-    endpoint: id::Endpoint,
-    /// The start that is gone, in milliseconds since the Unix epoch; a later one may register.
-    started_ms: u64,
-    /// When any start may register again; never if it is `None`.
-    until: Option<Timestamp>,
+    gone: GoneList,
 }
 
 /// A registered backend server.
@@ -150,6 +105,8 @@
 struct Backend {
     /// The last announcement.
     announcement: Announcement,
+    /// Whether it has said that it leaves.
+    has_left: bool,
     state: State,
     /// The rate of calls that it takes from the whole fleet, while it names one.
     limit: Option<CallRate>,
@@ -171,12 +128,8 @@
         now: Timestamp,
         announcement: &Announcement,
     ) -> Result<Vec<Effect>, Gone> {
-        let is_gone = |gone: &GoneEndpoint| {
-            gone.endpoint == announcement.endpoint
-                && gone.started_ms >= announcement.order.started_ms
-                && gone.until.is_none_or(|until| now < until)
-        };
-        if self.gone.iter().any(is_gone) {
+        let started_ms = announcement.order.started_ms;
+        if self.gone.contains(now, &announcement.endpoint, started_ms) {
             return Err(Gone);
         }
         if self.is_stale(announcement) {
@@ -188,12 +141,14 @@
             .entry(announcement.endpoint.clone())
             .or_insert_with(|| Backend {
                 announcement: announcement.clone(),
+                has_left: false,
                 state: chart().initial(),
                 limit: None,
                 renewed_at: now,
             });
         let is_resized = backend.announcement.slots != announcement.slots;
         backend.announcement = announcement.clone();
+        backend.has_left |= announcement.is_draining;
         let event = if announcement.is_draining {
             Event::Draining
         } else {
@@ -224,21 +179,52 @@
                 Some(_) => None,
                 None => Some(now.after(LATE_ANNOUNCEMENT_MAX)),
             };
-            self.keep_gone(endpoint.clone(), started_ms.unwrap_or(u64::MAX), until);
+            let started_ms = started_ms.unwrap_or(u64::MAX);
+            self.gone.insert(endpoint.clone(), started_ms, until);
             return None;
         };
         let known_ms = backend.announcement.order.started_ms;
         if started_ms.is_some_and(|started_ms| started_ms < known_ms) {
             return Some(Vec::new());
         }
-        Some(self.apply_event(now, endpoint, Event::Ended))
+        Some(self.end_left(now, endpoint))
+    }
+
+    /// Ends an endpoint whose departure another process knows of: it was acknowledged before this
+    /// process started. Its id is kept as gone, so that a delayed announcement does not register it.
+    pub fn restore_departure(&mut self, now: Timestamp, departure: &Departure) -> Vec<Effect> {
+        let Departure {
+            endpoint,
+            started_ms,
+        } = departure;
+        match self.backends.get(endpoint) {
+            // The departure is known here as well; the calls in flight are finished.
+            Some(backend) if backend.has_left => Vec::new(),
+            Some(backend) if backend.announcement.order.started_ms > *started_ms => Vec::new(),
+            Some(_) => self.end_left(now, endpoint),
+            None => {
+                if !self.gone.contains(now, endpoint, *started_ms) {
+                    self.gone.insert(endpoint.clone(), *started_ms, None);
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    /// Ends all endpoints because the node itself ends. Their backend servers have not left and
+    /// register at its next process.
+    pub fn end_all(&mut self, now: Timestamp) -> Vec<Effect> {
+        let all: Vec<_> = self.backends.keys().cloned().collect();
+        all.iter()
+            .flat_map(|endpoint| self.apply_event(now, endpoint, Event::Ended))
+            .collect()
     }
 
     /// Removes an endpoint that cannot be reached. Its id is not kept as gone, so its next
     /// announcement registers it again.
     pub fn forget(&mut self, now: Timestamp, endpoint: &id::Endpoint) -> Vec<Effect> {
         let effects = self.apply_event(now, endpoint, Event::Expired);
-        self.gone.retain(|gone| gone.endpoint != *endpoint);
+        self.gone.remove(endpoint);
         effects
     }
 
@@ -258,6 +244,9 @@
 
     /// Drains an endpoint whose backend server has said in a response that it is leaving.
     pub fn leave(&mut self, now: Timestamp, endpoint: &id::Endpoint) -> Vec<Effect> {
+        if let Some(backend) = self.backends.get_mut(endpoint) {
+            backend.has_left = true;
+        }
         self.apply_event(now, endpoint, Event::Draining)
     }
 
@@ -293,11 +282,6 @@
         Some((backend.state, &backend.announcement))
     }
 
-    /// Returns the ids of the endpoints that are not gone.
-    pub fn endpoints(&self) -> impl Iterator<Item = &id::Endpoint> {
-        self.backends.keys()
-    }
-
     /// Returns whether a newer announcement of the same endpoint, or of a later start at the same
     /// address, is known.
     fn is_stale(&self, announcement: &Announcement) -> bool {
@@ -331,6 +315,14 @@
             .collect()
     }
 
+    /// Ends an endpoint whose backend server has left.
+    fn end_left(&mut self, now: Timestamp, endpoint: &id::Endpoint) -> Vec<Effect> {
+        if let Some(backend) = self.backends.get_mut(endpoint) {
+            backend.has_left = true;
+        }
+        self.apply_event(now, endpoint, Event::Ended)
+    }
+
     /// Applies `event` to an endpoint, and retires the endpoint if it is gone.
     fn apply_event(
         &mut self,
@@ -353,18 +345,7 @@
     fn retire(&mut self, endpoint: &id::Endpoint) {
         let started_ms = self.backends.remove(endpoint);
         let started_ms = started_ms.map_or(0, |backend| backend.announcement.order.started_ms);
-        self.keep_gone(endpoint.clone(), started_ms, None);
-    }
-
-    fn keep_gone(&mut self, endpoint: id::Endpoint, started_ms: u64, until: Option<Timestamp>) {
-        self.gone.push_back(GoneEndpoint {
-            endpoint,
-            started_ms,
-            until,
-        });
-        if self.gone.len() > GONE_MAX {
-            self.gone.pop_front();
-        }
+        self.gone.insert(endpoint.clone(), started_ms, None);
     }
 }
 
@@ -385,6 +366,7 @@
     fn update(&self) -> LocalUpdate {
         LocalUpdate {
             endpoint: self.announcement.endpoint.clone(),
+            has_left: self.has_left,
             limit: self.limit,
             service: self.announcement.service.clone(),
             slots: self.announcement.slots,
--- a/crates/cicadagw-call/tests/lifecycle.rs
+++ b/crates/cicadagw-call/tests/lifecycle.rs
@@ -3,6 +3,7 @@
 
 use cicadagw_call::Registry;
 use cicadagw_call::lifecycle::{Announcement, Effect, Gone, Order, State};
+use cicadagw_endpoint::Departure;
 use cicadagw_unit::id;
 use cicadagw_unit::size::Slots;
 use cicadagw_unit::time::{Span, Timestamp};
@@ -197,3 +198,58 @@
         assert!(restarted.is_ok(), "{started_ms:?}");
     }
 }
+
+// Guards against a leaving that is forgotten when the node restarts: other nodes remember it, and
+// may tell it before or after a delayed announcement arrives.
+#[test]
+fn a_restored_departure_ends_its_endpoint_and_refuses_delayed_announcements() {
+    let departure = Departure {
+        endpoint: endpoint("a"),
+        started_ms: 0,
+    };
+    let mut told_before = Registry::default();
+    let mut told_after = Registry::default();
+
+    told_before.restore_departure(at(0), &departure);
+    let refused = told_before.announce(at(1), &announcement("a", 1, false));
+    let other = told_before.announce(at(1), &announcement("b", 1, false));
+    told_after
+        .announce(at(0), &announcement("a", 1, false))
+        .unwrap();
+    let ended = told_after.restore_departure(at(1), &departure);
+
+    assert_eq!(refused, Err(Gone));
+    assert_eq!(rendered(&other.unwrap()), ["publish b Ready"]);
+    assert_eq!(rendered(&ended), ["refuse a", "publish a Gone"]);
+}
+
+#[test]
+fn only_a_backend_server_that_leaves_is_published_as_departed() {
+    let departed = |effects: &[Effect]| -> Vec<bool> {
+        let published = effects.iter().filter_map(|effect| match effect {
+            Effect::Publish(update) => Some(update.has_left),
+            Effect::Refuse(_) => None,
+        });
+        published.collect()
+    };
+    let registered = || {
+        let mut registry = Registry::default();
+        registry
+            .announce(at(0), &announcement("a", 1, false))
+            .unwrap();
+        registry
+    };
+
+    let deregistered = registered().deregister(at(1), &endpoint("a"), None);
+    let draining = registered().announce(at(1), &announcement("a", 1, true));
+    let stopping = registered().drain_all(at(1));
+    let stopped = registered().end_all(at(1));
+    let expired = registered().expire(at(10_000), RENEWAL);
+    let unreachable = registered().forget(at(1), &endpoint("a"));
+
+    assert_eq!(departed(&deregistered.unwrap()), [true]);
+    assert_eq!(departed(&draining.unwrap()), [true]);
+    for effects in [stopping, stopped, expired, unreachable] {
+        assert_eq!(departed(&effects), [false]);
+    }
+}
--- a/crates/cicadagw-control/tests/control/fixture.rs
+++ b/crates/cicadagw-control/tests/control/fixture.rs
@@ -108,6 +108,7 @@
 pub(crate) fn local(endpoint: &str, state: State) -> LocalUpdate {
     LocalUpdate {
         endpoint: endpoint.parse().unwrap(),
+        has_left: false,
         service: "shop".parse().unwrap(),
         slots: Slots::new(10),
         limit: None,
--- a/crates/cicadagw-endpoint/src/lib.rs
+++ b/crates/cicadagw-endpoint/src/lib.rs
@@ -4,10 +4,12 @@
 //! ordered by a sequence number that only increases. A delayed update therefore cannot revive an
 //! endpoint that is gone.
 
+mod departure;
 mod local;
 mod record;
 mod table;
 
+pub use departure::{Departure, Departures};
 pub use local::LocalUpdate;
 pub use record::{Record, State};
 pub use table::{Outcome, Table};
--- a/crates/cicadagw-endpoint/src/local.rs
+++ b/crates/cicadagw-endpoint/src/local.rs
@@ -16,6 +16,10 @@
 pub struct LocalUpdate {
     /// The endpoint of the backend server.
     pub endpoint: id::Endpoint,
+    /// Whether the backend server itself has said that it leaves. That holds for good, unlike a state
+    /// that only this node has set, for instance since it is shutting down.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub has_left: bool,
     /// The rate of calls that the backend server takes from the whole fleet, while it names one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limit: Option<CallRate>,
--- a/crates/cicadagw-gossip/src/core/anti_entropy.rs
+++ b/crates/cicadagw-gossip/src/core/anti_entropy.rs
@@ -2,11 +2,12 @@
 
 use std::net::SocketAddr;
 
+use cicadagw_endpoint::Departures;
 use cicadagw_unit::time::{Span, Timestamp};
 use cicadagw_unit::{Version, id};
 
 use super::Core;
-use crate::message::{MEMBERS_PER_MESSAGE, STAMPS_PER_MESSAGE};
+use crate::message::{STAMPS_PER_MESSAGE, split_members};
 use crate::partition::PARTITIONS_MAX;
 use crate::{Call, Effect, Member, Message, Notice, Partition, Stamp};
 
@@ -36,7 +37,12 @@
             }
         }
         if wants_ack && let Some(sender) = members.iter().find(|member| member.node == *from) {
+            let known = self.table.get(from);
+            let departures = known.map_or_else(Departures::default, |known| {
+                known.departures.missing_from(&sender.departures)
+            });
             let ack = Message::Ack {
+                departures,
                 from: self.own.node.clone(),
                 stamp: sender.stamp,
             };
@@ -51,12 +57,25 @@
     /// Overrides a record of this node that the current process did not send, such as one of an
     /// earlier process whose clock was ahead, by broadcasting a newer record.
     pub(super) fn refute(&mut self, now: Timestamp, member: &Member) {
+        self.restore_departures(now, &member.departures);
         if member.stamp > self.own.stamp && member.stamp.is_plausible() {
             self.own.stamp = member.stamp;
             self.broadcast(now);
         }
     }
 
+    /// Adds the departures from this host that an earlier process of this node had published, and
+    /// broadcasts them again.
+    pub(super) fn restore_departures(&mut self, now: Timestamp, departures: &Departures) {
+        if departures.missing_from(&self.own.departures).is_empty() {
+            return;
+        }
+        self.own.departures.restore(departures);
+        let notice = Notice::DeparturesRestored(self.own.departures.clone());
+        self.effects.push(Effect::Log(notice));
+        self.broadcast(now);
+    }
+
     /// Merges a record of another node; returns whether it was newer than the one in the table. A
     /// record that no node can have published is left out.
     pub(super) fn merge(&mut self, now: Timestamp, member: &Member) -> bool {
@@ -157,10 +176,10 @@
             .filter(|member| theirs(&member.node) < Some(member.stamp))
             .cloned()
             .collect();
-        for members in newer.chunks(MEMBERS_PER_MESSAGE) {
+        for members in split_members(newer) {
             let push = Message::Push {
                 from: self.own.node.clone(),
-                members: members.to_vec(),
+                members,
                 wants_ack: false,
                 spread: false,
             };
--- a/crates/cicadagw-gossip/src/core/dissemination.rs
+++ b/crates/cicadagw-gossip/src/core/dissemination.rs
@@ -126,6 +126,7 @@
         }
         self.effects.push(Effect::Publish(View {
             snapshot: self.snapshot.clone(),
+            departures: self.own.departures.clone(),
             endpoints: self.endpoints.clone(),
             members: self.table.iter().count(),
         }));
--- a/crates/cicadagw-gossip/src/core/step.rs
+++ b/crates/cicadagw-gossip/src/core/step.rs
@@ -5,7 +5,7 @@
 
 use bon::Builder;
 use cicadagw_config::Snapshot;
-use cicadagw_endpoint::{LocalUpdate, State};
+use cicadagw_endpoint::{Departure, Departures, LocalUpdate, State};
 use cicadagw_unit::time::{Span, Timestamp};
 use cicadagw_unit::{Version, id};
 use cicadagw_view::Endpoints;
@@ -87,6 +87,7 @@
         let own = Member {
             backend: None,
             calls: setup.calls,
+            departures: Departures::default(),
             domain: setup.domain,
             gossip: setup.gossip,
             is_leaving: false,
@@ -186,6 +187,11 @@
     /// Updates this node's record when the state of a backend server on this host changed, and
     /// broadcasts it.
     fn handle_local(&mut self, now: Timestamp, local: &LocalUpdate) {
+        let has_departed = local.has_left
+            && self.own.departures.record(&Departure {
+                endpoint: local.endpoint.clone(),
+                started_ms: local.started_ms,
+            });
         let current = self.own.backend.as_ref();
         let is_current = current.is_some_and(|backend| backend.endpoint == local.endpoint);
         let backend = match local.state {
@@ -198,14 +204,14 @@
                 started_ms: local.started_ms,
             }),
             // A late update of a backend server that another one has replaced.
-            State::Draining | State::Gone if !is_current => return,
+            State::Draining | State::Gone if !is_current => current.cloned(),
             State::Draining => current.map(|backend| Backend {
                 is_ready: false,
                 ..backend.clone()
             }),
             State::Gone => None,
         };
-        if self.own.backend != backend {
+        if has_departed || self.own.backend != backend {
             self.own.backend = backend;
             self.broadcast(now);
         }
@@ -226,7 +232,12 @@
                     self.relay(&members);
                 }
             }
-            Message::Ack { from, stamp } => {
+            Message::Ack {
+                departures,
+                from,
+                stamp,
+            } => {
+                self.restore_departures(now, &departures);
                 if stamp >= self.own.stamp {
                     self.outbound.remove(&from);
                 }
--- a/crates/cicadagw-gossip/src/event.rs
+++ b/crates/cicadagw-gossip/src/event.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use cicadagw_config::Snapshot;
-use cicadagw_endpoint::LocalUpdate;
+use cicadagw_endpoint::{Departures, LocalUpdate};
 use cicadagw_platform::{Error, Revision};
 use cicadagw_unit::Version;
 use cicadagw_unit::time::Span;
@@ -103,6 +103,8 @@
     },
     /// A configuration fetched from another node was not applied, for this reason.
     Refused(String),
+    /// Other nodes have told which backend servers had left this host before this process started.
+    DeparturesRestored(Departures),
     /// A member was added to the table, or its record changed.
     MemberChanged(Box<Member>),
     /// The platform responds again after it was unavailable.
@@ -124,6 +126,7 @@
         f.write_str(match self {
             Self::Adopted { .. } => "configuration applied",
             Self::Refused(_) => "configuration refused",
+            Self::DeparturesRestored(_) => "departures from this host restored",
             Self::MemberChanged(_) => "member record changed",
             Self::PlatformAvailable => "platform available again",
             Self::PlatformUnavailable { .. } => "platform unavailable",
--- a/crates/cicadagw-gossip/src/member.rs
+++ b/crates/cicadagw-gossip/src/member.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 
+use cicadagw_endpoint::Departures;
 use cicadagw_unit::id;
 use cicadagw_unit::rate::CallRate;
 use cicadagw_unit::size::Slots;
@@ -67,6 +68,10 @@
     /// Address at which the node accepts proxied calls of other nodes: `peering.nodes` of its
     /// settings, not `calls`.
     pub calls: SocketAddr,
+    /// The backend servers that have left the node's host. They outlive its process in the tables of
+    /// the other nodes.
+    #[serde(default, skip_serializing_if = "Departures::is_empty")]
+    pub departures: Departures,
     /// Failure domain of the node.
     pub domain: id::Domain,
     /// UDP address at which the node receives gossip messages.
@@ -81,6 +86,18 @@
     pub stamp: Stamp,
 }
 
+impl Member {
+    /// Returns the size of the record within a message, in bytes.
+    ///
+    /// # Panics
+    ///
+    /// Never: every record serializes to JSON.
+    pub(crate) fn encoded_size(&self) -> usize {
+        let bytes = serde_json::to_vec(self).expect("a member record serializes to JSON");
+        bytes.len() + 1
+    }
+}
+
 /// The backend server on a node's host.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Backend {
--- a/crates/cicadagw-gossip/src/message.rs
+++ b/crates/cicadagw-gossip/src/message.rs
@@ -1,5 +1,6 @@
 //! Gossip messages, each sent as one UDP datagram of JSON.
 
+use cicadagw_endpoint::Departures;
 use cicadagw_unit::{Version, id};
 
 use crate::{Member, Partition, Stamp};
@@ -8,7 +9,10 @@
 pub const DATAGRAM_MAX: usize = 1_300;
 
 /// Maximum number of member records in one message.
-pub(crate) const MEMBERS_PER_MESSAGE: usize = 4;
+const MEMBERS_PER_MESSAGE: usize = 4;
+
+/// Maximum size of the member records in one message, in bytes.
+const MEMBERS_BYTES_MAX: usize = DATAGRAM_MAX - 150;
 
 /// Maximum number of stamps in one message.
 pub(crate) const STAMPS_PER_MESSAGE: usize = 20;
@@ -31,6 +35,9 @@
     },
     /// Acknowledges a [`Message::Push`].
     Ack {
+        /// The departures from the receiver's host that its record lacks, as it has restarted since.
+        #[serde(default, skip_serializing_if = "Departures::is_empty")]
+        departures: Departures,
         /// Name of the sender.
         from: id::Node,
         /// Stamp of the receiver's own record that the sender holds.
@@ -75,6 +82,28 @@
     },
 }
 
+/// Splits member records into groups that fit one message each.
+pub(crate) fn split_members(members: Vec<Member>) -> Vec<Vec<Member>> {
+    let mut groups: Vec<Vec<Member>> = Vec::new();
+    let mut size = 0;
+    for member in members {
+        let length = member.encoded_size();
+        match groups.last_mut() {
+            Some(group)
+                if group.len() < MEMBERS_PER_MESSAGE && size + length <= MEMBERS_BYTES_MAX =>
+            {
+                size += length;
+                group.push(member);
+            }
+            _ => {
+                size = length;
+                groups.push(vec![member]);
+            }
+        }
+    }
+    groups
+}
+
 impl Message {
     /// Encodes the message as JSON.
     ///
--- a/crates/cicadagw-gossip/src/table.rs
+++ b/crates/cicadagw-gossip/src/table.rs
@@ -18,19 +18,22 @@
 }
 
 impl Table {
-    /// Inserts a record if it is newer than the one in the table; returns whether it was.
+    /// Inserts a record if it is newer than the one in the table; returns whether it was. The
+    /// departures of the earlier record are kept: a restarted node does not know them.
     pub fn merge(&mut self, member: &Member) -> bool {
         let known = self.members.get(&member.node);
         if known.is_some_and(|known| known.stamp >= member.stamp) {
             return false;
         }
+        let mut member = member.clone();
         if let Some(known) = known {
+            member.departures.restore(&known.departures);
             let replaced = hash::record(&known.node, known.stamp);
             self.digest = self.digest.wrapping_sub(replaced);
         }
         let added = hash::record(&member.node, member.stamp);
         self.digest = self.digest.wrapping_add(added);
-        self.members.insert(member.node.clone(), member.clone());
+        self.members.insert(member.node.clone(), member);
         true
     }
 
@@ -78,6 +81,12 @@
 /// Returns the endpoint record of a member, if its backend server accepts requests.
 fn endpoint_record(member: &Member) -> Option<Record> {
     let backend = member.backend.as_ref()?;
+    if member
+        .departures
+        .contains(&backend.endpoint, backend.started_ms)
+    {
+        return None;
+    }
     // Another writer may have stated a number of slots that would draw all calls to the endpoint.
     if !backend.is_ready || member.is_leaving || backend.slots > Slots::MAX {
         return None;
--- a/crates/cicadagw-gossip/tests/odd.rs
+++ b/crates/cicadagw-gossip/tests/odd.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use cicadagw_endpoint::State;
+use cicadagw_endpoint::{Departures, State};
 use cicadagw_gossip::{Backend, Effect, Event, Member, Message, Partition, Stamp, Table};
 use cicadagw_unit::size::Slots;
 use cicadagw_unit::time::{Span, Timestamp};
@@ -192,6 +192,7 @@
                 spread: true,
             },
             1 => Message::Ack {
+                departures: Departures::default(),
                 from,
                 stamp: Stamp(5, 5),
             },
--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 
 use cicadagw_config::{Config, Preset, Snapshot};
-use cicadagw_endpoint::{LocalUpdate, State};
+use cicadagw_endpoint::{Departures, LocalUpdate, State};
 use cicadagw_gossip::{Call, Core, Effect, Event, Member, Message, Notice, Reply, Setup, Stamp};
 use cicadagw_platform::{Error, Revision};
 use cicadagw_unit::Version;
@@ -94,6 +94,7 @@
 pub fn local(endpoint: &str, state: State) -> LocalUpdate {
     LocalUpdate {
         endpoint: endpoint.parse().unwrap(),
+        has_left: false,
         service: "orders".parse().unwrap(),
         slots: Slots::new(9),
         limit: None,
@@ -113,6 +114,7 @@
     Member {
         backend: None,
         calls: address(index),
+        departures: Departures::default(),
         domain: format!("{region}-a").parse().unwrap(),
         gossip: address(index),
         is_leaving: false,
--- a/crates/cicadagw-node/src/peering/gossip.rs
+++ b/crates/cicadagw-node/src/peering/gossip.rs
@@ -196,6 +196,13 @@
         Notice::Refused(reason) => {
             log::warn!(reason:%, next = "the node keeps its current configuration"; "{notice}");
         }
+        Notice::DeparturesRestored(departures) => {
+            let endpoints: Vec<_> = departures
+                .iter()
+                .map(|departure| departure.endpoint.as_str())
+                .collect();
+            log::info!(endpoints = endpoints.join(","); "{notice}");
+        }
         Notice::MemberChanged(member) => {
             let endpoint = member.backend.as_ref();
             let endpoint = endpoint.map_or("-", |backend| backend.endpoint.as_str());
--- a/crates/cicadagw-proxy/src/node.rs
+++ b/crates/cicadagw-proxy/src/node.rs
@@ -1,14 +1,15 @@
 //! The shared state of the proxy, used on a single thread.
 
+mod local;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 
-use cicadagw_call::lifecycle::{Announcement, Effect, Gone, State};
+use cicadagw_call::Registry;
 use cicadagw_call::refusal::History;
 use cicadagw_call::route::Index;
-use cicadagw_call::{Reason, Registry};
 use cicadagw_config::{Edge, Snapshot};
 use cicadagw_dialect::Dialect;
 use cicadagw_settings::{Budget, Timing};
@@ -93,6 +94,8 @@
         if current.is_some_and(|current| Arc::ptr_eq(current, &view)) {
             return routing.clone();
         }
+        let has_new_departures =
+            current.is_none_or(|current| current.departures != view.departures);
         let snapshot = |view: &View| view.snapshot.as_ref().map(Arc::as_ptr);
         if current.and_then(|current| snapshot(current)) != snapshot(&view) {
             let previous = routing.index.take().unwrap_or_default();
@@ -111,6 +114,9 @@
             self.peers.prune(&routing.endpoints);
         }
         self.peers.set_members(view.members);
+        if has_new_departures {
+            self.restore_departures(&view.departures);
+        }
         routing.view = Some(view);
         routing.clone()
     }
@@ -150,87 +156,11 @@
         at.is_some_and(|at| self.clock.now().after(span) >= at)
     }
 
-    /// Applies the announcement of a local backend server; fails if its endpoint is already gone.
-    pub(crate) fn announce(&self, announcement: &Announcement) -> Result<(), Gone> {
-        let effects = self
-            .registry
-            .borrow_mut()
-            .announce(self.clock.now(), announcement)?;
-        let mut local_backends = self.local_backends.borrow_mut();
-        let is_unchanged = local_backends
-            .get(&announcement.endpoint)
-            .is_some_and(|backend| backend.renew(announcement));
-        if !is_unchanged {
-            local_backends.insert(
-                announcement.endpoint.clone(),
-                Backend::new(self.clock, announcement),
-            );
-        }
-        drop(local_backends);
-        self.apply(effects);
-        if self.is_shutting_down() {
-            self.drain_backends();
-        }
-        Ok(())
-    }
-
-    /// Deregisters a local backend server; returns whether it was known.
-    pub(crate) fn deregister(&self, endpoint: &id::Endpoint, started_ms: Option<u64>) -> bool {
-        let effects = self
-            .registry
-            .borrow_mut()
-            .deregister(self.clock.now(), endpoint, started_ms);
-        let is_known = effects.is_some();
-        self.apply(effects.unwrap_or_default());
-        is_known
-    }
-
-    /// Drains a local backend server that has said in a response that it is leaving.
-    pub(crate) fn leave(&self, endpoint: &id::Endpoint) {
-        let effects = self.registry.borrow_mut().leave(self.clock.now(), endpoint);
-        if !effects.is_empty() {
-            log::info!(endpoint:%; "a local backend server says in a response that it is leaving");
-            self.apply(effects);
-        }
-    }
-
-    /// Publishes changes of the rate limits that local backend servers name.
-    pub(crate) fn publish_limits(&self) {
-        let limits: Vec<_> = self
-            .local_backends
-            .borrow()
-            .values()
-            .map(|backend| (backend.endpoint.clone(), backend.limit()))
-            .collect();
-        for (endpoint, limit) in limits {
-            let effects = self.registry.borrow_mut().set_limit(&endpoint, limit);
-            if !effects.is_empty() {
-                self.apply(effects);
-            }
-        }
-        let endpoints = &self.view.load().endpoints;
-        let limited = endpoints
-            .values()
-            .flatten()
-            .filter(|record| record.limit.is_some());
-        self.stats.set_limited_endpoints(limited.count() as u64);
-    }
-
     /// Returns the current configuration snapshot, if there is one.
     pub(crate) fn snapshot(&self) -> Option<Arc<Snapshot>> {
         self.view.load().snapshot.clone()
     }
 
-    /// Removes a backend server that cannot be reached; its next announcement adds it again.
-    pub(crate) fn remove_unreachable(&self, endpoint: &id::Endpoint) {
-        log::warn!(endpoint:%, next = "its next announcement adds it again"; "failed to connect to a local backend server");
-        let effects = self
-            .registry
-            .borrow_mut()
-            .forget(self.clock.now(), endpoint);
-        self.apply(effects);
-    }
-
     /// Returns the size limits of calls: the stricter of those from the settings and from the
     /// configuration.
     pub(crate) fn limits(&self) -> Limits {
@@ -274,19 +204,6 @@
         self.is_refusing.get()
     }
 
-    /// Restarts the renewal time of all backend servers after this process was suspended, since
-    /// their announcements could not be received meanwhile.
-    pub(crate) fn renew_all(&self) {
-        self.registry.borrow_mut().renew_all(self.clock.now());
-    }
-
-    /// Removes backend servers that have not renewed their announcement in time.
-    pub(crate) fn expire(&self) {
-        let now = self.clock.now();
-        let effects = self.registry.borrow_mut().expire(now, self.timing.renewal);
-        self.apply(effects);
-    }
-
     /// Starts the shutdown: local backend servers get no new calls, while local callers are still
     /// served.
     pub(crate) fn start_shutdown(&self) {
@@ -300,14 +217,6 @@
         self.is_refusing.set(true);
     }
 
-    /// Deregisters all remaining local backend servers.
-    pub(crate) fn deregister_all(&self) {
-        let all: Vec<_> = self.registry.borrow().endpoints().cloned().collect();
-        for endpoint in all {
-            self.deregister(&endpoint, None);
-        }
-    }
-
     /// Sends queued updates to the control duty; returns whether all were sent.
     pub(crate) fn flush(&self) -> bool {
         let mut outbox = self.outbox.borrow_mut();
@@ -315,26 +224,6 @@
         outbox.is_empty()
     }
 
-    /// Returns a local backend server that accepts calls, and its service.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Reason::Draining`] or [`Reason::Gone`] when the backend server accepts none.
-    pub(crate) fn backend(
-        &self,
-        endpoint: &id::Endpoint,
-    ) -> Result<(Rc<Backend>, id::Service), Reason> {
-        let registry = self.registry.borrow();
-        let (state, announcement) = registry.get(endpoint).ok_or(Reason::Gone)?;
-        match state {
-            State::Ready => {}
-            State::Draining => return Err(Reason::Draining),
-            State::Announced | State::Gone => return Err(Reason::Gone),
-        }
-        let backend = self.local_backends.borrow().get(endpoint).cloned();
-        Ok((backend.ok_or(Reason::Gone)?, announcement.service.clone()))
-    }
-
     /// Publishes the state of the proxy.
     pub(crate) fn publish(&self) {
         self.stats.publish(stats::State {
@@ -343,52 +232,4 @@
             services: self.peers.summaries(self.clock.now()),
         });
     }
-
-    fn backends(&self) -> Vec<stats::Backend> {
-        let registry = self.registry.borrow();
-        let local_backends = self.local_backends.borrow();
-        local_backends
-            .iter()
-            .filter_map(|(endpoint, backend)| {
-                let (state, announcement) = registry.get(endpoint)?;
-                Some(stats::Backend {
-                    endpoint: endpoint.clone(),
-                    service: announcement.service.clone(),
-                    state,
-                    limit: backend.limit(),
-                    load: backend.load(),
-                    says_in_flight: announcement.in_flight,
-                })
-            })
-            .collect()
-    }
-
-    /// Makes all local backend servers refuse new calls.
-    fn drain_backends(&self) {
-        let effects = self.registry.borrow_mut().drain_all(self.clock.now());
-        self.apply(effects);
-    }
-
-    /// Performs the effects of a registry change.
-    fn apply(&self, effects: Vec<Effect>) {
-        for effect in effects {
-            match effect {
-                Effect::Refuse(endpoint) => {
-                    let backend = self.local_backends.borrow().get(&endpoint).cloned();
-                    if let Some(backend) = backend {
-                        backend.close();
-                    }
-                }
-                Effect::Publish(update) => {
-                    log::info!(endpoint:% = update.endpoint, service:% = update.service, state:? = update.state; "the state of a local backend server changed");
-                    self.outbox.borrow_mut().push(update);
-                }
-            }
-        }
-        let registry = self.registry.borrow();
-        self.local_backends
-            .borrow_mut()
-            .retain(|endpoint, _| registry.get(endpoint).is_some());
-        self.outbox.borrow_mut().flush();
-    }
 }
--- a/crates/cicadagw-proxy/tests/support/mesh.rs
+++ b/crates/cicadagw-proxy/tests/support/mesh.rs
@@ -227,6 +227,7 @@
             }
         }
         self.view.publish(View {
+            departures: cicadagw_endpoint::Departures::default(),
             snapshot: Some(self.snapshot.clone()),
             endpoints: Arc::new(endpoints),
             members: 0,
--- a/crates/cicadagw-view/src/view.rs
+++ b/crates/cicadagw-view/src/view.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use cicadagw_config::Snapshot;
-use cicadagw_endpoint::Record;
+use cicadagw_endpoint::{Departures, Record};
 use cicadagw_unit::id;
 
 /// The records of the endpoints that accept new requests, by service.
@@ -15,6 +15,9 @@
 pub struct View {
     /// The active configuration snapshot of the node, or `None` before the first one arrives.
     pub snapshot: Option<Arc<Snapshot>>,
+    /// The backend servers that have left this host, as far as the duty that shares endpoints knows:
+    /// other nodes remember them beyond a restart of this one.
+    pub departures: Departures,
     /// The endpoints that accept new requests.
     pub endpoints: Arc<Endpoints>,
     /// The number of nodes in the fleet, this one included, or zero if it is unknown.
