--- a/crates/cicadagw-gossip/src/core/anti_entropy.rs
+++ b/crates/cicadagw-gossip/src/core/anti_entropy.rs
@@ -98,6 +98,19 @@
         true
     }
 
+    /// Sends this node's record to a peer that it does not know. The peer has known it before a
+    /// restart and sends its own record in return, so a node that starts while the platform is
+    /// unavailable finds the others through their digests.
+    pub(super) fn introduce(&mut self, peer: SocketAddr) {
+        let push = Message::Push {
+            from: self.own.node.clone(),
+            members: vec![self.own.clone()],
+            wants_ack: true,
+            spread: false,
+        };
+        self.effects.push(Effect::Send(peer, push));
+    }
+
     /// Compares the digest message of a peer with this node's state: fetches the configuration if
     /// the peer's version is newer, replies with this node's digest message if it is older, and
     /// sends partition digests or stamps if the table digests differ.
--- a/crates/cicadagw-gossip/src/core/step.rs
+++ b/crates/cicadagw-gossip/src/core/step.rs
@@ -141,7 +141,7 @@
         match event {
             Event::Tick => self.tick(now),
             Event::Local(local) => self.handle_local(now, &local),
-            Event::Message(message) => self.handle_message(now, message),
+            Event::Message(sender, message) => self.handle_message(now, sender, message),
             Event::Reply(reply) => self.handle_reply(now, reply),
             Event::Shutdown => {
                 self.own.is_leaving = true;
@@ -218,7 +218,7 @@
     }
 
     /// Processes a gossip message of another node.
-    fn handle_message(&mut self, now: Timestamp, message: Message) {
+    fn handle_message(&mut self, now: Timestamp, sender: SocketAddr, message: Message) {
         self.watchers.record_message(now);
         match message {
             Message::Push {
@@ -252,7 +252,11 @@
                 if follows {
                     self.confirmed_at = now;
                 }
-                self.handle_digest(now, &from, digest, version);
+                if self.table.get(&from).is_some() {
+                    self.handle_digest(now, &from, digest, version);
+                } else {
+                    self.introduce(sender);
+                }
             }
             Message::Parts { from, digests } => self.compare_partitions(&from, &digests),
             Message::Have {
--- a/crates/cicadagw-gossip/src/event.rs
+++ b/crates/cicadagw-gossip/src/event.rs
@@ -20,8 +20,8 @@
     Tick,
     /// The state of a backend server on this host changed.
     Local(LocalUpdate),
-    /// A gossip message arrived from another node.
-    Message(Message),
+    /// A gossip message arrived from another node, at this address.
+    Message(SocketAddr, Message),
     /// A [`Call`] succeeded or failed.
     Reply(Reply),
     /// The node begins to shut down, so its endpoints must be removed everywhere.
--- a/crates/cicadagw-gossip/tests/departure.rs
+++ b/crates/cicadagw-gossip/tests/departure.rs
@@ -145,3 +145,25 @@
 
     assert_eq!(member.departures.iter().count(), 4);
 }
+
+// Guards against a node that knows nobody until the platform returns: it served no calls, and a
+// departure could not reach it.
+#[test]
+fn a_node_that_restarts_while_the_platform_is_away_learns_all_from_its_peers() {
+    let mut fleet = fleet_after_departure(State::Gone);
+    fleet.step(1, ready("i-other", 40));
+    fleet.run(PROPAGATION_MAX);
+    fleet.platform.unavailable_to = (0..NODES).collect();
+
+    fleet.restart(RESTARTED, 9);
+    fleet.step(RESTARTED, ready("i-leaving", 40));
+    fleet.run(DISCOVERY_MAX);
+    let delayed = fleet.endpoint_counts();
+    fleet.step(RESTARTED, ready("i-new", 50));
+    fleet.run(PROPAGATION_MAX);
+
+    assert_eq!(delayed, vec![1; NODES]);
+    assert_eq!(fleet.endpoint_counts(), vec![2; NODES]);
+    assert_eq!(fleet.versions(), vec![1; NODES]);
+    assert!(!fleet.nodes[RESTARTED].view.departures.is_empty());
+}
--- a/crates/cicadagw-gossip/tests/fleet.rs
+++ b/crates/cicadagw-gossip/tests/fleet.rs
@@ -7,7 +7,7 @@
 use cicadagw_gossip::{Event, Message};
 use cicadagw_unit::time::Span;
 use quickcheck::{Gen, QuickCheck};
-use support::{Fleet, local, snapshot};
+use support::{Fleet, address, local, snapshot};
 
 /// Size and seed of the generated test cases, and how many are run.
 const SIZE: usize = 12;
@@ -92,7 +92,7 @@
     };
     let before = fleet.bytes;
 
-    fleet.step(0, Event::Message(differing));
+    fleet.step(0, Event::Message(address(2), differing));
 
     let sent = fleet.bytes - before;
     assert!(
--- a/crates/cicadagw-gossip/tests/odd.rs
+++ b/crates/cicadagw-gossip/tests/odd.rs
@@ -7,7 +7,7 @@
 use cicadagw_unit::size::Slots;
 use cicadagw_unit::time::{Span, Timestamp};
 use quickcheck::{Gen, QuickCheck};
-use support::{Fleet, local, member, new_core};
+use support::{Fleet, address, local, member, new_core};
 
 /// Size and seed of the generated test cases, and how many are run.
 const SIZE: usize = 400;
@@ -36,12 +36,15 @@
 }
 
 fn push(from: usize, members: Vec<Member>) -> Event {
-    Event::Message(Message::Push {
-        from: member(from, Stamp(1, 1)).node,
-        members,
-        wants_ack: true,
-        spread: true,
-    })
+    Event::Message(
+        address(1),
+        Message::Push {
+            from: member(from, Stamp(1, 1)).node,
+            members,
+            wants_ack: true,
+            spread: true,
+        },
+    )
 }
 
 #[test]
@@ -111,7 +114,7 @@
         may_answer: true,
     };
 
-    let effects = core.step(Timestamp::new(1), Event::Message(have));
+    let effects = core.step(Timestamp::new(1), Event::Message(address(1), have));
 
     let is_empty_have = |effect: &Effect| matches!(effect, Effect::Send(_, Message::Have { stamps, may_answer: false, .. }) if stamps.is_empty());
     assert!(effects.iter().any(is_empty_have), "{effects:?}");
@@ -126,7 +129,7 @@
         digests: vec![0; 15_000],
     };
 
-    let effects = core.step(Timestamp::new(1), Event::Message(parts));
+    let effects = core.step(Timestamp::new(1), Event::Message(address(1), parts));
 
     assert!(effects.is_empty(), "{} effects", effects.len());
 }
@@ -165,7 +168,7 @@
         ),
         String::from_utf8(Message::encode(
             &match push(1, vec![member(1, Stamp(1, 1))]) {
-                Event::Message(message) => message,
+                Event::Message(_, message) => message,
                 _ => unreachable!("a push is a message"),
             },
         ))
@@ -222,7 +225,7 @@
             bytes[at % length] = if byte < 128 { b'0' + byte % 10 } else { byte };
         }
         if let Ok(message) = Message::decode(&bytes) {
-            core.step(Timestamp::new(1), Event::Message(message));
+            core.step(Timestamp::new(1), Event::Message(address(1), message));
             core.step(Timestamp::new(200), Event::Tick);
         }
         true
--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -79,7 +79,7 @@
     /// Number of reads of the configuration that the platform has received.
     pub config_reads: usize,
     rng: StdRng,
-    in_flight: VecDeque<(usize, Message)>,
+    in_flight: VecDeque<(usize, usize, Message)>,
 }
 
 /// Returns a snapshot of this version with an otherwise empty configuration.
@@ -103,7 +103,8 @@
     }
 }
 
-fn address(index: usize) -> SocketAddr {
+/// Returns the address of node `index`.
+pub fn address(index: usize) -> SocketAddr {
     let port = u16::try_from(index).unwrap() + 1;
     SocketAddr::from(([10, 0, 0, 1], port))
 }
@@ -227,15 +228,15 @@
         let is_isolated = self.isolated.contains(&from) || self.isolated.contains(&to);
         let is_lost = self.rng.random_range(0..1_000) < self.loss_permille;
         if to < self.nodes.len() && !is_isolated && !is_lost {
-            self.in_flight.push_back((to, message));
+            self.in_flight.push_back((from, to, message));
         }
     }
 
     fn deliver(&mut self) {
         // Messages that are sent in response are delivered after the next tick.
         for _ in 0..self.in_flight.len() {
-            let (to, message) = self.in_flight.pop_front().unwrap();
-            self.step(to, Event::Message(message));
+            let (from, to, message) = self.in_flight.pop_front().unwrap();
+            self.step(to, Event::Message(address(from), message));
         }
     }
 
--- a/crates/cicadagw-node/src/peering/gossip.rs
+++ b/crates/cicadagw-node/src/peering/gossip.rs
@@ -70,7 +70,7 @@
             reply = event_loop.rings.replies.recv() => reply.map(Event::Reply),
             received = event_loop.socket.recv_from(&mut datagram) => {
                 match decode(received, &datagram) {
-                    Some(message) => Some(Event::Message(message)),
+                    Some((sender, message)) => Some(Event::Message(sender, message)),
                     None => continue,
                 }
             }
@@ -87,17 +87,21 @@
     }
 }
 
-/// Decodes a received datagram. One that is not a message is logged and dropped, since anyone can
+/// Decodes a received datagram; returns its sender and the message. One that is not a message is logged and dropped, since anyone can
 /// send datagrams.
-fn decode(received: io::Result<(usize, SocketAddr)>, datagram: &[u8]) -> Option<Message> {
+fn decode(
+    received: io::Result<(usize, SocketAddr)>,
+    datagram: &[u8],
+) -> Option<(SocketAddr, Message)> {
     let (length, from) = received
         .map_err(|error| log::debug!(error:%; "failed to receive a datagram"))
         .ok()?;
-    Message::decode(&datagram[..length])
+    let message = Message::decode(&datagram[..length])
         .map_err(
             |error| log::warn!(from:%, error:%; "dropped a datagram that is not a valid message"),
         )
-        .ok()
+        .ok()?;
+    Some((from, message))
 }
 
 /// The state of the event loop.
