--- a/crates/cicadagw-proxy/src/response.rs
+++ b/crates/cicadagw-proxy/src/response.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use cicadagw_call::Reason;
 use cicadagw_call::pacing::UNPACED_MAX;
 use cicadagw_http::body::{Sender, Truncated};
 use cicadagw_http::client::{self, Incoming};
@@ -18,6 +19,10 @@
 use crate::pacer::{Pace, Pacer};
 use crate::peers::EndpointCall;
 
+/// How much of a body that had arrived by its deadline may still be passed on, in bytes: what the
+/// link or the caller has held up.
+const LATE_BYTES_MAX: usize = 256 << 10;
+
 /// A response whose head has been received.
 #[derive(Debug)]
 pub(crate) struct Response {
@@ -31,8 +36,9 @@
     incoming: Option<Incoming>,
     /// The maximum time between two parts of the body.
     idle_max: Duration,
-    /// When a body of unknown length, which may have no end, is truncated.
-    truncated_at: Option<Instant>,
+    /// When a body that has not arrived completely is truncated: it may have no end, whatever its
+    /// head says.
+    deadline: Instant,
     /// Paces the body on its way to the caller.
     pacer: Option<Rc<Pacer>>,
     guards: Guards,
@@ -50,8 +56,8 @@
 }
 
 impl Response {
-    /// Creates a response whose body must not stall for longer than `idle_max`, and ends by
-    /// `deadline` if its length is unknown.
+    /// Creates a response whose body must not stall for longer than `idle_max`, and must have arrived
+    /// by `deadline`.
     pub(crate) fn new(response: client::Response, idle_max: Duration, deadline: Instant) -> Self {
         let head = response.head;
         let declared = head.fields.text("content-length");
@@ -67,7 +73,7 @@
             buffered: SmallVec::new(),
             incoming: Some(response.body),
             idle_max,
-            truncated_at: length.is_none().then_some(deadline),
+            deadline,
             pacer: None,
             guards: Guards::default(),
         }
@@ -106,16 +112,17 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Truncated`] when the body ends before it is complete.
+    /// Returns the reason why nothing is to be forwarded: [`Reason::Lost`] when the body ends before
+    /// it is complete, [`Reason::Deadline`] when its deadline passes meanwhile.
     pub(crate) async fn buffer_short(
         &mut self,
         size_max: u64,
         time_max: Duration,
-    ) -> Result<(), Truncated> {
+    ) -> Result<(), Reason> {
         if self.length.is_some_and(|length| length > size_max) {
             return Ok(());
         }
-        let until = Instant::now() + time_max;
+        let until = self.deadline.min(Instant::now() + time_max);
         let mut size = 0;
         while let Some(incoming) = &mut self.incoming
             && size <= size_max
@@ -126,7 +133,8 @@
                     self.buffered.push(part);
                 }
                 Ok(Ok(None)) => self.finish(),
-                Ok(Err(truncated)) => return Err(truncated),
+                Ok(Err(Truncated)) => return Err(Reason::Lost),
+                Err(_) if until == self.deadline => return Err(Reason::Deadline),
                 Err(_) => return Ok(()),
             }
         }
@@ -170,24 +178,23 @@
                 return;
             }
         }
+        let mut late_bytes = 0;
         while let Some(incoming) = &mut self.incoming {
-            let stalled_at = Instant::now() + self.idle_max;
-            let until = self
-                .truncated_at
-                .map_or(stalled_at, |at| at.min(stalled_at));
-            // A body that arrives without pause must not starve the timeout.
-            if self.truncated_at.is_some_and(|at| Instant::now() >= at) {
-                log::info!(
-                    "a response body of unknown length did not end before the deadline of its call; the connection is closed"
-                );
-                return;
-            }
+            let now = Instant::now();
+            let until = self.deadline.min(now + self.idle_max);
             let next = tokio::select! {
                 () = sender.closed() => return,
                 next = timeout_at(until, incoming.next()) => next,
             };
             match next {
+                // A body that arrives without pause must not starve the timeout.
+                Ok(Ok(Some(_))) if late_bytes > LATE_BYTES_MAX => {
+                    return self.log_overdue();
+                }
                 Ok(Ok(Some(part))) => {
+                    if now >= self.deadline {
+                        late_bytes += part.len();
+                    }
                     pace.wait(part.len()).await;
                     if sender.send(part).await.is_err() {
                         return;
@@ -200,6 +207,7 @@
                     );
                     return;
                 }
+                Err(_) if until == self.deadline => return self.log_overdue(),
                 Err(_) => {
                     log::info!(
                         "a response body stalled while it was forwarded to the caller; the connection is closed"
@@ -212,6 +220,11 @@
         sender.end().await.ok();
     }
 
+    /// Logs that the body is cut since it has not arrived by the deadline of its call.
+    fn log_overdue(&self) {
+        log::info!(status = self.status, length:? = self.length; "a response body did not end before the deadline of its call; the connection is closed");
+    }
+
     /// Releases the slot at the backend server once the body is complete.
     fn finish(&mut self) {
         self.incoming = None;
--- a/crates/cicadagw-proxy/tests/support/mod.rs
+++ b/crates/cicadagw-proxy/tests/support/mod.rs
@@ -14,3 +14,4 @@
 pub mod scripted;
 pub mod silencing;
 pub mod strict;
+pub mod trickle;
