--- a/crates/cicadagw-proxy/src/lib.rs
+++ b/crates/cicadagw-proxy/src/lib.rs
@@ -8,6 +8,7 @@
 mod announce;
 mod attempts;
 mod backend;
+mod buffer;
 mod call_guard;
 mod clock;
 mod delivery;
--- a/crates/cicadagw-proxy/src/response.rs
+++ b/crates/cicadagw-proxy/src/response.rs
@@ -3,17 +3,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
 use cicadagw_call::Reason;
 use cicadagw_call::pacing::UNPACED_MAX;
 use cicadagw_http::body::{Sender, Truncated};
 use cicadagw_http::client::{self, Incoming};
 use cicadagw_http::server::Reply;
 use cicadagw_http::{Body, Fields, Framing, body};
-use smallvec::SmallVec;
 use tokio::time::{Instant, timeout_at};
 
 use crate::backend::Slot;
+use crate::buffer::Buffer;
 use crate::call_guard::CallGuard;
 use crate::header;
 use crate::pacer::{Pace, Pacer};
@@ -31,7 +30,7 @@
     /// The body length in bytes, if the head states it.
     length: Option<u64>,
     /// The buffered part of the body.
-    buffered: SmallVec<[Bytes; 4]>,
+    buffered: Buffer,
     /// The rest of the body; `None` once the body is complete.
     incoming: Option<Incoming>,
     /// The maximum time between two parts of the body.
@@ -70,7 +69,7 @@
             status: head.status,
             fields: header::response(&head.fields),
             length,
-            buffered: SmallVec::new(),
+            buffered: Buffer::default(),
             incoming: Some(response.body),
             idle_max,
             deadline,
@@ -103,8 +102,7 @@
 
     /// Returns the body length in bytes, or else the number of bytes buffered so far.
     pub(crate) fn size(&self) -> u64 {
-        let buffered: usize = self.buffered.iter().map(Bytes::len).sum();
-        self.length.unwrap_or(buffered as u64)
+        self.length.unwrap_or(self.buffered.len() as u64)
     }
 
     /// Buffers the body until it is complete, larger than `size_max` bytes, or `time_max` is over,
@@ -123,15 +121,11 @@
             return Ok(());
         }
         let until = self.deadline.min(Instant::now() + time_max);
-        let mut size = 0;
         while let Some(incoming) = &mut self.incoming
-            && size <= size_max
+            && self.buffered.len() as u64 <= size_max
         {
             match timeout_at(until, incoming.next()).await {
-                Ok(Ok(Some(part))) => {
-                    size += part.len() as u64;
-                    self.buffered.push(part);
-                }
+                Ok(Ok(Some(part))) => self.buffered.push(part),
                 Ok(Ok(None)) => self.finish(),
                 Ok(Err(Truncated)) => return Err(Reason::Lost),
                 Err(_) if until == self.deadline => return Err(Reason::Deadline),
@@ -147,13 +141,13 @@
         let mut reply = Reply::new(self.status);
         reply.fields = std::mem::take(&mut self.fields);
         reply.write_timeout = Some(self.idle_max);
-        let buffered_length: usize = self.buffered.iter().map(Bytes::len).sum();
+        let buffered_length = self.buffered.len();
         if self.incoming.is_none() && buffered_length as u64 <= UNPACED_MAX.get() {
             if let Some(pacer) = &self.pacer {
                 pacer.reserve(buffered_length);
             }
             reply.content_length = self.length;
-            reply.body = Body::Buffered(join(&self.buffered));
+            reply.body = Body::Buffered(self.buffered.join());
             return reply;
         }
         let is_complete = self.incoming.is_none();
@@ -172,7 +166,7 @@
     async fn forward(mut self, sender: Sender) {
         let length = self.length.and_then(|length| length.try_into().ok());
         let mut pace = Pace::new(self.pacer.clone(), length);
-        for part in std::mem::take(&mut self.buffered) {
+        for part in std::mem::take(&mut self.buffered).into_parts() {
             pace.wait(part.len()).await;
             if sender.send(part).await.is_err() {
                 return;
@@ -233,17 +227,3 @@
         }
     }
 }
-
-fn join(parts: &[Bytes]) -> Bytes {
-    match parts {
-        [] => Bytes::new(),
-        [only] => only.clone(),
-        parts => {
-            let mut joined = BytesMut::with_capacity(parts.iter().map(Bytes::len).sum());
-            for part in parts {
-                joined.extend_from_slice(part);
-            }
-            joined.freeze()
-        }
-    }
-}
--- a/crates/cicadagw-proxy/tests/support/mod.rs
+++ b/crates/cicadagw-proxy/tests/support/mod.rs
@@ -9,6 +9,8 @@
 
 pub mod backend;
 pub mod caller;
+pub mod endless;
+pub mod memory;
 pub mod mesh;
 pub mod refusing;
 pub mod scripted;
