--- a/crates/cicadagw-platform/src/http/client.rs
+++ b/crates/cicadagw-platform/src/http/client.rs
@@ -11,6 +11,7 @@
 use cicadagw_unit::time::Span;
 use compact_str::CompactString;
 use smallvec::SmallVec;
+use tokio::time::{Instant, timeout_at};
 
 use super::connector::new_http_client;
 use super::failure::Failure;
@@ -153,6 +154,7 @@
         request: &Request,
         timeout: Span,
     ) -> Result<Response, Failure> {
+        let deadline = Instant::now() + timeout.into();
         let url = format!("http://{address}{}", request.path);
         let outgoing = self.http.borrow().request(method(request.method), url);
         let mut outgoing = outgoing.timeout(timeout.into());
@@ -177,7 +179,14 @@
         }
         let mut response = outcome?;
         let head = head_length(response.headers());
-        let body = response.body().limit(RESPONSE_BODY_MAX).await;
+        // The timeout of awc is not checked while bytes arrive that are no part of the body, such as
+        // an endless chunk extension.
+        let receiving = timeout_at(deadline, response.body().limit(RESPONSE_BODY_MAX));
+        let Ok(body) = receiving.await else {
+            self.drop_idle_connections();
+            let reason = "the response body did not end before the timeout".to_owned();
+            return Err(Failure::NoResponse(reason));
+        };
         let body = body.map_err(|error| Failure::NoResponse(error.to_string()))?;
         self.traffic.count_received(head + body.len());
         if !is_complete(response.headers(), response.status(), body.len()) {
