--- a/crates/cicadagw-platform/src/http/client.rs
+++ b/crates/cicadagw-platform/src/http/client.rs
@@ -22,6 +22,12 @@
 /// to a list may hold several objects.
 const RESPONSE_BODY_MAX: usize = 4 << 20;
 
+/// The maximum number of pages of a list that are read. A page has about 500 objects.
+const LIST_PAGES_MAX: usize = 64;
+
+/// The size of the names and values of a list beyond which no further page is read, in bytes.
+const LIST_BYTES_MAX: usize = 8 << 20;
+
 /// An HTTP client of the object API; it is not `Sync`, so each thread uses a client of its own.
 pub struct Client {
     addresses: SmallVec<[SocketAddr; 2]>,
@@ -280,7 +286,8 @@
 
     async fn objects(&self, prefix: &str, freshness: Freshness) -> Result<Vec<Object>, Error> {
         let mut objects: Vec<Object> = Vec::new();
-        loop {
+        let mut size = 0;
+        for _ in 0..LIST_PAGES_MAX {
             let after = objects.last().map(|object| &object.key);
             let request = self.encoding.objects(prefix, after, freshness);
             let response = self.call(&request, Effect::Read, self.timeout).await?;
@@ -289,11 +296,17 @@
                 log::warn!(prefix, unreadable = listing.unreadable; "left out listed objects without a readable name");
             }
             let is_empty = listing.objects.is_empty();
+            size += listing.objects.iter().map(Object::size).sum::<usize>();
             objects.extend(listing.objects);
             if !listing.has_more || is_empty {
                 return Ok(objects);
             }
+            if size > LIST_BYTES_MAX {
+                break;
+            }
         }
+        log::warn!(prefix, objects = objects.len(), size; "left out the rest of a list that is too long");
+        Ok(objects)
     }
 
     async fn delete(&self, key: &Key) -> Result<(), Error> {
--- a/crates/cicadagw-platform/src/object.rs
+++ b/crates/cicadagw-platform/src/object.rs
@@ -39,6 +39,13 @@
     pub value: Bytes,
 }
 
+impl Object {
+    /// Returns the size of the name and the value, in bytes.
+    pub(crate) fn size(&self) -> usize {
+        self.key.as_str().len() + self.value.len()
+    }
+}
+
 /// The precondition of a write.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Condition {
