--- a/crates/cicadagw-gossip/src/core/step.rs
+++ b/crates/cicadagw-gossip/src/core/step.rs
@@ -211,6 +211,9 @@
             }),
             State::Gone => None,
         };
+        if has_departed {
+            self.registration.rewrite(now);
+        }
         if has_departed || self.own.backend != backend {
             self.own.backend = backend;
             self.broadcast(now);
--- a/crates/cicadagw-gossip/src/registration.rs
+++ b/crates/cicadagw-gossip/src/registration.rs
@@ -48,7 +48,10 @@
     /// Number of successful lists so far.
     lists: u32,
     in_flight: bool,
-    is_registered: bool,
+    /// Earliest time of the next list, unless the record is written first.
+    list_due: Timestamp,
+    /// Whether the platform holds the current record, or a write of it is in flight.
+    is_written: bool,
     /// Whether the object is assumed not to exist yet.
     create: bool,
 }
@@ -61,7 +64,8 @@
             failures: 0,
             lists: 0,
             in_flight: false,
-            is_registered: false,
+            list_due: Timestamp::new(0),
+            is_written: false,
             create,
         }
     }
@@ -72,15 +76,26 @@
             return None;
         }
         self.in_flight = true;
-        Some(if self.is_registered {
-            Request::List
-        } else {
-            Request::Write {
-                create: self.create,
-            }
+        // An existing object is read before it is replaced: it may name departures that an earlier
+        // process of this node has acknowledged.
+        let has_read = self.create || self.lists > 0;
+        if self.is_written || !has_read {
+            return Some(Request::List);
+        }
+        self.is_written = true;
+        Some(Request::Write {
+            create: self.create,
         })
     }
 
+    /// Writes the record again, which has changed in what must outlive the process.
+    pub(crate) fn rewrite(&mut self, now: Timestamp) {
+        self.is_written = false;
+        if self.failures == 0 {
+            self.due = now;
+        }
+    }
+
     /// Processes the response to a write; a list follows a successful one.
     pub(crate) fn written(
         &mut self,
@@ -91,18 +106,24 @@
         self.in_flight = false;
         match outcome {
             Ok(()) => {
-                self.is_registered = true;
+                // From now on the object exists.
+                self.create = false;
                 self.failures = 0;
-                self.due = now.after(FIRST_LIST_DELAY);
+                if self.lists == 0 {
+                    self.list_due = now.after(FIRST_LIST_DELAY);
+                }
+                self.due = if self.is_written { self.list_due } else { now };
             }
             // The assumption about whether the object exists was wrong: the opposite is tried
             // without a wait.
             Err(Error::Conflict) if self.failures == 0 => {
+                self.is_written = false;
                 self.create = !self.create;
                 self.failures += 1;
                 self.due = now;
             }
             Err(error) => {
+                self.is_written = false;
                 if *error == Error::Conflict {
                     self.create = !self.create;
                 }
@@ -131,7 +152,8 @@
         } else {
             LIST_INTERVAL
         };
-        self.due = now.after(jittered(interval, rng));
+        self.list_due = now.after(jittered(interval, rng));
+        self.due = if self.is_written { self.list_due } else { now };
     }
 
     /// Delays the next request after a failure.
--- a/crates/cicadagw-gossip/tests/departure.rs
+++ b/crates/cicadagw-gossip/tests/departure.rs
@@ -81,6 +81,40 @@
     assert_eq!(fleet.endpoint_counts(), vec![0; NODES]);
 }
 
+// With all processes killed at once, only the platform remembers.
+#[test]
+fn a_departure_outlives_the_restart_of_all_nodes() {
+    let mut fleet = fleet_after_departure(State::Gone);
+
+    for index in 0..NODES {
+        fleet.restart(index, 9);
+    }
+    fleet.step(RESTARTED, ready("i-leaving", 40));
+    fleet.run(DISCOVERY_MAX);
+    let delayed = fleet.endpoint_counts();
+    fleet.step(RESTARTED, ready("i-new", 50));
+    fleet.run(Span::new(2_500));
+
+    assert_eq!(delayed, vec![0; NODES]);
+    assert_eq!(fleet.endpoint_counts(), vec![1; NODES]);
+}
+
+#[test]
+fn a_departure_costs_one_write_to_the_platform() {
+    let mut fleet = Fleet::new(NODES);
+    fleet.run(DISCOVERY_MAX);
+    fleet.step(RESTARTED, ready("i-leaving", 40));
+    fleet.run(PROPAGATION_MAX);
+    let before = fleet.platform.writes;
+
+    fleet.step(RESTARTED, left("i-leaving", 40, State::Draining));
+    fleet.run(Span::seconds(3));
+    fleet.step(RESTARTED, left("i-leaving", 40, State::Gone));
+    fleet.run(Span::seconds(3));
+
+    assert_eq!(fleet.platform.writes - before, 1);
+}
+
 #[test]
 fn a_new_backend_server_on_the_host_is_taken_in_at_once() {
     for (endpoint, started_ms) in [("i-new", 30), ("i-leaving", 41)] {
--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -49,6 +49,8 @@
     pub members: BTreeMap<String, Member>,
     pub config: Option<(Revision, Arc<Snapshot>)>,
     pub revision: u64,
+    /// Number of member records written.
+    pub writes: usize,
     /// Nodes whose requests fail.
     pub unavailable_to: BTreeSet<usize>,
     /// Nodes whose requests get no response, so that they time out.
@@ -287,6 +289,7 @@
                     Err(Error::Conflict)
                 } else {
                     let name = member.node.to_string();
+                    self.platform.writes += 1;
                     self.platform.members.insert(name, *member);
                     Ok(())
                 })
