--- a/crates/cicadagw-proxy/src/delivery.rs
+++ b/crates/cicadagw-proxy/src/delivery.rs
@@ -79,7 +79,7 @@
     }
 
     /// Buffers short responses completely. A response that is truncated before anything was
-    /// forwarded to the caller counts as lost, and one that its deadline overtakes as overdue.
+    /// forwarded to the caller counts as lost.
     pub(crate) async fn buffer_short(self) -> Self {
         let end = match self.end {
             End::Answered(mut response) => match response
@@ -87,7 +87,7 @@
                 .await
             {
                 Ok(()) => End::Answered(response),
-                Err(reason) => End::Unknown(reason),
+                Err(_) => End::Unknown(Reason::Lost),
             },
             end => end,
         };
--- a/crates/cicadagw-proxy/src/response.rs
+++ b/crates/cicadagw-proxy/src/response.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cicadagw_call::Reason;
 use cicadagw_call::pacing::UNPACED_MAX;
 use cicadagw_http::body::{Sender, Truncated};
 use cicadagw_http::client::{self, Incoming};
@@ -18,9 +17,9 @@
 use crate::pacer::{Pace, Pacer};
 use crate::peers::EndpointCall;
 
-/// How much of a body that had arrived by its deadline may still be passed on, in bytes: what the
-/// link or the caller has held up.
-const LATE_BYTES_MAX: usize = 256 << 10;
+/// How long after the deadline of its call a body may still arrive: the backend server has responded,
+/// and its response is delivered even if the transfer makes it late.
+const TRANSFER_GRACE: Duration = Duration::from_millis(200);
 
 /// A response whose head has been received.
 #[derive(Debug)]
@@ -35,8 +34,8 @@
     incoming: Option<Incoming>,
     /// The maximum time between two parts of the body.
     idle_max: Duration,
-    /// When a body that has not arrived completely is truncated: it may have no end, whatever its
-    /// head says.
+    /// The deadline of the call. A body that has not arrived [`TRANSFER_GRACE`] later is truncated: it
+    /// may have no end, whatever its head says.
     deadline: Instant,
     /// Paces the body on its way to the caller.
     pacer: Option<Rc<Pacer>>,
@@ -55,8 +54,8 @@
 }
 
 impl Response {
-    /// Creates a response whose body must not stall for longer than `idle_max`, and must have arrived
-    /// by `deadline`.
+    /// Creates a response to a call with `deadline`, whose body must not stall for longer than
+    /// `idle_max`.
     pub(crate) fn new(response: client::Response, idle_max: Duration, deadline: Instant) -> Self {
         let head = response.head;
         let declared = head.fields.text("content-length");
@@ -105,18 +104,18 @@
         self.length.unwrap_or(self.buffered.len() as u64)
     }
 
-    /// Buffers the body until it is complete, larger than `size_max` bytes, or `time_max` is over,
-    /// so that a truncation is noticed before anything is forwarded to the caller.
+    /// Buffers the body until it is complete, larger than `size_max` bytes, `time_max` is over, or
+    /// the deadline of the call has passed, so that a truncation is noticed before anything is
+    /// forwarded to the caller.
     ///
     /// # Errors
     ///
-    /// Returns the reason why nothing is to be forwarded: [`Reason::Lost`] when the body ends before
-    /// it is complete, [`Reason::Deadline`] when its deadline passes meanwhile.
+    /// Returns [`Truncated`] when the body ends before it is complete.
     pub(crate) async fn buffer_short(
         &mut self,
         size_max: u64,
         time_max: Duration,
-    ) -> Result<(), Reason> {
+    ) -> Result<(), Truncated> {
         if self.length.is_some_and(|length| length > size_max) {
             return Ok(());
         }
@@ -127,8 +126,7 @@
             match timeout_at(until, incoming.next()).await {
                 Ok(Ok(Some(part))) => self.buffered.push(part),
                 Ok(Ok(None)) => self.finish(),
-                Ok(Err(Truncated)) => return Err(Reason::Lost),
-                Err(_) if until == self.deadline => return Err(Reason::Deadline),
+                Ok(Err(truncated)) => return Err(truncated),
                 Err(_) => return Ok(()),
             }
         }
@@ -172,23 +170,20 @@
                 return;
             }
         }
-        let mut late_bytes = 0;
+        let truncated_at = self.deadline + TRANSFER_GRACE;
         while let Some(incoming) = &mut self.incoming {
             let now = Instant::now();
-            let until = self.deadline.min(now + self.idle_max);
+            // A body that arrives without pause must not starve the timeout.
+            if now >= truncated_at {
+                return self.log_overdue();
+            }
+            let until = truncated_at.min(now + self.idle_max);
             let next = tokio::select! {
                 () = sender.closed() => return,
                 next = timeout_at(until, incoming.next()) => next,
             };
             match next {
-                // A body that arrives without pause must not starve the timeout.
-                Ok(Ok(Some(_))) if late_bytes > LATE_BYTES_MAX => {
-                    return self.log_overdue();
-                }
                 Ok(Ok(Some(part))) => {
-                    if now >= self.deadline {
-                        late_bytes += part.len();
-                    }
                     pace.wait(part.len()).await;
                     if sender.send(part).await.is_err() {
                         return;
@@ -201,7 +196,7 @@
                     );
                     return;
                 }
-                Err(_) if until == self.deadline => return self.log_overdue(),
+                Err(_) if until == truncated_at => return self.log_overdue(),
                 Err(_) => {
                     log::info!(
                         "a response body stalled while it was forwarded to the caller; the connection is closed"
