--- a/crates/cicadagw-call/src/lifecycle.rs
+++ b/crates/cicadagw-call/src/lifecycle.rs
@@ -221,10 +221,14 @@
     }
 
     /// Removes an endpoint that cannot be reached. Its id is not kept as gone, so its next
-    /// announcement registers it again.
+    /// announcement registers it again, unless its backend server has left.
     pub fn forget(&mut self, now: Timestamp, endpoint: &id::Endpoint) -> Vec<Effect> {
+        let backend = self.backends.get(endpoint);
+        let may_return = backend.is_some_and(|backend| !backend.has_left);
         let effects = self.apply_event(now, endpoint, Event::Expired);
-        self.gone.remove(endpoint);
+        if may_return {
+            self.gone.remove(endpoint);
+        }
         effects
     }
 
--- a/crates/cicadagw-call/tests/lifecycle.rs
+++ b/crates/cicadagw-call/tests/lifecycle.rs
@@ -253,3 +253,19 @@
         assert_eq!(departed(&effects), [false]);
     }
 }
+
+// Guards against a departure that is forgotten since a call that was under way could no longer
+// connect to the backend server.
+#[test]
+fn a_backend_server_that_has_left_stays_gone_when_it_cannot_be_reached() {
+    let mut registry = Registry::default();
+    registry
+        .announce(at(0), &announcement("a", 1, false))
+        .unwrap();
+    registry.deregister(at(1), &endpoint("a"), None);
+
+    registry.forget(at(2), &endpoint("a"));
+
+    let delayed = registry.announce(at(3), &announcement("a", 1, false));
+    assert_eq!(delayed, Err(Gone));
+}
