--- a/crates/cicadagw-endpoint/src/departure.rs
+++ b/crates/cicadagw-endpoint/src/departure.rs
@@ -47,9 +47,9 @@
         true
     }
 
-    /// Adds the departures of `earlier` before those that are known; returns whether any is new.
+    /// Adds the departures of `earlier` before those that are known; returns whether any is added.
     pub fn restore(&mut self, earlier: &Self) -> bool {
-        let mut all = earlier.clone();
+        let mut all = earlier.missing_from(self);
         for departure in &self.0 {
             all.record(departure);
         }
--- a/crates/cicadagw-gossip/src/core/anti_entropy.rs
+++ b/crates/cicadagw-gossip/src/core/anti_entropy.rs
@@ -67,10 +67,9 @@
     /// Adds the departures from this host that an earlier process of this node had published, and
     /// broadcasts them again.
     pub(super) fn restore_departures(&mut self, now: Timestamp, departures: &Departures) {
-        if departures.missing_from(&self.own.departures).is_empty() {
+        if !self.own.departures.restore(departures) {
             return;
         }
-        self.own.departures.restore(departures);
         let notice = Notice::DeparturesRestored(self.own.departures.clone());
         self.effects.push(Effect::Log(notice));
         self.broadcast(now);
--- a/crates/cicadagw-gossip/tests/departure.rs
+++ b/crates/cicadagw-gossip/tests/departure.rs
@@ -164,6 +164,33 @@
     assert_eq!(kept, ["b", "c", "d", "e"]);
 }
 
+// Guards against two nodes that send each other a list in another order without end.
+#[test]
+fn departures_that_are_known_or_do_not_fit_change_nothing() {
+    let list = |endpoints: &[&str]| {
+        let mut departures = Departures::default();
+        for endpoint in endpoints {
+            departures.record(&departure(endpoint, 1));
+        }
+        departures
+    };
+    let cases: [(&[&str], &[&str], &[&str]); 4] = [
+        (&["a", "b"], &["b"], &["a", "b"]),
+        (&["b"], &["a"], &["a", "b"]),
+        (&["b", "c", "d", "e"], &["a"], &["b", "c", "d", "e"]),
+        (&["c", "d", "e"], &["a", "b"], &["b", "c", "d", "e"]),
+    ];
+
+    for (known, earlier, expected) in cases {
+        let mut departures = list(known);
+
+        let has_changed = departures.restore(&list(earlier));
+
+        assert_eq!(departures, list(expected));
+        assert_eq!(has_changed, list(known) != list(expected));
+    }
+}
+
 #[test]
 fn a_record_of_another_writer_with_many_departures_is_cut_short() {
     let list: Vec<String> = (0..1_000)
--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -6,20 +6,20 @@
     reason = "each test file uses its own part of the fixtures"
 )]
 
+mod record;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use cicadagw_config::{Config, Preset, Snapshot};
-use cicadagw_endpoint::{Departures, LocalUpdate, State};
-use cicadagw_gossip::{Call, Core, Effect, Event, Member, Message, Notice, Reply, Setup, Stamp};
+use cicadagw_config::Snapshot;
+use cicadagw_gossip::{Call, Core, Effect, Event, Member, Message, Notice, Reply};
 use cicadagw_platform::{Error, Revision};
-use cicadagw_unit::Version;
-use cicadagw_unit::size::Slots;
 use cicadagw_unit::time::{Span, Timestamp};
 use cicadagw_view::View;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+pub use record::{address, local, member, new_core, snapshot};
 
 /// Time between two ticks.
 pub const TICK: Span = Span::new(50);
@@ -27,9 +27,6 @@
 /// Timeout of a request to the platform; the wait of a watch is added to it.
 const CALL_TIMEOUT: Span = Span::seconds(2);
 
-/// The regions; nodes are assigned to them in turn.
-const REGIONS: [&str; 2] = ["kochi", "kozhikode"];
-
 /// A node of the fleet.
 pub struct Node {
     pub core: Core,
@@ -84,66 +81,6 @@
     in_flight: VecDeque<(usize, usize, Message)>,
 }
 
-/// Returns a snapshot of this version with an otherwise empty configuration.
-pub fn snapshot(version: u64) -> Arc<Snapshot> {
-    let preset: cicadagw_unit::id::Preset = "operator".parse().unwrap();
-    let mut config = Config::default();
-    config.presets.insert(preset.clone(), Preset::default());
-    Arc::new(Snapshot::new(Version::new(version), preset, config))
-}
-
-/// Returns a state change of an endpoint of a backend server.
-pub fn local(endpoint: &str, state: State) -> LocalUpdate {
-    LocalUpdate {
-        endpoint: endpoint.parse().unwrap(),
-        has_left: false,
-        service: "orders".parse().unwrap(),
-        slots: Slots::new(9),
-        limit: None,
-        started_ms: 0,
-        state,
-    }
-}
-
-/// Returns the address of node `index`.
-pub fn address(index: usize) -> SocketAddr {
-    let port = u16::try_from(index).unwrap() + 1;
-    SocketAddr::from(([10, 0, 0, 1], port))
-}
-
-/// Returns a record of node `index` without a backend server.
-pub fn member(index: usize, stamp: Stamp) -> Member {
-    let region = REGIONS[index % REGIONS.len()];
-    Member {
-        backend: None,
-        calls: address(index),
-        departures: Departures::default(),
-        domain: format!("{region}-a").parse().unwrap(),
-        gossip: address(index),
-        is_leaving: false,
-        node: format!("node-{index:04}").parse().unwrap(),
-        region: region.parse().unwrap(),
-        stamp,
-    }
-}
-
-/// Creates the state machine of node `index`, in one of two regions. The process started at
-/// `start_ms`; 1 stands for a node that was never registered.
-pub fn new_core(index: usize, start_ms: u64) -> Core {
-    let region = REGIONS[index % REGIONS.len()];
-    let setup = Setup::builder()
-        .calls(address(index))
-        .domain(format!("{region}-a").parse().unwrap())
-        .first_start(start_ms == 1)
-        .gossip(address(index))
-        .node(format!("node-{index:04}").parse().unwrap())
-        .region(region.parse().unwrap())
-        .seed(index as u64)
-        .start_ms(start_ms)
-        .build();
-    Core::new(setup)
-}
-
 impl Fleet {
     pub fn new(count: usize) -> Self {
         Self {
@@ -224,7 +161,7 @@
             "{size} bytes: {message:?}"
         );
         let to = usize::from(to.port()) - 1;
-        if from % REGIONS.len() != to % REGIONS.len() {
+        if from % record::REGIONS.len() != to % record::REGIONS.len() {
             self.cross_region_bytes += size;
         }
         let is_isolated = self.isolated.contains(&from) || self.isolated.contains(&to);
