--- a/crates/cicadagw-http/tests/server.rs
+++ b/crates/cicadagw-http/tests/server.rs
@@ -2,11 +2,14 @@
 
 mod support;
 
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use support::{Script, exchange, local, read_until, rest};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
@@ -21,6 +24,16 @@
     format!("GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
 }
 
+/// Serves until the returned token is cancelled; the task ends when all connections have ended.
+async fn start_closable(script: &Rc<Script>) -> (SocketAddr, CancellationToken, JoinHandle<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let token = CancellationToken::new();
+    let (script, closed) = (script.clone(), token.clone());
+    let serving = tokio::task::spawn_local(async move { script.serve(listener, closed).await });
+    (address, token, serving)
+}
+
 #[tokio::test]
 async fn pipelined_requests_run_concurrently_and_are_answered_in_order() {
     local(async {
@@ -213,13 +226,7 @@
 async fn connection_that_becomes_idle_after_the_server_closed_is_closed() {
     local(async {
         let script = Script::new();
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let token = CancellationToken::new();
-        let serving = {
-            let (script, token) = (script.clone(), token.clone());
-            tokio::task::spawn_local(async move { script.serve(listener, token).await })
-        };
+        let (address, token, serving) = start_closable(&script).await;
         let mut stream = TcpStream::connect(address).await.unwrap();
         stream.write_all(get("/stream/a").as_bytes()).await.unwrap();
         let begin = read_until(&mut stream, "first").await;
@@ -292,13 +299,7 @@
 async fn closing_server_completes_responses_and_closes_idle_connections() {
     local(async {
         let script = Script::new();
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let token = CancellationToken::new();
-        let serving = {
-            let (script, token) = (script.clone(), token.clone());
-            tokio::task::spawn_local(async move { script.serve(listener, token).await })
-        };
+        let (address, token, serving) = start_closable(&script).await;
         let mut idle = TcpStream::connect(address).await.unwrap();
         let mut busy = TcpStream::connect(address).await.unwrap();
         let request = get("/hold/a");
