--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(
     dead_code,
     unreachable_pub,
+    unused_imports,
     reason = "each test file uses its own part of the fixtures"
 )]
 
