--- a/crates/cicadagw-http/tests/client.rs
+++ b/crates/cicadagw-http/tests/client.rs
@@ -2,25 +2,14 @@
 
 mod support;
 
-use std::cell::Cell;
-use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use cicadagw_http::body::Truncated;
-use cicadagw_http::client::{Loss, Request, Response};
-use cicadagw_http::pool::Options;
-use cicadagw_http::{Fields, Framing, Pool, Response as ResponseHead, request_head};
+use cicadagw_http::client::Loss;
+use support::client::{OPTIONS, body, pool, send};
 use support::{AfterResponse, local, reset_after, serve_endless, serve_responses};
 use tokio::time::timeout;
 
-const OPTIONS: Options = Options {
-    connect_timeout: Duration::from_secs(5),
-    idle_timeout: Duration::from_secs(5),
-    tcp_user_timeout: Duration::from_secs(5),
-};
-
 /// The time within which a connection with endless bytes must end; far longer than it takes.
 const ENDLESS_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -28,37 +17,6 @@
 /// client, and the buffers of the loopback device.
 const ENDLESS_BYTES_MAX: usize = 32 << 20;
 
-fn pool(address: SocketAddr) -> Rc<Pool> {
-    Pool::new(address, OPTIONS)
-}
-
-/// Sends a request; a response with an `id` field belongs to it only if the value is `id`.
-async fn send(pool: &Rc<Pool>, id: &'static str) -> Result<Response, Loss> {
-    let connection = pool.open(OPTIONS.idle_timeout).await.unwrap();
-    let has_responded = Cell::new(false);
-    let request = Request {
-        head: request_head(b"GET", b"/", &Fields::default(), Framing::Empty),
-        method: b"GET",
-        buffered: Bytes::new(),
-        streamed: None,
-        has_responded: &has_responded,
-    };
-    let is_ours = |head: &ResponseHead| head.fields.get("id").is_none_or(|value| value == id);
-    connection.exchange(request, is_ours).await
-}
-
-/// Returns the response body, or `None` if it was truncated.
-async fn body(mut response: Response) -> Option<String> {
-    let mut collected = Vec::new();
-    loop {
-        match response.body.next().await {
-            Ok(Some(part)) => collected.extend_from_slice(&part),
-            Ok(None) => return Some(String::from_utf8(collected).unwrap()),
-            Err(_) => return None,
-        }
-    }
-}
-
 fn response(id: &str, body: &str) -> Vec<u8> {
     let length = body.len();
     format!("HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-length: {length}\r\n\r\n{body}").into_bytes()
--- a/crates/cicadagw-http/tests/support/mod.rs
+++ b/crates/cicadagw-http/tests/support/mod.rs
@@ -6,6 +6,8 @@
     reason = "each test file uses only some of the fixtures"
 )]
 
+pub mod client;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
