Reject responses whose status code is below 100

What callers saw: an instance in trouble sent an answer whose status was 000, and they got it as an answer.

Cause: the parser takes any three digits for a status code, and nothing after it looks at the range. A status below 100 has no class, so it was neither an interim response nor a refusal nor a success, and was passed on unchecked: the seal is only looked for in a success. As a stale response it was skipped as if it were one.

Change: the one function that parses response heads rejects such a code, so every response, of an instance or a node, final, interim or stale, is read with the check. The call ends as unknown, since it may have run, and the connection is closed.

--- a/crates/cicadagw-http/src/parse.rs
+++ b/crates/cicadagw-http/src/parse.rs
@@ -11,6 +11,9 @@
 /// The maximum number of header fields of a message.
 const FIELDS_MAX: usize = 128;
 
+/// The lowest status code. The first digit of a status code is its class, and there is no class 0.
+const STATUS_MIN: u16 = 100;
+
 /// The head of a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Request {
@@ -109,8 +112,8 @@
 ///
 /// # Errors
 ///
-/// Returns an error when `bytes` does not start with a valid response head, the head is larger than
-/// `size_max` bytes, or the length of the body is ambiguous.
+/// Returns an error when `bytes` does not start with a valid response head, the status code is below
+/// 100, the head is larger than `size_max` bytes, or the length of the body is ambiguous.
 pub fn response(
     bytes: &mut BytesMut,
     method: &[u8],
@@ -127,7 +130,7 @@
         Ok(Status::Partial) => return Err(Error::TooLarge),
         Err(_) => return Err(Error::Malformed),
     };
-    let (Some(status), Some(version)) = (parsed.code, parsed.version) else {
+    let (Some(status @ STATUS_MIN..), Some(version)) = (parsed.code, parsed.version) else {
         return Err(Error::Malformed);
     };
     let field_ranges = field_ranges(bytes, parsed.headers);
--- /dev/null
+++ b/crates/cicadagw-proxy/tests/broken.rs
@@ -0,0 +1,144 @@
+//! Backend servers in trouble that send bytes which are no valid response: callers never get them as
+//! a response, at the node beside the backend server and at another one.
+
+mod support;
+
+use std::sync::Arc;
+
+use support::backend::Received;
+use support::caller::{Response, post};
+use support::mesh::{Mesh, Node};
+use support::scripted::{Scripted, response, sealed};
+use support::strict::Strict;
+
+/// The header of a request that holds the bytes of the response to it, as decimal numbers.
+const RESPONSE: &str = "x-response";
+
+/// A complete stale response.
+const STALE: &str = "HTTP/1.1 200 OK\r\nt-id: old\r\nt-seal: s\r\ncontent-length: 5\r\n\r\nstale";
+
+const INTERIM: &str = "HTTP/1.1 102 Processing\r\n\r\n";
+
+/// The header lines of a success response that meets the requirements of the dialect.
+const SEALED: &str = "t-id: a1\r\nt-seal: s\r\n";
+
+/// The header line of a node for a response of a backend server.
+const ANSWERED: &str = "x-cicadagw-outcome: answered\r\n";
+
+/// Two nodes with the strict dialect; the backend server is beside the second one.
+async fn fixture() -> ([Node; 2], Scripted) {
+    let mut mesh = Mesh::new();
+    mesh.set_dialect(Arc::new(Strict));
+    let nodes = [mesh.node("near"), mesh.node("far")];
+    let backend = Scripted::start(as_requested).await;
+    nodes[1]
+        .announce("orders-1", backend.address, "ready")
+        .await;
+    mesh.propagate(&nodes[1]).await;
+    (nodes, backend)
+}
+
+/// A node with the strict dialect that passes calls on to another node, in whose place a server
+/// responds as requested.
+async fn node_fixture() -> (Node, Scripted) {
+    let mut mesh = Mesh::new();
+    mesh.set_dialect(Arc::new(Strict));
+    let node = mesh.node("near");
+    let other = Scripted::start(as_requested).await;
+    mesh.add_endpoint("orders-1", "kochi", other.address);
+    (node, other)
+}
+
+/// Responds with the bytes that the request holds, or else as usual.
+fn as_requested(request: &Received) -> Option<String> {
+    let Some(numbers) = request.headers.get(RESPONSE) else {
+        return sealed(request);
+    };
+    let bytes = numbers.split(',').map(|number| number.parse().unwrap());
+    Some(String::from_utf8(bytes.collect()).unwrap())
+}
+
+/// Makes a call that is not idempotent, to which the backend server responds with `bytes`.
+async fn order(node: &Node, bytes: &str) -> Response {
+    let numbers: Vec<String> = bytes.bytes().map(|byte| byte.to_string()).collect();
+    post("/orders", "x")
+        .header("t-id", "a1")
+        .header(RESPONSE, &numbers.join(","))
+        .send(node.calls)
+        .await
+}
+
+/// Checks that `broken` is lost for the caller if another node sends it.
+async fn assert_lost_from_node(broken: &str) {
+    for before in ["", INTERIM] {
+        let (node, other) = node_fixture().await;
+
+        let lost = order(&node, &format!("{before}{broken}")).await;
+
+        let end = (lost.status, lost.outcome());
+        assert_eq!(end, (502, "unknown"), "{before}{broken}");
+        assert_eq!(other.received().len(), 1);
+    }
+}
+
+/// Makes a call to which the backend server responds as usual.
+async fn usual_order(node: &Node) -> Response {
+    post("/orders", "x")
+        .header("t-id", "a2")
+        .send(node.calls)
+        .await
+}
+
+/// Checks that `broken` is lost for the caller, alone and after interim and stale responses, that
+/// it is requested once, and that the next call is answered.
+async fn assert_lost(broken: &str) {
+    for before in ["", INTERIM, STALE] {
+        let (nodes, backend) = fixture().await;
+        let bytes = format!("{before}{broken}");
+        for node in &nodes {
+            let executed = backend.received().len();
+
+            let lost = order(node, &bytes).await;
+            let next = usual_order(node).await;
+
+            let end = (lost.status, lost.outcome());
+            assert_eq!(end, (502, "unknown"), "{bytes:?}");
+            assert_eq!((next.status, next.text()), (200, "own"), "{bytes:?}");
+            assert_eq!(backend.received().len(), executed + 2, "{bytes:?}");
+        }
+    }
+}
+
+// Guards against a status code that is not one of the protocol: it was passed on.
+#[tokio::test]
+async fn response_with_status_below_100_is_lost() {
+    for status in ["000", "099"] {
+        assert_lost(&response(status, SEALED, "own")).await;
+        assert_lost_from_node(&response(status, ANSWERED, "own")).await;
+    }
+}
+
+#[tokio::test]
+async fn interim_response_with_status_below_100_is_lost() {
+    assert_lost(&(INTERIM.replace("102", "000") + &response("200 OK", SEALED, "own"))).await;
+}
+
+#[tokio::test]
+async fn stale_response_with_status_below_100_is_lost() {
+    assert_lost(&(STALE.replace("200", "000") + &response("200 OK", SEALED, "own"))).await;
+}
+
+#[tokio::test]
+async fn whole_response_of_any_other_status_is_passed_on() {
+    let (nodes, _backend) = fixture().await;
+    for status in [200, 299, 404, 418, 500, 599, 600, 999] {
+        for before in ["", INTERIM, STALE] {
+            let bytes = before.to_owned() + &response(&format!("{status} "), SEALED, "own");
+            for node in &nodes {
+                let answered = order(node, &bytes).await;
+
+                assert_eq!((answered.status, answered.text()), (status, "own"));
+            }
+        }
+    }
+}
