Truncate responses without a length that are reset while the request is sent

What callers saw: an instance answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. They got that part as a complete answer.

Cause: the kernel reports the reset of a connection once, to whichever call comes first. While a request is being sent, that is a write. The client took a failed write only for the end of sending and went on reading: the bytes that had arrived, and then an end of the stream that looks like an orderly close, which completes a body without a length.

Ruled out: a head that is read before the reset (the read reports it; test passed before), a reset within the head, bodies with a length or in chunks, and the store, where a response without a length is never taken for complete (test passed before).

Change: a failed write tells whether the connection broke, and a body that ends with a broken connection is truncated.

--- a/crates/cicadagw-http/src/client.rs
+++ b/crates/cicadagw-http/src/client.rs
@@ -156,6 +156,7 @@
             has_responded,
         };
         let mut is_sent = false;
+        let mut is_broken = false;
         let outcome = {
             let mut sending = pin!(send(&mut writer, request));
             let mut reading = pin!(incoming.read(&mut reader, is_ours));
@@ -166,7 +167,10 @@
                         Ok(()) => is_sent = true,
                         // The server may have responded although it does not read the rest of the
                         // request.
-                        Err(SendError::WriteFailed) => break reading.await,
+                        Err(error @ (SendError::Broken | SendError::Closed)) => {
+                            is_broken = error == SendError::Broken;
+                            break reading.await;
+                        }
                         Err(SendError::TruncatedBody) => break Err(Loss::TruncatedRequest),
                     },
                     read = &mut reading => break read,
@@ -177,9 +181,18 @@
             Loss::Ended if self.is_reused => Loss::EndedReused,
             loss => loss,
         })?;
+        if is_broken {
+            self.step(Event::Broken, false);
+        }
         Ok(self.response(head, is_sent))
     }
 
+    /// Returns whether the connection broke, so that the end of the stream does not mean that the
+    /// server closed it.
+    fn is_broken(&self) -> bool {
+        self.state == State::Unusable
+    }
+
     fn response(self, head: ResponseHead, is_sent: bool) -> Response {
         let server_idle_timeout = head.fields.text("keep-alive").and_then(keep_alive);
         Response {
@@ -227,7 +240,7 @@
                     let read = connection.stream.read_buf(&mut connection.buffer).await;
                     match read {
                         Ok(1..) => {}
-                        Ok(0) if self.decoder.ends_by_close() => {
+                        Ok(0) if self.decoder.ends_by_close() && !connection.is_broken() => {
                             self.connection = None;
                             return Ok(None);
                         }
--- a/crates/cicadagw-http/src/send.rs
+++ b/crates/cicadagw-http/src/send.rs
@@ -12,46 +12,55 @@
 use crate::encode::chunk_size_line;
 
 /// The reason why sending a request stopped.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum SendError {
-    /// Writing to the connection failed.
-    WriteFailed,
+    /// The connection was reset or timed out.
+    ///
+    /// The kernel reports that only once. After a write that failed with it, reads return what was
+    /// received before, and then the end of the stream, as if the server had closed the connection.
+    Broken,
+    /// The server had closed its side of the connection before it reset the connection.
+    Closed,
     /// The request body ended before it was complete.
     TruncatedBody,
 }
 
+impl From<io::Error> for SendError {
+    fn from(error: io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::BrokenPipe => Self::Closed,
+            _ => Self::Broken,
+        }
+    }
+}
+
+impl From<Truncated> for SendError {
+    fn from(_: Truncated) -> Self {
+        Self::TruncatedBody
+    }
+}
+
 /// Sends a request; its body is streamed if it is not in memory.
 pub(crate) async fn send(
     writer: &mut WriteHalf<'_>,
     request: Request<'_>,
 ) -> Result<(), SendError> {
-    let write_failed = |_| SendError::WriteFailed;
     let Some((rest, framing)) = request.streamed else {
         let mut message = request.head.chain(request.buffered);
-        return writer
-            .write_all_buf(&mut message)
-            .await
-            .map_err(write_failed);
+        return Ok(writer.write_all_buf(&mut message).await?);
     };
     let is_chunked = framing == Framing::Chunked;
     let mut head = request.head;
-    writer
-        .write_all_buf(&mut head)
-        .await
-        .map_err(write_failed)?;
+    writer.write_all_buf(&mut head).await?;
     let mut part = Some(request.buffered);
     while let Some(data) = part {
         if !data.is_empty() {
-            write_part(writer, data, is_chunked)
-                .await
-                .map_err(write_failed)?;
+            write_part(writer, data, is_chunked).await?;
         }
-        part = rest
-            .next()
-            .await
-            .map_err(|Truncated| SendError::TruncatedBody)?;
+        part = rest.next().await?;
     }
     if is_chunked {
-        writer.write_all(b"0\r\n\r\n").await.map_err(write_failed)?;
+        writer.write_all(b"0\r\n\r\n").await?;
     }
     Ok(())
 }
--- a/crates/cicadagw-http/tests/support/mod.rs
+++ b/crates/cicadagw-http/tests/support/mod.rs
@@ -264,7 +264,7 @@
     (address, receiver)
 }
 
-async fn read_head(stream: &mut TcpStream) -> bool {
+pub async fn read_head(stream: &mut TcpStream) -> bool {
     let mut head = Vec::new();
     let mut byte = [0];
     while !head.ends_with(b"\r\n\r\n") {
--- a/crates/cicadagw-platform/tests/broken.rs
+++ b/crates/cicadagw-platform/tests/broken.rs
@@ -13,6 +13,9 @@
 /// Timeout of the client's calls.
 const CALL_TIMEOUT: Span = Span::seconds(5);
 
+/// The size of the largest value of the platform, in bytes.
+const LONG_VALUE_BYTES: usize = 1 << 20;
+
 /// Starts a server that responds to each request with `response`, and then closes the connection.
 async fn start_server(response: String) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -92,3 +95,16 @@
         assert_lost(&response(&format!("{status} OK"), "")).await;
     }
 }
+
+// The server leaves most of the long value unread, so that its end of the connection is reset.
+#[actix::test]
+async fn response_without_length_is_no_response() {
+    let no_length = response("200 OK", "").replace("content-length: 2\r\n", "");
+    assert_lost(&no_length).await;
+    let client = client(start_server(no_length).await);
+    let value = Bytes::from(vec![b' '; LONG_VALUE_BYTES]);
+
+    let written = client.put(&Key::head(), value, Condition::Always).await;
+
+    assert!(matches!(written, Err(Error::Unknown(_))), "{written:?}");
+}
--- a/crates/cicadagw-proxy/tests/support/mod.rs
+++ b/crates/cicadagw-proxy/tests/support/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod early;
 pub mod endless;
 pub mod memory;
 pub mod mesh;
