Check the response heads of the platform and of fetches from nodes

Cause: the HTTP library of these calls strips blanks and tabs between a name and its colon, and like our parser ends a head at a line feed. It has no option for either.

Change: the connection of that library checks each response head that it receives by our parser, and fails at an invalid one: a read fails, and it is not known whether a write took effect. So there is one definition of a valid head. The library sends a request completely before it reads the response, one at a time, so a head follows the first bytes written after a response.

The links between nodes outside of the platform were read, not tried: an invalid handshake there can only fail to open a link.

--- a/crates/cicadagw-platform/src/http/connector.rs
+++ b/crates/cicadagw-platform/src/http/connector.rs
@@ -1,4 +1,4 @@
-//! Establishment of connections on which silence is noticed.
+//! Establishment of connections on which silence and invalid responses are noticed.
 
 use std::time::Duration;
 
@@ -9,6 +9,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
+use super::stream::Stream;
+
 /// Idle time after which the other end is probed, and the interval between two probes. A watch is
 /// idle until there is a change, and a connection that fell silent must be noticed well before
 /// the 3 s within which a change must be in force.
@@ -27,7 +29,8 @@
             if let Err(error) = notice_silence(connection.io_ref()) {
                 log::warn!(error:%; "failed to set the keep-alive options of a connection; silence is noticed only by the timeouts of calls");
             }
-            connection
+            let (tcp, connection) = connection.replace_io(());
+            connection.replace_io(Stream::new(tcp)).1
         });
     let connector = awc::Connector::new()
         .connector(tcp)
--- a/crates/cicadagw-platform/src/http/mod.rs
+++ b/crates/cicadagw-platform/src/http/mod.rs
@@ -3,5 +3,6 @@
 mod client;
 mod connector;
 mod failure;
+mod stream;
 
 pub use client::Client;
