Reject bodies in chunks whose trailers are no fields

An instance in trouble that sends, after the last chunk, lines that are no fields, for instance with a blank or a control byte in a name, or any other bytes: callers got the body as complete.

Cause: the lines after the last chunk were skipped without being read, up to the next empty one.

Evidence, on the code before: 'trailer_that_is_no_field_makes_the_body_ malformed' (cicadagw-http) and, with nodes, one hop and two, from a node, and in a stale response before the expected one, the tests of cicadagw-proxy named '..._with_invalid_trailer_...' fail with a complete 200.

Change: each line is checked by the parser of heads, as a single field. The body is then malformed, which every reader already treats as truncated, or, in a stale response, as the end of the connection's use. Valid trailers are skipped as before. Bodies of requests share the decoder: an invalid trailer there now ends as 400 if the body is short, like any other invalid chunk.

--- a/crates/cicadagw-http/src/framing.rs
+++ b/crates/cicadagw-http/src/framing.rs
@@ -1,6 +1,7 @@
 //! Message body framing (RFC 9112, section 6.3).
 
 use bytes::{Buf, Bytes, BytesMut};
+use httparse::{EMPTY_HEADER, Status};
 
 use crate::Error;
 
@@ -81,7 +82,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Malformed`] when the chunked coding is invalid.
+    /// Returns [`Error::Malformed`] when the chunked coding or a trailer field is invalid.
     pub fn step(&mut self, bytes: &mut BytesMut) -> Result<Step, Error> {
         loop {
             match self.0 {
@@ -117,11 +118,13 @@
                     };
                     let read = read + end + 2;
                     check_line_length(read)?;
-                    bytes.advance(end + 2);
-                    self.0 = match end {
-                        0 => State::Done,
-                        _ => State::Trailers(read),
-                    };
+                    let line = bytes.split_to(end + 2);
+                    if end == 0 {
+                        self.0 = State::Done;
+                    } else {
+                        check_field_line(&line)?;
+                        self.0 = State::Trailers(read);
+                    }
                 }
             }
         }
@@ -145,7 +148,7 @@
 /// Parses a chunk size line; returns `None` when it is incomplete.
 fn chunk_size(bytes: &mut BytesMut) -> Result<Option<State>, Error> {
     match httparse::parse_chunk_size(bytes) {
-        Ok(httparse::Status::Complete((line, size))) => {
+        Ok(Status::Complete((line, size))) => {
             check_line_length(line)?;
             bytes.advance(line);
             Ok(Some(match size {
@@ -153,11 +156,21 @@
                 size => State::Chunk(size),
             }))
         }
-        Ok(httparse::Status::Partial) => check_line_length(bytes.len()).map(|()| None),
+        Ok(Status::Partial) => check_line_length(bytes.len()).map(|()| None),
         Err(_) => Err(Error::Malformed),
     }
 }
 
+/// Checks that `line`, which ends with CRLF, is a single valid field.
+fn check_field_line(line: &[u8]) -> Result<(), Error> {
+    let mut headers = [EMPTY_HEADER];
+    // After a valid field, the parser expects another one or the empty line.
+    match httparse::parse_headers(line, &mut headers) {
+        Ok(Status::Partial) => Ok(()),
+        Ok(Status::Complete(_)) | Err(_) => Err(Error::Malformed),
+    }
+}
+
 fn check_line_length(length: usize) -> Result<(), Error> {
     if length > LINE_BYTES_MAX {
         return Err(Error::Malformed);
--- a/crates/cicadagw-http/tests/parse.rs
+++ b/crates/cicadagw-http/tests/parse.rs
@@ -167,6 +167,47 @@
     }
 }
 
+// Guards against a faulty server: lines between the last chunk and the end of the body were skipped
+// unread, so that any bytes could end a body as complete.
+#[test]
+fn trailer_that_is_no_field_makes_the_body_malformed() {
+    let lines = [
+        "garbage",
+        "bad name: value",
+        "bad : value",
+        "bad\t: value",
+        " bad: value",
+        "b\0ad: value",
+        "bad\x7f: value",
+        "\nbad: value",
+        "bad: val\x01ue",
+        "bad: value\nmore: value",
+        "bad: val\rue",
+        ": value",
+    ];
+    for line in lines {
+        for before in ["", "good: value\r\n"] {
+            let body = format!("3\r\nown\r\n0\r\n{before}{line}\r\n\r\n");
+            for cut in 0..body.len() {
+                let decoded = decode(Framing::Chunked, body.as_bytes(), &[cut]);
+
+                assert_eq!(decoded, Err(Error::Malformed), "{line:?} cut at {cut}");
+            }
+        }
+    }
+}
+
+#[test]
+fn trailer_fields_are_skipped() {
+    for trailers in ["", "a: b\r\n", "a:\r\nlong-name:\tvalue, more\r\n"] {
+        let body = format!("3\r\nown\r\n0\r\n{trailers}\r\n");
+
+        let decoded = decode(Framing::Chunked, body.as_bytes(), &[]);
+
+        assert_eq!(decoded, Ok((b"own".to_vec(), true)), "{trailers:?}");
+    }
+}
+
 #[test]
 fn response_head_whose_lines_all_end_with_a_line_feed_is_read() {
     let mut bytes = BytesMut::from("HTTP/1.1 200 OK\nid: a\ncontent-length: 3\n\nown");
--- a/crates/cicadagw-proxy/tests/broken.rs
+++ b/crates/cicadagw-proxy/tests/broken.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use support::backend::Received;
-use support::caller::{Response, post};
+use support::caller::{Response, call, post};
 use support::mesh::{Mesh, Node};
 use support::scripted::{Scripted, response, sealed};
 use support::strict::Strict;
@@ -172,6 +172,63 @@
     }
 }
 
+/// Returns a success response in chunks with the lines `trailers`.
+fn chunked(head: &str, trailers: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\n{head}transfer-encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n{trailers}\r\n"
+    )
+}
+
+// Guards against lines after the last chunk that are no fields: the body was taken for complete.
+#[tokio::test]
+async fn response_with_invalid_trailer_is_lost() {
+    for name in invalid_names() {
+        assert_lost(&chunked(SEALED, &format!("{name}: value\r\n"))).await;
+    }
+    assert_lost(&chunked(SEALED, "garbage\r\n")).await;
+}
+
+#[tokio::test]
+async fn response_of_a_node_with_invalid_trailer_is_lost() {
+    for name in invalid_names() {
+        assert_lost_from_node(&chunked(ANSWERED, &format!("{name}: value\r\n"))).await;
+    }
+}
+
+#[tokio::test]
+async fn response_after_a_stale_one_with_invalid_trailer_is_lost() {
+    let whole = response("200 OK", SEALED, "own");
+    for name in invalid_names() {
+        let trailers = format!("{name}: value\r\n");
+        assert_lost(&(chunked("t-id: old\r\nt-seal: s\r\n", &trailers) + &whole)).await;
+    }
+}
+
+#[tokio::test]
+async fn request_with_invalid_trailer_is_refused() {
+    let (nodes, backend) = fixture().await;
+    let request = call("POST", "/orders")
+        .header("t-id", "a1")
+        .header("transfer-encoding", "chunked")
+        .raw_body(b"1\r\nx\r\n0\r\nbad name: value\r\n\r\n");
+
+    let refused = request.send(nodes[0].calls).await;
+
+    assert_eq!((refused.status, refused.outcome()), (400, "not-run"));
+    assert!(backend.received().is_empty());
+}
+
+#[tokio::test]
+async fn response_with_trailers_is_passed_on() {
+    let (nodes, _backend) = fixture().await;
+    let bytes = chunked(SEALED, "one: value\r\ntwo:\r\n");
+    for node in &nodes {
+        let answered = order(node, &bytes).await;
+
+        assert_eq!((answered.status, answered.text()), (200, "own"));
+    }
+}
+
 #[tokio::test]
 async fn whole_response_of_any_other_status_is_passed_on() {
     let (nodes, _backend) = fixture().await;
