Reject invalid size lines of chunks

What callers saw: found in the look for further answers that end early and look complete. An instance in trouble breaks off its chunks in other bytes; if they start with a semicolon, a blank or an empty line, as in '3 own' and two empty lines, callers got what had come before as the complete body.

Cause: the parser of size lines takes a line without any digit for a size of 0, and that is the last chunk. It also takes any bytes for an extension, so that a line feed did not end such a line and part of the data was skipped as one.

Evidence, on the code before: 'invalid_chunk_size_line_makes_the_body_malformed' (cicadagw-http) fails for a line without a digit and for an extension with a line feed; 'response_with_chunk_size_without_a_digit_is_lost' (cicadagw-proxy, one hop and two, from a node, and in a stale response) with a complete 200.

Change: a size line starts with a digit and holds no control byte but the tab. Leading zeros, extensions and blanks after the size are read as before.

--- a/crates/cicadagw-http/src/framing.rs
+++ b/crates/cicadagw-http/src/framing.rs
@@ -147,10 +147,18 @@
 
 /// Parses a chunk size line; returns `None` when it is incomplete.
 fn chunk_size(bytes: &mut BytesMut) -> Result<Option<State>, Error> {
+    // The parser takes a line without a digit for a size of 0, which is that of the last chunk.
+    if bytes.first().is_some_and(|byte| !byte.is_ascii_hexdigit()) {
+        return Err(Error::Malformed);
+    }
     match httparse::parse_chunk_size(bytes) {
         Ok(Status::Complete((line, size))) => {
             check_line_length(line)?;
-            bytes.advance(line);
+            let line = bytes.split_to(line);
+            let line = line.strip_suffix(b"\r\n").unwrap_or(&line);
+            if line.iter().any(|&byte| is_control(byte)) {
+                return Err(Error::Malformed);
+            }
             Ok(Some(match size {
                 0 => State::Trailers(0),
                 size => State::Chunk(size),
@@ -161,6 +169,11 @@
     }
 }
 
+/// Returns whether `byte` is a control byte other than the tab, which counts as whitespace.
+const fn is_control(byte: u8) -> bool {
+    byte.is_ascii_control() && byte != b'\t'
+}
+
 /// Checks that `line`, which ends with CRLF, is a single valid field.
 fn check_field_line(line: &[u8]) -> Result<(), Error> {
     let mut headers = [EMPTY_HEADER];
--- a/crates/cicadagw-http/tests/parse.rs
+++ b/crates/cicadagw-http/tests/parse.rs
@@ -197,6 +197,45 @@
     }
 }
 
+// Guards against a faulty server: a size line without a digit was read as the last chunk, which ends
+// a body as complete, and a line feed did not end a size line with an extension.
+#[test]
+fn invalid_chunk_size_line_makes_the_body_malformed() {
+    let without_digit = ["", ";", ";0", " ", "\t", " ;0", "\n", "\r"];
+    let with_control_byte = [
+        "0;a\nb",
+        "0;a\n",
+        "0;a\0",
+        "0;\x01",
+        "0;a=\"\x7f\"",
+        "0;a\rb",
+    ];
+    for line in [&without_digit[..], &with_control_byte].concat() {
+        let body = format!("3\r\nown\r\n{line}\r\n\r\n");
+        for cut in 0..body.len() {
+            let decoded = decode(Framing::Chunked, body.as_bytes(), &[cut]);
+
+            assert_eq!(decoded, Err(Error::Malformed), "{line:?} cut at {cut}");
+        }
+    }
+}
+
+#[test]
+fn chunk_sizes_with_extensions_and_zeros_are_read() {
+    for (size, last) in [
+        ("3", "0"),
+        ("03;a=b", "000"),
+        ("3 ;a", "0;a=\"b\""),
+        ("3\t", "0 "),
+    ] {
+        let body = format!("{size}\r\nown\r\n{last}\r\n\r\n");
+
+        let decoded = decode(Framing::Chunked, body.as_bytes(), &[]);
+
+        assert_eq!(decoded, Ok((b"own".to_vec(), true)), "{body:?}");
+    }
+}
+
 #[test]
 fn trailer_fields_are_skipped() {
     for trailers in ["", "a: b\r\n", "a:\r\nlong-name:\tvalue, more\r\n"] {
--- a/crates/cicadagw-proxy/tests/broken.rs
+++ b/crates/cicadagw-proxy/tests/broken.rs
@@ -204,6 +204,19 @@
     }
 }
 
+// Guards against a body that breaks off in other bytes: a line that starts like a chunk extension was
+// taken for the last chunk.
+#[tokio::test]
+async fn response_with_chunk_size_without_a_digit_is_lost() {
+    for line in ["", ";", ";0", " "] {
+        let broken = |head| chunked(head, "").replace("\r\n0\r\n", &format!("\r\n{line}\r\n"));
+        assert_lost(&broken(SEALED)).await;
+        assert_lost_from_node(&broken(ANSWERED)).await;
+        let stale = broken("t-id: old\r\nt-seal: s\r\n");
+        assert_lost(&(stale + &response("200 OK", SEALED, "own"))).await;
+    }
+}
+
 #[tokio::test]
 async fn request_with_invalid_trailer_is_refused() {
     let (nodes, backend) = fixture().await;
