Let the tests of broken answers wait without spinning

Two tests of reset.rs polled until the client had read a response, and the stand-in of the store yielded between two pieces. They now await the response itself or sleep for a moment.

--- a/crates/cicadagw-http/tests/reset.rs
+++ b/crates/cicadagw-http/tests/reset.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use std::cell::Cell;
+use std::time::Duration;
 
 use bytes::Bytes;
 use cicadagw_http::body::{self, Sender};
@@ -14,6 +15,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::sleep;
 
 /// The size of a request body that does not fit into the buffers of a connection, in bytes.
 const LONG_BODY_BYTES: usize = 16 << 20;
@@ -26,6 +28,9 @@
 /// A response whose body ends with the connection.
 const NO_LENGTH: &str = "HTTP/1.1 200 OK\r\nid: a\r\n\r\npart";
 
+/// The time in which the client reads what it has received.
+const READ_DELAY: Duration = Duration::from_millis(5);
+
 /// What may precede the expected response on a connection.
 const BEFORE: [&str; 3] = ["", INTERIM, STALE];
 
@@ -82,13 +87,6 @@
         self.server.write_all(bytes.as_bytes()).await.unwrap();
     }
 
-    /// Waits until the client has read what was sent so far, and waits for more.
-    async fn settle(&self) {
-        for _ in 0..100 {
-            tokio::task::yield_now().await;
-        }
-    }
-
     /// Ends the connection and lets the client send more of its body, all before it runs again.
     async fn end(mut self, end: End) -> JoinHandle<Result<Response, Loss>> {
         if matches!(end, End::Close | End::CloseThenReset) {
@@ -142,7 +140,7 @@
         let outcome = local(async {
             let mut upload = Upload::start(short()).await;
             upload.respond(&NO_LENGTH[..length]).await;
-            upload.settle().await;
+            sleep(READ_DELAY).await;
             upload.respond(&NO_LENGTH[length..]).await;
             outcome(upload.end(End::Reset).await).await
         });
@@ -158,13 +156,12 @@
             let outcome = local(async {
                 let mut upload = Upload::start(start()).await;
                 upload.respond(&format!("{before}{NO_LENGTH}")).await;
-                while !upload.exchange.is_finished() {
-                    tokio::task::yield_now().await;
-                }
-                outcome(upload.end(End::Reset).await).await
+                let response = (&mut upload.exchange).await.unwrap().unwrap();
+                upload.end(End::Reset).await;
+                body(response).await
             });
 
-            assert_eq!(outcome.await, Ok((200, None)), "{before:?}");
+            assert_eq!(outcome.await, None, "{before:?}");
         }
     }
 }
--- a/crates/cicadagw-platform/tests/broken.rs
+++ b/crates/cicadagw-platform/tests/broken.rs
@@ -2,6 +2,7 @@
 //! fails, and it is not known whether a write took effect.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use cicadagw_platform::http::Client;
@@ -9,10 +10,14 @@
 use cicadagw_unit::time::Span;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
 
 /// Timeout of the client's calls.
 const CALL_TIMEOUT: Span = Span::seconds(5);
 
+/// The time between two pieces of a response.
+const PIECE_INTERVAL: Duration = Duration::from_millis(1);
+
 /// The size of the largest value of the platform, in bytes.
 const LONG_VALUE_BYTES: usize = 1 << 20;
 
@@ -47,7 +52,7 @@
         Manner::Pieces(length) => {
             for piece in response.as_bytes().chunks(length) {
                 stream.write_all(piece).await.ok();
-                tokio::task::yield_now().await;
+                sleep(PIECE_INTERVAL).await;
             }
             stream.shutdown().await.ok();
             while stream.read(&mut request).await.is_ok_and(|read| read > 0) {}
--- a/crates/cicadagw-proxy/tests/broken.rs
+++ b/crates/cicadagw-proxy/tests/broken.rs
@@ -61,6 +61,24 @@
     Some(String::from_utf8(bytes.collect()).unwrap())
 }
 
+/// Returns field names that hold an invalid byte at their start, within or at their end.
+fn invalid_names() -> impl Iterator<Item = String> {
+    INVALID_IN_NAME.into_iter().flat_map(|byte| {
+        [
+            format!("{byte}bad"),
+            format!("b{byte}ad"),
+            format!("bad{byte}"),
+        ]
+    })
+}
+
+/// Returns a success response in chunks with the lines `trailers`.
+fn chunked(head: &str, trailers: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\n{head}transfer-encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n{trailers}\r\n"
+    )
+}
+
 /// Makes a call that is not idempotent, to which the backend server responds with `bytes`.
 async fn order(node: &Node, bytes: &str) -> Response {
     let numbers: Vec<String> = bytes.bytes().map(|byte| byte.to_string()).collect();
@@ -71,19 +89,6 @@
         .await
 }
 
-/// Checks that `broken` is lost for the caller if another node sends it.
-async fn assert_lost_from_node(broken: &str) {
-    for before in ["", INTERIM] {
-        let (node, other) = node_fixture().await;
-
-        let lost = order(&node, &format!("{before}{broken}")).await;
-
-        let end = (lost.status, lost.outcome());
-        assert_eq!(end, (502, "unknown"), "{before}{broken}");
-        assert_eq!(other.received().len(), 1);
-    }
-}
-
 /// Makes a call to which the backend server responds as usual.
 async fn usual_order(node: &Node) -> Response {
     post("/orders", "x")
@@ -112,6 +117,19 @@
     }
 }
 
+/// Checks that `broken` is lost for the caller if another node sends it.
+async fn assert_lost_from_node(broken: &str) {
+    for before in ["", INTERIM] {
+        let (node, other) = node_fixture().await;
+
+        let lost = order(&node, &format!("{before}{broken}")).await;
+
+        let end = (lost.status, lost.outcome());
+        assert_eq!(end, (502, "unknown"), "{before}{broken}");
+        assert_eq!(other.received().len(), 1);
+    }
+}
+
 // Guards against a status code that is not one of the protocol: it was passed on.
 #[tokio::test]
 async fn response_with_status_below_100_is_lost() {
@@ -131,17 +149,6 @@
     assert_lost(&(STALE.replace("200", "000") + &response("200 OK", SEALED, "own"))).await;
 }
 
-/// Returns field names that hold an invalid byte at their start, within or at their end.
-fn invalid_names() -> impl Iterator<Item = String> {
-    INVALID_IN_NAME.into_iter().flat_map(|byte| {
-        [
-            format!("{byte}bad"),
-            format!("b{byte}ad"),
-            format!("bad{byte}"),
-        ]
-    })
-}
-
 // Guards against a field line that is no field: it was passed on, or the head ended before it.
 #[tokio::test]
 async fn response_with_invalid_field_name_is_lost() {
@@ -172,13 +179,6 @@
     }
 }
 
-/// Returns a success response in chunks with the lines `trailers`.
-fn chunked(head: &str, trailers: &str) -> String {
-    format!(
-        "HTTP/1.1 200 OK\r\n{head}transfer-encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n{trailers}\r\n"
-    )
-}
-
 // Guards against lines after the last chunk that are no fields: the body was taken for complete.
 #[tokio::test]
 async fn response_with_invalid_trailer_is_lost() {
