Declare client accounts in the configuration, and carry them with each call

Cause: the deployments of two new customers declare client accounts with keys, a priority and a quota; the configuration had no place for them, and a call no field, so the parts that need them could not be built side by side. Ruled out: keeping keys in plain text as secrets are kept: digests are enough to recognize a key, and no message, log or dump can then contain one. Change: accounts, their quotas and public routes in the configuration, its files, deltas and checks; account and priority of a call down to admission control; the reasons `unauthorized`, `stale` and `over-quota`. No call has an account yet, so nothing changes for any deployment.

--- a/crates/cicadagw-call/src/admission/queue.rs
+++ b/crates/cicadagw-call/src/admission/queue.rs
@@ -10,6 +10,8 @@
 /// The constraints under which one backend server admits a call.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Constraints {
+    /// The client account that makes the call, if it presents a key.
+    pub account: Option<id::Account>,
     /// The policy of the call.
     pub policy: id::Policy,
     /// How many calls under the policy may run concurrently.
--- a/crates/cicadagw-call/src/outcome.rs
+++ b/crates/cicadagw-call/src/outcome.rs
@@ -39,6 +39,8 @@
         /// The HTTP version of the request does not let the caller tell a truncated response from a
         /// complete one.
         HttpVersion = "http-version",
+        /// The call exceeds the quota of its client account.
+        OverQuota = "over-quota",
         /// The call exceeds the rate limit that the backend server names, or those of all endpoints.
         Limited = "limited",
         /// The connection failed after part of the request was sent, or the attempt could not be
@@ -55,8 +57,13 @@
         /// Admission control at the endpoint's node shed the call: the queue is full, or the call
         /// would not be answered in time.
         Shed = "shed",
+        /// The node has not confirmed its configuration for too long to tell whether the key of the
+        /// call has been revoked.
+        Stale = "stale",
         /// The request took too long to arrive.
         TooSlow = "too-slow",
+        /// The call has no key, or one that no client account has.
+        Unauthorized = "unauthorized",
         /// No connection could be established.
         Unreachable = "unreachable",
     }
@@ -75,6 +82,7 @@
             | Self::NoConfiguration
             | Self::NoEndpoint
             | Self::NoRoute
+            | Self::Stale
             | Self::Unreachable => Event::Leaving,
             // The event `shed` is a refusal by the backend server itself; admission control at its
             // node sheds a call with the event `full`.
@@ -86,7 +94,9 @@
             | Self::HeaderLimit
             | Self::HopLimit
             | Self::HttpVersion
-            | Self::TooSlow => Event::Refused,
+            | Self::OverQuota
+            | Self::TooSlow
+            | Self::Unauthorized => Event::Refused,
         }
     }
 }
--- a/crates/cicadagw-call/tests/admission/main.rs
+++ b/crates/cicadagw-call/tests/admission/main.rs
@@ -16,6 +16,7 @@
 
 fn constraints() -> Constraints {
     Constraints {
+        account: None,
         policy: policy("wide"),
         concurrency: Slots::new(10),
         queue: Slots::new(QUEUE_MAX),
@@ -52,6 +53,7 @@
 
 fn constraints_with_soft_deadline(name: &str, latency: u64, soft_deadline: u64) -> Constraints {
     Constraints {
+        account: None,
         policy: policy(name),
         target_latency: Some(Span::new(latency)),
         soft_deadline: Some(at(soft_deadline)),
@@ -177,6 +179,7 @@
 fn the_concurrency_of_a_policy_limits_its_calls_below_the_slots() {
     let mut admission = admission();
     let narrow = || Constraints {
+        account: None,
         policy: policy("narrow"),
         concurrency: Slots::new(1),
         queue: Slots::new(0),
--- a/crates/cicadagw-call/tests/limit.rs
+++ b/crates/cicadagw-call/tests/limit.rs
@@ -50,6 +50,7 @@
 
 fn constraints() -> Constraints {
     Constraints {
+        account: None,
         policy: "wide".parse().unwrap(),
         concurrency: Slots::new(100),
         queue: Slots::new(100),
--- a/crates/cicadagw-config/src/check.rs
+++ b/crates/cicadagw-config/src/check.rs
@@ -1,5 +1,7 @@
 //! Semantic validation of a configuration.
 
+use std::collections::BTreeMap;
+
 use cicadagw_unit::id;
 use cicadagw_unit::rate::Permille;
 
@@ -29,6 +31,7 @@
             "is selected but not declared".to_owned(),
         ));
     }
+    check_accounts(config, &mut violations);
     check_routes(config, &mut violations);
     for (name, cluster) in &config.clusters {
         if let Some(secret) = cluster
@@ -70,6 +73,28 @@
     violations
 }
 
+fn check_accounts(config: &Config, violations: &mut Vec<Violation>) {
+    let mut holders = BTreeMap::new();
+    for (name, account) in &config.accounts {
+        for key in &account.keys {
+            if let Some(other) = holders.insert(key, name) {
+                violations.push(violation(
+                    "accounts",
+                    name,
+                    format!("keys: account `{other}` has the same key"),
+                ));
+            }
+        }
+        if account.quota.is_some_and(|quota| quota.rate.milli() == 0) {
+            violations.push(violation(
+                "accounts",
+                name,
+                "quota: rate is 0: no call would be allowed".to_owned(),
+            ));
+        }
+    }
+}
+
 fn check_routes(config: &Config, violations: &mut Vec<Violation>) {
     for (name, route) in &config.routes {
         let is_missing = |cluster: &&id::Cluster| !config.clusters.contains_key(*cluster);
--- a/crates/cicadagw-config/src/config.rs
+++ b/crates/cicadagw-config/src/config.rs
@@ -4,12 +4,15 @@
 
 use cicadagw_unit::{Digest, id};
 
-use crate::{Cluster, Edge, Policy, Preset, Route, Secret};
+use crate::{Account, Cluster, Edge, Policy, Preset, Route, Secret};
 
 /// All declared objects, by kind and name.
 #[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Config {
+    /// The client accounts; if there are none, calls need no key.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub accounts: BTreeMap<id::Account, Account>,
     /// The sets of endpoints that are the targets of routes.
     pub clusters: BTreeMap<id::Cluster, Cluster>,
     /// Limits on the requests of callers.
--- a/crates/cicadagw-config/src/delta.rs
+++ b/crates/cicadagw-config/src/delta.rs
@@ -5,7 +5,7 @@
 
 use cicadagw_unit::id;
 
-use crate::{Cluster, Config, Edge, Policy, Preset, Route, Secret, Snapshot, Stamp};
+use crate::{Account, Cluster, Config, Edge, Policy, Preset, Route, Secret, Snapshot, Stamp};
 
 /// The difference between a snapshot and a later one.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -17,6 +17,9 @@
     pub to: Stamp,
     /// The active preset of the later snapshot.
     pub preset: id::Preset,
+    /// The changed and removed client accounts.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub accounts: Changes<id::Account, Account>,
     /// The changed and removed clusters.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub clusters: Changes<id::Cluster, Cluster>,
@@ -68,6 +71,7 @@
             from: from.stamp,
             to: to.stamp,
             preset: to.preset.clone(),
+            accounts: changes(&from.config.accounts, &to.config.accounts),
             clusters: changes(&from.config.clusters, &to.config.clusters),
             edge: (from.config.edge != to.config.edge).then_some(to.config.edge),
             policies: changes(&from.config.policies, &to.config.policies),
@@ -88,6 +92,7 @@
             return Err(Error::OtherBase);
         }
         let mut config: Config = base.config.clone();
+        merge(&mut config.accounts, self.accounts);
         merge(&mut config.clusters, self.clusters);
         config.edge = self.edge.unwrap_or(config.edge);
         merge(&mut config.policies, self.policies);
--- a/crates/cicadagw-config/src/lib.rs
+++ b/crates/cicadagw-config/src/lib.rs
@@ -1,6 +1,7 @@
 //! The declared configuration: its objects and their validation, snapshots, deltas between
 //! snapshots, and the head that references the active snapshot.
 
+pub mod account;
 mod check;
 mod cluster;
 mod config;
@@ -16,6 +17,7 @@
 pub mod secret;
 mod snapshot;
 
+pub use account::Account;
 pub use check::{Violation, check};
 pub use cluster::Cluster;
 pub use config::Config;
--- a/crates/cicadagw-config/src/load.rs
+++ b/crates/cicadagw-config/src/load.rs
@@ -9,7 +9,9 @@
 use cicadagw_unit::id;
 
 use crate::policy::{self, Idempotency};
-use crate::{Cluster, Config, Edge, Policy, Preset, Route, Secret, check, route, secret};
+use crate::{
+    Account, Cluster, Config, Edge, Policy, Preset, Route, Secret, account, check, route, secret,
+};
 
 /// The locations of objects, by kind and name as in [`crate::Violation::object`].
 type Locations = BTreeMap<String, Location>;
@@ -26,6 +28,7 @@
     let config = cicadagw_jsonc::read(source, text, |document| {
         let root = document.object()?;
         let config = Config {
+            accounts: objects(&root, "accounts", &mut locations, account),
             clusters: objects(&root, "clusters", &mut locations, cluster),
             edge: root
                 .get("edge")
@@ -87,6 +90,30 @@
     objects
 }
 
+#[expect(
+    clippy::unnecessary_wraps,
+    reason = "the conversions of all kinds have the same signature"
+)]
+fn account(object: &Object<'_, '_>) -> Option<Account> {
+    let keys = object
+        .get("keys")
+        .and_then(|value| value.array(Reader::parse));
+    let quota = object.get("quota").and_then(|value| quota(&value));
+    Some(Account {
+        keys: keys.unwrap_or_default().into_iter().collect(),
+        priority: parsed(object, "priority"),
+        quota,
+    })
+}
+
+fn quota(value: &Reader<'_, '_>) -> Option<account::Quota> {
+    let object = value.object()?;
+    let rate = object.required("rate").and_then(|value| value.parse());
+    let burst = parsed(&object, "burst").unwrap_or_default();
+    object.finish();
+    Some(account::Quota { burst, rate: rate? })
+}
+
 fn route(object: &Object<'_, '_>) -> Option<Route> {
     let cluster = object.required("cluster").and_then(|value| value.parse());
     let header = object.get("header").and_then(|value| header(&value));
@@ -94,6 +121,7 @@
         .get("host")
         .and_then(|value| value.string())
         .map(Into::into);
+    let is_public = object.get("public").and_then(|value| value.boolean());
     let method = object
         .get("method")
         .and_then(|value| value.string())
@@ -107,6 +135,7 @@
         cluster: cluster?,
         header,
         host,
+        is_public: is_public.unwrap_or_default(),
         method,
         policy: policy?,
         prefix: prefix?.into(),
--- a/crates/cicadagw-config/src/render.rs
+++ b/crates/cicadagw-config/src/render.rs
@@ -6,7 +6,7 @@
 use cicadagw_unit::rate::Priority;
 use serde_json::{Map, Value, json};
 
-use crate::{Cluster, Config, Edge, Policy, Preset, Route, policy};
+use crate::{Account, Cluster, Config, Edge, Policy, Preset, Route, policy};
 
 /// Returns `config` in the format that [`crate::load`] reads.
 ///
@@ -19,12 +19,27 @@
         "routes": objects(&config.routes, route),
         "secrets": config.secrets,
     });
+    if !config.accounts.is_empty() {
+        rendered["accounts"] = objects(&config.accounts, account);
+    }
     if !config.edge.is_default() {
         rendered["edge"] = edge(&config.edge);
     }
     rendered
 }
 
+fn account(account: &Account) -> Value {
+    let mut fields = Map::new();
+    let keys = account.keys.iter().map(ToString::to_string);
+    fields.insert("keys".to_owned(), keys.collect());
+    set(&mut fields, "priority", account.priority);
+    if let Some(quota) = account.quota {
+        let quota = json!({ "burst": quota.burst.to_string(), "rate": quota.rate.to_string() });
+        fields.insert("quota".to_owned(), quota);
+    }
+    Value::Object(fields)
+}
+
 fn edge(edge: &Edge) -> Value {
     let mut fields = Map::new();
     set(&mut fields, "body", Some(edge.body));
@@ -36,6 +51,11 @@
 
 fn route(route: &Route) -> Value {
     let mut value = json!(route);
+    if let Some(fields) = value.as_object_mut()
+        && let Some(is_public) = fields.remove("is_public")
+    {
+        fields.insert("public".to_owned(), is_public);
+    }
     if !route.split.is_empty() {
         let destinations = route.split.iter();
         let destinations = destinations.map(
--- a/crates/cicadagw-config/src/route.rs
+++ b/crates/cicadagw-config/src/route.rs
@@ -19,6 +19,9 @@
     /// The authority that a matching request must have, without port.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub host: Option<CompactString>,
+    /// Whether calls need no key although the configuration declares accounts.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_public: bool,
     /// The method that a matching request must have.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub method: Option<CompactString>,
--- a/crates/cicadagw-config/tests/render.rs
+++ b/crates/cicadagw-config/tests/render.rs
@@ -4,9 +4,16 @@
 
 /// A configuration with objects of every kind.
 const FULL: &str = r#"{
+  "accounts": {
+    "club": {
+      "keys": ["00112233445566778899aabbccddeeff"], "priority": "1",
+      "quota": { "rate": "12.5", "burst": "30" },
+    },
+  },
   "routes": {
     "shop": {
       "prefix": "/shop", "cluster": "shop", "policy": "browse", "host": "shop.example",
+      "public": true,
       "method": "GET", "header": { "name": "x-trial", "value": "yes" },
     },
   },
--- a/crates/cicadagw-proxy/src/delivery.rs
+++ b/crates/cicadagw-proxy/src/delivery.rs
@@ -11,7 +11,7 @@
 use cicadagw_dialect::HeaderNames;
 use cicadagw_http::client::Incoming;
 use cicadagw_http::{Fields, Response as ResponseHead};
-use cicadagw_unit::rate::CallRate;
+use cicadagw_unit::rate::{CallRate, Priority};
 use cicadagw_unit::time::{Span, Timestamp};
 use cicadagw_unit::{id, size};
 use tokio::time::timeout;
@@ -50,6 +50,10 @@
     pub(crate) request: &'a Request,
     pub(crate) upload: &'a Upload,
     pub(crate) deadline: Timestamp,
+    /// The client account that makes the call, if it presents a key.
+    pub(crate) account: Option<&'a id::Account>,
+    /// The priority of the client account, or else of the policy.
+    pub(crate) priority: Priority,
 }
 
 /// The result of an attempt, with the load and the work time of the backend server.
@@ -103,10 +107,11 @@
     };
     let policy = &call.target.policy;
     let constraints = Constraints {
+        account: call.account.cloned(),
         policy: call.target.policy_name.clone(),
         concurrency: policy.concurrency,
         queue: policy.queue,
-        priority: policy.priority,
+        priority: call.priority,
         soft_deadline: call.soft_deadline(),
         target_latency: policy.target_latency,
         // A response to a local caller crosses the host's link wherever the call runs, so the
--- a/crates/cicadagw-proxy/src/ingress.rs
+++ b/crates/cicadagw-proxy/src/ingress.rs
@@ -129,6 +129,8 @@
                         target: &target,
                         upload: &upload,
                         deadline,
+                        account: None,
+                        priority: target.policy.priority,
                     };
                     deliver_or_relay(node, call).await
                 }
--- a/crates/cicadagw-proxy/src/relay.rs
+++ b/crates/cicadagw-proxy/src/relay.rs
@@ -198,7 +198,7 @@
     fn is_limited(&self, now: Timestamp) -> bool {
         let target = self.call.target;
         let peers = &self.node.peers;
-        peers.is_limited(now, &target.cluster.service, target.policy.priority)
+        peers.is_limited(now, &target.cluster.service, self.call.priority)
     }
 
     fn select_endpoint(
@@ -209,7 +209,7 @@
     ) -> Option<Record> {
         let target = self.call.target;
         let endpoints = (routing.epoch, &*routing.endpoints);
-        let call = (&target.policy_name, target.policy.priority);
+        let call = (&target.policy_name, self.call.priority);
         let peers = &self.node.peers;
         peers.choose(now, &target.cluster, endpoints, tried, call)
     }
@@ -299,7 +299,7 @@
         let peers = &self.node.peers;
         peers.record_outcome(now, &target.cluster.service, &record.endpoint, signal, load);
         if let Some(wait) = retry_in {
-            peers.record_limited(now, &record, wait, target.policy.priority);
+            peers.record_limited(now, &record, wait, self.call.priority);
         }
         match end {
             End::Answered(mut response) => {
--- a/crates/cicadagw-proxy/src/reply.rs
+++ b/crates/cicadagw-proxy/src/reply.rs
@@ -48,7 +48,7 @@
         if let Some(reason) = reason {
             set(&mut reply, header::REASON, &reason);
         }
-        if reply.status == 503 && outcome == Outcome::NotRun {
+        if matches!(reply.status, 429 | 503) && outcome == Outcome::NotRun {
             set(&mut reply, "retry-after", &retry_after);
         }
         reply
@@ -76,9 +76,11 @@
 const fn not_run_status(reason: Reason) -> u16 {
     match reason {
         Reason::BadRequest => 400,
+        Reason::Unauthorized => 401,
         Reason::NoRoute => 404,
         Reason::TooSlow => 408,
         Reason::BodyLimit => 413,
+        Reason::OverQuota => 429,
         Reason::HeaderLimit => 431,
         Reason::Deadline => 504,
         Reason::HttpVersion => 505,
@@ -91,6 +93,7 @@
         | Reason::NoEndpoint
         | Reason::Rejected
         | Reason::Shed
+        | Reason::Stale
         | Reason::Unreachable => 503,
     }
 }
--- a/crates/cicadagw-unit/src/id.rs
+++ b/crates/cicadagw-unit/src/id.rs
@@ -21,6 +21,10 @@
     first_is_valid && all_are_valid && text.len() <= NAME_MAX
 }
 
+name! {
+    /// Names a client account: the callers that present one of its keys.
+    Account, "account name"
+}
 name! {
     /// Identifies a configuration change; chosen by the client that submits the change, and must be
     /// unique.
--- a/crates/cicadagw-unit/src/rate.rs
+++ b/crates/cicadagw-unit/src/rate.rs
@@ -11,6 +11,11 @@
     PerSecond(u32), "rate", "/s"
 }
 
+number! {
+    /// How many calls may be made at once beyond a rate.
+    Burst(u32), "burst", ""
+}
+
 number! {
     /// A rate of bytes per second.
     Throughput(u64), "throughput", "B/s"
