Authenticate callers by the keys of client accounts

Cause: on deployments whose configuration declares client accounts every call ran, whatever key it carried; the key was passed on to the backend server, which never got the name of the account. Ruled out: comparing keys in plain text: an index of digests is found in one look-up, its time tells nothing about a key, and no key is kept beyond the parsing of the request. Refusing a burst with a rate of 0: a rate of 0 says that there is no limit, so only a burst without any rate is a finding. Change: `access::Access`, built with the route index, maps key digests to accounts. The caller's node answers 401 where the route is not public and the key is no account's, drops the key and any account header of the caller, and passes the account on; the account's priority replaces that of the policy. On a public route a valid key still names its account.

--- a/crates/cicadagw-call/src/lib.rs
+++ b/crates/cicadagw-call/src/lib.rs
@@ -3,6 +3,7 @@
 //! Everything here is a plain function of state, event and time and does no I/O. The calls duty,
 //! the thread that serves calls, executes the decisions.
 
+pub mod access;
 pub mod admission;
 mod announcement;
 pub mod attempt;
@@ -19,6 +20,7 @@
 mod returns;
 pub mod route;
 
+pub use access::Access;
 pub use admission::Admission;
 pub use attempt::Attempts;
 pub use budget::Budget;
--- a/crates/cicadagw-call/src/route.rs
+++ b/crates/cicadagw-call/src/route.rs
@@ -9,6 +9,8 @@
 use compact_str::CompactString;
 use smallvec::SmallVec;
 
+use crate::Access;
+
 /// For how many versions a deleted cluster is kept, for calls that were routed to it before.
 const DELETED_CLUSTER_VERSIONS: u64 = 16;
 
@@ -16,6 +18,8 @@
 /// path has segments, regardless of the number of routes.
 #[derive(Debug, Default)]
 pub struct Index {
+    /// The client accounts.
+    access: Access,
     /// The routes without a host.
     any_host: Prefixes,
     /// The routes with a host, by that host in lower case.
@@ -73,6 +77,15 @@
     pub secret: Option<Secret>,
 }
 
+/// The route of a call.
+#[derive(Clone, Copy, Debug)]
+pub struct Match<'i> {
+    /// Whether the call needs no key although the configuration declares client accounts.
+    pub is_public: bool,
+    /// The target selected for the call.
+    pub target: &'i Arc<Target>,
+}
+
 /// The parts of a request, apart from its headers, that a route is matched by.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RequestLine<'r> {
@@ -97,6 +110,7 @@
     pub fn with_previous(previous: &Self, snapshot: &Snapshot) -> Self {
         let config = &snapshot.config;
         let mut index = Self {
+            access: Access::new(config),
             clusters: retained_clusters(previous, snapshot.stamp.version),
             ..Self::default()
         };
@@ -118,7 +132,12 @@
         index
     }
 
-    /// Returns the target for a call. The longest prefix wins, then the route with the most
+    /// Returns the client accounts.
+    pub const fn access(&self) -> &Access {
+        &self.access
+    }
+
+    /// Returns the route of a call and its target. The longest prefix wins, then the route with the most
     /// conditions, then the first by name.
     ///
     /// `has_header` returns whether the request has a header with a value. The calls of a split
@@ -129,7 +148,7 @@
         request: RequestLine<'_>,
         has_header: impl Fn(&str, &str) -> bool,
         random: u64,
-    ) -> Option<&Arc<Target>> {
+    ) -> Option<Match<'_>> {
         let of_host = self.hosts.get(request.host);
         let path = request.path;
         let matches = |entry: &&Entry| entry.matches(request.method, &has_header);
@@ -143,7 +162,12 @@
                     .and_then(|any| any.iter().find(matches));
                 preferred(for_host, for_any)
             })
-            .and_then(|entry| entry.pick(random))
+            .and_then(|entry| {
+                Some(Match {
+                    is_public: entry.route.is_public,
+                    target: entry.pick(random)?,
+                })
+            })
     }
 
     /// Returns the target of a call that another node has routed with its own snapshot, which may
--- a/crates/cicadagw-call/tests/route.rs
+++ b/crates/cicadagw-call/tests/route.rs
@@ -52,7 +52,7 @@
     let has_header = |name: &str, value: &str| name == "x-kind" && value == kind;
     index
         .find(line, has_header, 0)
-        .map(|target| target.name.to_string())
+        .map(|found| found.target.name.to_string())
 }
 
 #[test]
@@ -91,7 +91,7 @@
 
     let timeouts = ["ordinary", "peak"].map(|preset| {
         let index = index(preset);
-        let target = index.find(line, |_, _| false, 0).unwrap();
+        let target = index.find(line, |_, _| false, 0).unwrap().target;
         target.policy.timeout.to_string()
     });
 
--- a/crates/cicadagw-dialect/src/header_names.rs
+++ b/crates/cicadagw-dialect/src/header_names.rs
@@ -4,6 +4,8 @@
 /// without a name in the dialect is neither sent nor expected.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct HeaderNames {
+    /// The client account that makes the request, set by the node on the caller's host.
+    pub account: Option<&'static str>,
     /// The id of the caller's request, which a backend server repeats in its response. A success
     /// response with another id does not belong to the request.
     pub attempt: Option<&'static str>,
@@ -16,6 +18,8 @@
     /// The field by which a backend server says in its responses, with the value `1`, that it is
     /// leaving and takes no further calls.
     pub leaving: Option<&'static str>,
+    /// The key of the caller's client account, which is not passed on.
+    pub key: Option<&'static str>,
     /// The rate of calls that a backend server takes from the whole fleet, in calls per second, as it
     /// states it in its responses for as long as it applies.
     pub limit: Option<&'static str>,
--- a/crates/cicadagw-dialect/src/native.rs
+++ b/crates/cicadagw-dialect/src/native.rs
@@ -28,11 +28,13 @@
 impl Dialect for Native {
     fn header_names(&self) -> &HeaderNames {
         &HeaderNames {
+            account: Some("x-cicadagw-account"),
             attempt: None,
             caller: None,
             deadline: "x-cicadagw-deadline-ms",
             endpoint: None,
             hops: Some("x-cicadagw-hops"),
+            key: Some("x-cicadagw-key"),
             leaving: Some("backend-leaving"),
             limit: Some("backend-limit"),
             load: None,
--- a/crates/cicadagw-proxy/src/attempts.rs
+++ b/crates/cicadagw-proxy/src/attempts.rs
@@ -186,6 +186,9 @@
     set(&mut fields, header::ENDPOINT, &record.endpoint);
     set(&mut fields, header::CLUSTER, &call.target.name);
     set(&mut fields, header::POLICY, &call.target.policy_name);
+    if let Some(account) = call.account {
+        set(&mut fields, header::ACCOUNT, account);
+    }
     if let Some(service) = &node.service {
         set(&mut fields, header::CALLER, service);
     }
--- a/crates/cicadagw-proxy/src/delivery.rs
+++ b/crates/cicadagw-proxy/src/delivery.rs
@@ -277,6 +277,9 @@
             fields.set(name, Bytes::from(caller.to_string()));
         }
     }
+    if let (Some(name), Some(account)) = (names.account, call.account) {
+        fields.set(name, Bytes::from(account.to_string()));
+    }
     if let Some(secret) = &call.target.secret {
         fields.remove(&secret.header);
         fields.push(
--- a/crates/cicadagw-proxy/src/header.rs
+++ b/crates/cicadagw-proxy/src/header.rs
@@ -15,6 +15,8 @@
 pub(crate) const CLUSTER: &str = "x-cicadagw-cluster";
 /// The policy that applies to the call.
 pub(crate) const POLICY: &str = "x-cicadagw-policy";
+/// The client account that makes the call.
+pub(crate) const ACCOUNT: &str = "x-cicadagw-account";
 /// The service of the host on which the call originated.
 pub(crate) const CALLER: &str = "x-cicadagw-caller";
 /// The outcome of the call: `answered`, `not-run` or `unknown`.
@@ -31,14 +33,16 @@
 /// The name prefix of these fields.
 const PREFIX: &[u8] = b"x-cicadagw-";
 
-/// Returns the fields of a request to forward: neither hop-by-hop fields nor those that nodes set
-/// themselves.
+/// Returns the fields of a request to forward: neither hop-by-hop fields, nor those that nodes set
+/// themselves, nor the caller's key.
 pub(crate) fn request(fields: &Fields, names: &HeaderNames) -> Fields {
     let node_fields = [
+        names.account,
         names.caller,
         Some(names.deadline),
         names.endpoint,
         names.hops,
+        names.key,
     ];
     fields.end_to_end(|name| {
         is_internal(name)
--- a/crates/cicadagw-proxy/src/ingress.rs
+++ b/crates/cicadagw-proxy/src/ingress.rs
@@ -9,6 +9,8 @@
 use cicadagw_call::route::Target;
 use cicadagw_http::Body;
 use cicadagw_http::server::Reply;
+use cicadagw_unit::id;
+use cicadagw_unit::rate::Priority;
 use cicadagw_unit::time::{Span, Timestamp};
 use tokio::time::timeout_at;
 
@@ -118,7 +120,12 @@
     // A call uses the same configuration from start to end.
     let routing = node.routing();
     match route(node, &routing, request) {
-        Ok((target, deadline)) => {
+        Ok(Routed {
+            account,
+            deadline,
+            priority,
+            target,
+        }) => {
             let limits = node.limits();
             let reading = Upload::read(body, &limits);
             let until = node.clock.instant(deadline);
@@ -129,8 +136,8 @@
                         target: &target,
                         upload: &upload,
                         deadline,
-                        account: None,
-                        priority: target.policy.priority,
+                        account: account.as_ref(),
+                        priority,
                     };
                     deliver_or_relay(node, call).await
                 }
@@ -142,29 +149,42 @@
     }
 }
 
-/// Determines the route target of a call and its deadline.
-fn route(
-    node: &Node,
-    routing: &Routing,
-    request: &Request,
-) -> Result<(Arc<Target>, Timestamp), Reason> {
+/// A call that may be made.
+struct Routed {
+    /// The client account that makes the call, if it needs one or presents a key.
+    account: Option<id::Account>,
+    deadline: Timestamp,
+    priority: Priority,
+    target: Arc<Target>,
+}
+
+/// Determines the route target of a call, its client account, its priority and its deadline.
+///
+/// The node of the caller identifies the account; a node that receives the call from another one
+/// takes the account that this one states.
+fn route(node: &Node, routing: &Routing, request: &Request) -> Result<Routed, Reason> {
     let index = routing.index.as_ref().ok_or(Reason::NoConfiguration)?;
-    let target = match &request.selection {
-        Some(selection) => {
-            let (_, service) = node.backend(&selection.endpoint)?;
-            index.resolve(&selection.cluster, &selection.policy, &service)
-        }
-        None => index
-            .find(
-                request.request_line(),
-                |name, value| request.has_header(name, value),
-                node.peers.random(),
-            )
-            .cloned(),
+    let access = index.access();
+    let (target, account) = if let Some(selection) = &request.selection {
+        let (_, service) = node.backend(&selection.endpoint)?;
+        let target = index.resolve(&selection.cluster, &selection.policy, &service);
+        (target.ok_or(Reason::NoRoute)?, request.account.clone())
+    } else {
+        let found = index.find(
+            request.request_line(),
+            |name, value| request.has_header(name, value),
+            node.peers.random(),
+        );
+        let found = found.ok_or(Reason::NoRoute)?;
+        let account = access.account(found.is_public, request.key.as_ref())?;
+        (found.target.clone(), account.cloned())
     };
-    let target = target.ok_or(Reason::NoRoute)?;
-    let deadline = request.deadline(target.policy.timeout);
-    Ok((target, deadline))
+    Ok(Routed {
+        deadline: request.deadline(target.policy.timeout),
+        priority: access.priority(account.as_ref(), target.policy.priority),
+        account,
+        target,
+    })
 }
 
 /// Processes a call: delivers it to a local backend server if another node selected the endpoint,
--- a/crates/cicadagw-proxy/src/request.rs
+++ b/crates/cicadagw-proxy/src/request.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use cicadagw_call::Reason;
 use cicadagw_call::route::RequestLine;
+use cicadagw_config::account::KeyDigest;
 use cicadagw_dialect::HeaderNames;
 use cicadagw_http::Fields;
 use cicadagw_unit::id;
@@ -25,6 +26,10 @@
     pub(crate) attempt: Option<Bytes>,
     /// The service of the host on which the call originated, as stated by the node there.
     pub(crate) caller: Option<id::Service>,
+    /// The client account that makes the call, as stated by the node that routed it.
+    pub(crate) account: Option<id::Account>,
+    /// The digest of the key that the caller presents; the key itself is not kept.
+    pub(crate) key: Option<KeyDigest>,
     /// The requested host, in lower case and without port.
     pub(crate) host: String,
     pub(crate) method: Bytes,
@@ -88,6 +93,16 @@
             None => None,
         };
         Ok(Self {
+            account: if is_from_node {
+                parse_field(fields, header::ACCOUNT)?
+            } else {
+                None
+            },
+            key: if is_from_node {
+                None
+            } else {
+                key(fields, names)
+            },
             attempt: names.attempt.and_then(|name| fields.get(name).cloned()),
             caller: if is_from_node {
                 parse_field(fields, header::CALLER)?
@@ -185,6 +200,13 @@
     host.to_ascii_lowercase()
 }
 
+/// Returns the digest of the key that a caller presents; `None` without a key or with several.
+fn key(fields: &Fields, names: &HeaderNames) -> Option<KeyDigest> {
+    let mut keys = fields.all(names.key?);
+    let key = keys.next()?;
+    keys.next().is_none().then(|| KeyDigest::of(key))
+}
+
 fn selection(fields: &Fields) -> Result<Selection, Reason> {
     Ok(Selection {
         endpoint: parse_field(fields, header::ENDPOINT)?.ok_or(Reason::BadRequest)?,
--- a/crates/cicadagw-proxy/tests/support/strict.rs
+++ b/crates/cicadagw-proxy/tests/support/strict.rs
@@ -13,11 +13,13 @@
 impl Dialect for Strict {
     fn header_names(&self) -> &HeaderNames {
         &HeaderNames {
+            account: Some("t-account"),
             attempt: Some("t-id"),
             caller: Some("t-caller"),
             deadline: "t-left",
             endpoint: Some("t-endpoint"),
             hops: None,
+            key: Some("t-key"),
             leaving: Some("t-leaving"),
             limit: Some("t-limit"),
             load: None,
