Carry the releases of backend servers in announcements and records

The version in a heartbeat was dropped at the adapter's edge, so no node could tell the releases of a service apart. A release is an optional field of announcements, local updates, member records and endpoint records; records of processes that know none are read as before. An odd version counts as none instead of rejecting the heartbeat, since the backend server serves its calls all the same. The rest of the warm-up time is kept beside it.

Ruled out: a field of the configuration, since releases belong to single backend servers and change without it.

--- a/crates/cicadagw-call/src/announcement.rs
+++ b/crates/cicadagw-call/src/announcement.rs
@@ -4,6 +4,7 @@
 
 use cicadagw_unit::id;
 use cicadagw_unit::size::Slots;
+use cicadagw_unit::time::Span;
 
 /// The order of announcements: the newer one is greater. A backend server that sends neither field
 /// has the default, with which no announcement is newer than another.
@@ -30,8 +31,12 @@
     pub is_draining: bool,
     /// The order among the announcements of the backend server.
     pub order: Order,
+    /// The release that it runs, if it names one.
+    pub release: Option<id::Release>,
     /// The service that it belongs to.
     pub service: id::Service,
     /// How many calls it can run concurrently.
     pub slots: Slots,
+    /// How much longer it stays slow after its start.
+    pub warm_up: Span,
 }
--- a/crates/cicadagw-call/src/lifecycle.rs
+++ b/crates/cicadagw-call/src/lifecycle.rs
@@ -146,7 +146,8 @@
                 limit: None,
                 renewed_at: now,
             });
-        let is_resized = backend.announcement.slots != announcement.slots;
+        let has_changed = backend.announcement.slots != announcement.slots
+            || backend.announcement.release != announcement.release;
         backend.announcement = announcement.clone();
         backend.has_left |= announcement.is_draining;
         let event = if announcement.is_draining {
@@ -156,7 +157,7 @@
         };
         let effects_before = effects.len();
         backend.step(now, event, &mut effects);
-        if is_resized && effects.len() == effects_before {
+        if has_changed && effects.len() == effects_before {
             effects.push(Effect::Publish(backend.update()));
         }
         Ok(effects)
@@ -372,6 +373,7 @@
             endpoint: self.announcement.endpoint.clone(),
             has_left: self.has_left,
             limit: self.limit,
+            release: self.announcement.release.clone(),
             service: self.announcement.service.clone(),
             slots: self.announcement.slots,
             started_ms: self.announcement.order.started_ms,
--- a/crates/cicadagw-call/tests/balancer.rs
+++ b/crates/cicadagw-call/tests/balancer.rs
@@ -31,6 +31,7 @@
 
 fn record(endpoint: &str, domain: &str, slots: u32) -> Record {
     Record {
+        release: None,
         address: "127.0.0.1:1".parse().unwrap(),
         domain: domain.parse().unwrap(),
         endpoint: endpoint.parse().unwrap(),
--- a/crates/cicadagw-call/tests/lifecycle.rs
+++ b/crates/cicadagw-call/tests/lifecycle.rs
@@ -18,6 +18,8 @@
 
 fn announcement(endpoint: &str, port: u16, is_draining: bool) -> Announcement {
     Announcement {
+        release: None,
+        warm_up: Span::new(0),
         address: ([127, 0, 0, 1], port).into(),
         connections: Slots::new(100),
         endpoint: endpoint.parse().unwrap(),
--- a/crates/cicadagw-control/src/endpoints.rs
+++ b/crates/cicadagw-control/src/endpoints.rs
@@ -305,6 +305,7 @@
     /// Returns the record of an endpoint of this node.
     fn record(&self, local: &LocalUpdate, sequence: Sequence) -> Record {
         Record {
+            release: local.release.clone(),
             address: self.identity.calls,
             domain: self.identity.domain.clone(),
             endpoint: local.endpoint.clone(),
--- a/crates/cicadagw-control/tests/control/fixture.rs
+++ b/crates/cicadagw-control/tests/control/fixture.rs
@@ -107,6 +107,7 @@
 /// Returns a state change of the backend server of the node under test.
 pub(crate) fn local(endpoint: &str, state: State) -> LocalUpdate {
     LocalUpdate {
+        release: None,
         endpoint: endpoint.parse().unwrap(),
         has_left: false,
         service: "shop".parse().unwrap(),
@@ -120,6 +121,7 @@
 /// Returns the record of an endpoint of the node with this number.
 pub(crate) fn record(number: u16, endpoint: &str, sequence: u64, state: State) -> Record {
     Record {
+        release: None,
         address: SocketAddr::from(([127, 0, 0, 1], 8000 + number)),
         domain: DOMAIN.parse().unwrap(),
         endpoint: endpoint.parse().unwrap(),
--- a/crates/cicadagw-dialect/src/native.rs
+++ b/crates/cicadagw-dialect/src/native.rs
@@ -119,6 +119,7 @@
         let is_draining = table
             .required("state")
             .and_then(|value| parse_state(&value));
+        let release = table.get("release").and_then(|value| value.parse());
         let in_flight = table.get("load").and_then(|value| parse_in_flight(&value));
         table.finish();
         Some(Announcement {
@@ -128,8 +129,10 @@
             in_flight: in_flight.unwrap_or_default(),
             is_draining: is_draining?,
             order: Order::default(),
+            release,
             service: service?,
             slots: slots?,
+            warm_up: Span::new(0),
         })
     })
 }
--- a/crates/cicadagw-endpoint/src/local.rs
+++ b/crates/cicadagw-endpoint/src/local.rs
@@ -23,6 +23,9 @@
     /// The rate of calls that the backend server takes from the whole fleet, while it names one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limit: Option<CallRate>,
+    /// The release that the backend server runs, if it names one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub release: Option<id::Release>,
     /// The service that the backend server implements.
     pub service: id::Service,
     /// The number of requests that the backend server executes concurrently.
--- a/crates/cicadagw-endpoint/src/record.rs
+++ b/crates/cicadagw-endpoint/src/record.rs
@@ -29,6 +29,9 @@
     pub rack: id::Rack,
     /// The region of the owner.
     pub region: id::Region,
+    /// The release that the backend server runs, if it names one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub release: Option<id::Release>,
     /// Orders the records of one endpoint: the record with the higher number is newer.
     pub sequence: Sequence,
     /// The service that the backend server implements.
--- a/crates/cicadagw-gossip/src/core/step.rs
+++ b/crates/cicadagw-gossip/src/core/step.rs
@@ -199,6 +199,7 @@
                 endpoint: local.endpoint.clone(),
                 is_ready: true,
                 limit: local.limit,
+                release: local.release.clone(),
                 service: local.service.clone(),
                 slots: local.slots,
                 started_ms: local.started_ms,
--- a/crates/cicadagw-gossip/src/member.rs
+++ b/crates/cicadagw-gossip/src/member.rs
@@ -108,6 +108,9 @@
     /// The rate of calls that it takes from the whole fleet, while it names one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limit: Option<CallRate>,
+    /// The release that it runs, if it names one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub release: Option<id::Release>,
     /// The service that it provides.
     pub service: id::Service,
     /// How many requests it can process concurrently.
--- a/crates/cicadagw-gossip/src/table.rs
+++ b/crates/cicadagw-gossip/src/table.rs
@@ -103,6 +103,7 @@
         // for it.
         rack: member.domain.as_str().parse().ok()?,
         region: member.region.clone(),
+        release: backend.release.clone(),
         // Grows with every change, also over a restart as long as the earlier process published
         // less than one change per millisecond.
         sequence: Sequence::new(member.stamp.0.saturating_add(member.stamp.1)),
--- a/crates/cicadagw-gossip/tests/odd.rs
+++ b/crates/cicadagw-gossip/tests/odd.rs
@@ -84,6 +84,7 @@
     let mut fleet = fleet(4);
     let mut odd = member(9, Stamp(1, 1));
     odd.backend = Some(Backend {
+        release: None,
         endpoint: "i-odd".parse().unwrap(),
         is_ready: true,
         service: "orders".parse().unwrap(),
--- a/crates/cicadagw-gossip/tests/support/record.rs
+++ b/crates/cicadagw-gossip/tests/support/record.rs
@@ -23,6 +23,7 @@
 /// Returns a state change of an endpoint of a backend server.
 pub fn local(endpoint: &str, state: State) -> LocalUpdate {
     LocalUpdate {
+        release: None,
         endpoint: endpoint.parse().unwrap(),
         has_left: false,
         service: "orders".parse().unwrap(),
--- a/crates/cicadagw-proxy/src/node/local.rs
+++ b/crates/cicadagw-proxy/src/node/local.rs
@@ -72,6 +72,7 @@
                 endpoint: endpoint.clone(),
                 has_left: true,
                 limit: None,
+                release: None,
                 service: service.clone(),
                 slots: Slots::new(0),
                 started_ms,
--- a/crates/cicadagw-proxy/tests/support/mesh.rs
+++ b/crates/cicadagw-proxy/tests/support/mesh.rs
@@ -175,6 +175,7 @@
         self.records.insert(
             update.endpoint.clone(),
             Record {
+                release: update.release.clone(),
                 address: node.calls,
                 domain: "kochi-a".parse().unwrap(),
                 endpoint: update.endpoint.clone(),
@@ -200,6 +201,7 @@
         self.records.insert(
             endpoint.clone(),
             Record {
+                release: None,
                 address,
                 domain: format!("{region}-a").parse().unwrap(),
                 endpoint,
--- a/crates/cicadagw-unit/src/id.rs
+++ b/crates/cicadagw-unit/src/id.rs
@@ -66,6 +66,10 @@
     /// Names a region, which contains failure domains.
     Region, "region name"
 }
+name! {
+    /// Names a release of a service: the version of the software that a backend server runs.
+    Release, "release name"
+}
 name! {
     /// Names a route, which maps calls to a cluster.
     Route, "route name"
