Decide rollouts of releases without I/O

A service's calls are to be moved from one release to another, and a bad release may get a tenth of the calls between the order and its end plus fifty, while a good one needs all of them before the end.

The schedule follows from the bound. The test runs at few backend servers, so that each has the load that it has when the release gets all calls.

Evidence comes from the nodes beside the backend servers, which see the calls of all nodes. Releases are compared by policy, since one may be bad on one route only, over the whole time and over the last 3 s, since one may turn bad late. What a single backend server does is no fault of the release.

Ruled out: a share that grows in fixed steps from the start, which spends the allowance of a release that turns bad late; reports of the callers, which at 1,300 nodes would be 1,300 reports a second at the leader.

--- /dev/null
+++ b/crates/cicadagw-rollout/src/leader.rs
@@ -0,0 +1,299 @@
+//! The decisions of the node that leads a rollout.
+
+use cicadagw_endpoint::Record;
+use cicadagw_unit::id;
+use cicadagw_unit::rate::Permille;
+use cicadagw_unit::time::{Span, Timestamp};
+
+use smallvec::SmallVec;
+
+use crate::reports::{Host, Reports};
+use crate::{
+    Action, Event, Fault, Group, Guard, Order, Phase, Report, Schedule, Status, Verdict, chart,
+    judge,
+};
+
+/// How often a leader without news writes the status, so that others see that it is alive.
+const RENEWAL: Span = Span::seconds(1);
+
+/// The least time between two changes of the share during the test.
+const TEST_STEP: Span = Span::new(500);
+
+/// How many answers of the target release prove it, at least.
+const PROOF_MIN: u64 = 20;
+
+/// The share of the calls that were due to the target release whose answers prove it, in thousandths.
+const PROOF_PERMILLE: u64 = 300;
+
+/// The age from which on a report is not the last state of a backend server.
+const REPORT_AGE_MAX: Span = Span::seconds(1);
+
+/// How long a node beside a backend server may be silent until it counts as cut off or ended. Calls
+/// reach the backend server only through it.
+const SILENCE_MAX: Span = Span::seconds(4);
+
+/// A decision, to be written to the platform under the condition that nobody has changed the order.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Decision {
+    /// Why the target release gets no more calls, if it does not.
+    pub fault: Option<Fault>,
+    /// The status to write. If it is rolled back, the nodes are told without waiting for the platform.
+    pub status: Status,
+}
+
+/// The state of the node that leads a rollout.
+#[derive(Clone, Debug)]
+pub struct Leader {
+    order: Order,
+    schedule: Schedule,
+    /// When the order was noticed.
+    began: Timestamp,
+    status: Status,
+    reports: Reports,
+    /// When the current share came into force.
+    stepped: Timestamp,
+    /// When the last decision was taken.
+    decided: Timestamp,
+    /// The number of calls that the shares so far have given to the target release, in thousandths.
+    due_milli: u64,
+    /// The calls that had reached the service when `due_milli` was updated.
+    reached: u64,
+}
+
+impl Leader {
+    /// Takes up an order, or continues under the `status` that an earlier leader has written.
+    /// `unix_ms` is the current time in milliseconds since the Unix epoch.
+    pub fn new(
+        now: Timestamp,
+        unix_ms: u64,
+        node: &id::Node,
+        order: Order,
+        status: Status,
+    ) -> Self {
+        let started_ms = match status.started_ms {
+            0 => unix_ms,
+            started_ms => started_ms,
+        };
+        let age = Span::new(unix_ms.saturating_sub(started_ms));
+        let is_new = status.started_ms == 0;
+        Self {
+            schedule: Schedule::new(order.duration),
+            order,
+            began: now.before(age),
+            status: Status {
+                leader: Some(node.clone()),
+                started_ms,
+                since_ms: if is_new { unix_ms } else { status.since_ms },
+                ..status
+            },
+            reports: Reports::default(),
+            stepped: now,
+            decided: now.before(RENEWAL),
+            due_milli: 0,
+            reached: 0,
+        }
+    }
+
+    /// Returns the order.
+    pub const fn order(&self) -> &Order {
+        &self.order
+    }
+
+    /// Returns the status as of the last decision.
+    pub const fn status(&self) -> &Status {
+        &self.status
+    }
+
+    /// Adds a report of a node. One about another rollout is left out.
+    pub fn report(&mut self, now: Timestamp, report: Report) {
+        if report.started_ms == self.status.started_ms && report.service == self.order.service {
+            self.reports.add(now, report);
+        }
+    }
+
+    /// Returns how many calls have reached the service since the order, and how many of them the
+    /// target release got.
+    pub fn exposure(&self) -> (u64, u64) {
+        let sent = |is_counted: &dyn Fn(&Report) -> bool| {
+            let hosts = self.reports.iter();
+            let counted = hosts.filter(|host| is_counted(&host.last.1));
+            counted.map(Host::sent).sum()
+        };
+        let target = &self.order.target;
+        (
+            sent(&|_| true),
+            sent(&|report| report.release.as_ref() == Some(target)),
+        )
+    }
+
+    /// Decides what is due at `now`, while `records` are the endpoints of the service that accept
+    /// calls. Returns what has to be written.
+    pub fn decide(&mut self, now: Timestamp, unix_ms: u64, records: &[Record]) -> Option<Decision> {
+        let before = (self.status.phase, self.status.share);
+        let (reached, exposed) = self.exposure();
+        self.due_milli += reached.saturating_sub(self.reached) * u64::from(self.status.share.get());
+        self.reached = reached;
+        let verdict = self.verdict();
+        let mut fault = None;
+        if let Verdict::Bad(found) = &verdict {
+            fault = Some(found.clone());
+            self.step(now, unix_ms, Event::Bad);
+        }
+        // What has happened is judged anew after each step.
+        let mut events = self.events(now, &verdict, records).into_iter();
+        events.find(|event| self.step(now, unix_ms, *event));
+        if self.status.phase == Phase::Observing && now.since(self.stepped) >= TEST_STEP {
+            self.stepped = now;
+            let age = now.since(self.began);
+            self.status.share = self.schedule.test_share(age, reached, exposed);
+        }
+        let has_changed = before != (self.status.phase, self.status.share);
+        let is_renewal = self.status.is_running() && now.since(self.decided) >= RENEWAL;
+        if !has_changed && !is_renewal {
+            return None;
+        }
+        Some(self.decision(now, fault))
+    }
+
+    /// Returns the last decision again, for a write whose outcome is a failure or unknown.
+    pub fn repeat(&mut self, now: Timestamp) -> Decision {
+        self.decision(now, None)
+    }
+
+    fn decision(&mut self, now: Timestamp, fault: Option<Fault>) -> Decision {
+        self.decided = now;
+        self.status.beat = self.status.beat.wrapping_add(1);
+        Decision {
+            fault,
+            status: self.status.clone(),
+        }
+    }
+
+    /// Returns what has happened, in the order in which it counts.
+    fn events(
+        &self,
+        now: Timestamp,
+        verdict: &Verdict,
+        records: &[Record],
+    ) -> SmallVec<[Event; 4]> {
+        let group = |record: &Record| self.group(record.release.as_ref());
+        let has_target = records.iter().any(|record| group(record) == Group::Target);
+        let has_base = records.iter().any(|record| group(record) == Group::Base);
+        let age = now.since(self.began);
+        let mut events = SmallVec::new();
+        if has_target {
+            events.push(if has_base {
+                Event::Present
+            } else {
+                Event::Alone
+            });
+        }
+        let is_clear = *verdict == Verdict::Clear;
+        if is_clear && has_target && age >= self.schedule.raise_at() && self.is_proven() {
+            events.push(Event::Proven);
+        }
+        if is_clear && has_target && now.since(self.stepped) >= self.schedule.step() {
+            events.push(Event::Settled);
+        }
+        if self.is_quiet(now, records) {
+            events.push(Event::Quiet);
+        }
+        if age >= self.order.duration {
+            events.push(Event::Overdue);
+        }
+        events
+    }
+
+    /// Takes a step of the chart; returns whether it does anything.
+    fn step(&mut self, now: Timestamp, unix_ms: u64, event: Event) -> bool {
+        let is_whole = self.status.share >= Permille::WHOLE;
+        let step = chart().step(self.status.phase, event, |guard| match guard {
+            Guard::IsWhole => is_whole,
+        });
+        if step.to != self.status.phase {
+            self.status.since_ms = unix_ms;
+        }
+        self.status.phase = step.to;
+        for action in step.actions {
+            self.stepped = now;
+            self.status.share = match action {
+                Action::Observe => {
+                    let age = now.since(self.began);
+                    let (reached, exposed) = self.exposure();
+                    self.schedule.test_share(age, reached, exposed)
+                }
+                Action::Raise => Schedule::next_share(self.status.share),
+                Action::Close | Action::Finish => Permille::WHOLE,
+                Action::Stop => Permille::new(0),
+            };
+        }
+        !step.actions.is_empty()
+    }
+
+    /// Compares the target release with the others, over the whole time and recently.
+    fn verdict(&self) -> Verdict {
+        let group = |report: &Report| self.group(report.release.as_ref());
+        let (target, recent) = self
+            .reports
+            .samples(|report| group(report) == Group::Target);
+        let (base, _) = self.reports.samples(|report| group(report) == Group::Base);
+        match judge(&target, &base) {
+            Verdict::Bad(fault) => Verdict::Bad(fault),
+            // The other releases have no recent calls once the target gets most of them.
+            whole => match judge(&recent, &base) {
+                Verdict::Clear => whole,
+                recent => recent,
+            },
+        }
+    }
+
+    /// Returns whether the target release has answered enough calls to be proven: of a service with
+    /// few calls, most of those that its share gave it.
+    fn is_proven(&self) -> bool {
+        let target = self.reports.samples(|report| {
+            let group = self.group(report.release.as_ref());
+            group == Group::Target
+        });
+        let ended: u64 = target.0.iter().map(|sample| sample.total.ended).sum();
+        let due = self.due_milli / 1_000 * PROOF_PERMILLE / 1_000;
+        ended >= due.min(PROOF_MIN)
+    }
+
+    /// Returns whether no call is in flight at a backend server of another release, and its node
+    /// refuses new ones.
+    fn is_quiet(&self, now: Timestamp, records: &[Record]) -> bool {
+        let in_phase = now.since(self.stepped);
+        let is_listed = |endpoint: &id::Endpoint| {
+            let mut listed = records.iter();
+            listed.any(|record| record.endpoint == *endpoint)
+        };
+        let mut others = records
+            .iter()
+            .filter(|record| self.group(record.release.as_ref()) != Group::Target);
+        let are_reported = others
+            .all(|record| self.reports.get(&record.endpoint).is_some() || in_phase >= SILENCE_MAX);
+        let is_target = |host: &&Host| {
+            let release = host.last.1.release.as_ref();
+            self.group(release) == Group::Target
+        };
+        let mut hosts = self.reports.iter().filter(|host| !is_target(host));
+        are_reported
+            && hosts.all(|host| {
+                let (at, report) = &host.last;
+                let age = now.since(*at);
+                let is_closed = report.refuses || !is_listed(&report.endpoint);
+                let is_idle = is_closed && report.in_flight == 0 && age < REPORT_AGE_MAX;
+                // A silent node has been cut off or has ended.
+                is_idle || age >= SILENCE_MAX
+            })
+    }
+
+    /// Returns the part that a release has while the rollout goes on.
+    fn group(&self, release: Option<&id::Release>) -> Group {
+        match release {
+            Some(release) if *release == self.order.target => Group::Target,
+            Some(release) if self.status.unproven.contains(release) => Group::Excluded,
+            _ => Group::Base,
+        }
+    }
+}
--- a/crates/cicadagw-unit/src/version.rs
+++ b/crates/cicadagw-unit/src/version.rs
@@ -13,6 +13,11 @@
     Sequence(u64), "sequence number", ""
 }
 
+number! {
+    /// Orders what is decided about one rollout: a later decision has a higher number, whoever made it.
+    Term(u64), "term", ""
+}
+
 impl Version {
     /// Returns the version of the next accepted change.
     #[must_use]
