Choose endpoints by what a delay costs callers, and by the pace of their hosts

Cause: the balancer compared delays linearly, whatever the latency target of a call. The load reports of backend servers on shared hosts state how slow work is at the moment, and nobody read that.

--- a/crates/cicadagw-call/src/admission/core.rs
+++ b/crates/cicadagw-call/src/admission/core.rs
@@ -85,6 +85,7 @@
         let waiting = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
         Load {
             in_flight: Slots::new(self.running.saturating_add(waiting)),
+            pace: None,
             slots: self.slots,
         }
     }
--- a/crates/cicadagw-call/src/balancer/core.rs
+++ b/crates/cicadagw-call/src/balancer/core.rs
@@ -10,6 +10,7 @@
 use rand::{Rng, RngExt};
 use smallvec::SmallVec;
 
+use super::cost::{Comparison, Demand};
 use super::endpoint::{AVERAGE_RELATIVE_WORK, Endpoint, Profile, Report, TIERS, endpoint_for};
 use super::utilization::Utilization;
 use crate::Load;
@@ -111,9 +112,9 @@
         self.assign_tiers(own);
     }
 
-    /// Chooses an endpoint for a call under `policy` that is not in `tried`: of the healthy and
-    /// reachable ones whose rate limit allows a call of `priority`, the one with the lowest expected
-    /// cost in time and bytes.
+    /// Chooses an endpoint for the call of `demand` that is not in `tried`: of the healthy and
+    /// reachable ones whose rate limit allows a call of its priority, the one with the lowest
+    /// expected cost in time and bytes.
     ///
     /// Observed failures alone never leave a service without endpoints: health is ignored if the
     /// share of healthy endpoints is below `panic_threshold` or no healthy one is left, and
@@ -125,12 +126,12 @@
         rng: &mut impl Rng,
         tried: &[id::Endpoint],
         panic_threshold: Permille,
-        (policy, priority): (&id::Policy, Priority),
+        demand: Demand<'_>,
     ) -> Option<&Record> {
         let counts_failures = !self.is_panicking(now, panic_threshold);
         let eligible = |accepts: &dyn Fn(&Endpoint) -> bool| {
             self.eligible(tried, |endpoint| {
-                endpoint.limited_for(now, priority).is_none() && accepts(endpoint)
+                endpoint.limited_for(now, demand.priority).is_none() && accepts(endpoint)
             })
         };
         let mut tiers = eligible(&|endpoint| {
@@ -142,18 +143,26 @@
         if tiers.iter().all(SmallVec::is_empty) {
             tiers = eligible(&|_| true);
         }
-        let profile = self.profiles.get(policy).copied().unwrap_or_default();
+        let profile = self
+            .profiles
+            .get(demand.policy)
+            .copied()
+            .unwrap_or_default();
         if profile.bytes >= LOCAL_RESPONSE_BYTES_MIN && self.has_usable_endpoint_in_region(now) {
             tiers[TIERS - 1].clear();
         }
-        let utilization = self.utilization.of_all(now);
+        let comparison = Comparison {
+            now,
+            profile,
+            target: demand.target,
+            utilization: self.utilization.of_all(now),
+            counts_failures,
+        };
         let candidates = tiers.iter().enumerate().flat_map(|(tier, endpoints)| {
             let sampled = sample(endpoints, rng);
             sampled.into_iter().map(move |endpoint| (tier, endpoint))
         });
-        let chosen = candidates.min_by_key(|(tier, endpoint)| {
-            endpoint.cost(now, *tier, profile, utilization, counts_failures)
-        });
+        let chosen = candidates.min_by_key(|(tier, endpoint)| comparison.cost(*tier, endpoint));
         chosen.map(|(_, endpoint)| &endpoint.record)
     }
 
@@ -178,7 +187,9 @@
         profile.work_us = smooth(profile.work_us, work_us);
         profile.bytes = smooth(profile.bytes, size.get());
         if let Some(endpoint) = self.find(id) {
-            let relative_work = (work_us * AVERAGE_RELATIVE_WORK / average_us)
+            // The pace passes, while the speed of the endpoint remains.
+            let usual_us = work_us * AVERAGE_RELATIVE_WORK / endpoint.pace(now);
+            let relative_work = (usual_us * AVERAGE_RELATIVE_WORK / average_us)
                 .clamp(*RELATIVE_WORK_RANGE.start(), *RELATIVE_WORK_RANGE.end());
             endpoint.relative_work.record(now, relative_work);
         }
--- a/crates/cicadagw-call/src/balancer/endpoint.rs
+++ b/crates/cicadagw-call/src/balancer/endpoint.rs
@@ -1,7 +1,7 @@
-//! One endpoint and the cost of a call to it.
+//! One endpoint and what this node has observed of it.
 
 use cicadagw_endpoint::Record;
-use cicadagw_unit::rate::Priority;
+use cicadagw_unit::rate::{Permille, Priority};
 use cicadagw_unit::time::{Span, Timestamp};
 
 use super::decay::DecayingAverage;
@@ -13,6 +13,13 @@
 /// How long a reported load is used after it arrived.
 const REPORT_AGE_MAX: Span = Span::new(1_000);
 
+/// How long the pace of work in a report is used; it changes many times per second.
+const PACE_AGE_MAX: Span = Span::new(400);
+
+/// The range to which a stated pace is clamped, in thousandths; a backend server may state an odd
+/// one.
+const PACE_RANGE: std::ops::RangeInclusive<u64> = 250..=10_000;
+
 /// How long a new endpoint takes to receive its full share of calls; backend servers need about
 /// that long to warm up.
 const SLOW_START: Span = Span::seconds(3);
@@ -39,27 +46,6 @@
 /// The longest time for which an unreachable endpoint is avoided.
 const UNREACHABLE_BACKOFF_MAX: Span = Span::seconds(8);
 
-/// The network round trip to an endpoint of each tier, in microseconds: typical values between
-/// hosts, failure domains and regions.
-const ROUND_TRIP_US: [u64; TIERS] = [0, 500, 1_500, 62_000];
-
-/// The cost per KiB of response from each tier, expressed in microseconds of delay. Traffic between
-/// failure domains is billed; traffic between regions is billed at four times that rate, and all of
-/// it shares one narrow link. With these weights, a response of 5 KB leaves the region only to save
-/// a wait of about 200 ms.
-const TRANSFER_US_PER_KIB: [u64; TIERS] = [0, 0, 1_500, 25_000];
-
-/// The delay that a fully loaded endpoint adds to a call, in microseconds. It grows with the square
-/// of the load, because backend servers slow down when they are nearly full.
-const FULL_LOAD_US: u64 = 20_000;
-
-/// The fixed cost of a call that has to wait for a slot, in microseconds, because the estimate of
-/// the wait may be wrong.
-const QUEUE_US: u64 = 100_000;
-
-/// The cost of a failure in microseconds: that of the retry that follows it.
-const FAILURE_US: u64 = 500_000;
-
 /// The assumed work time of a call without samples, in microseconds.
 const DEFAULT_WORK_US: u64 = 50_000;
 
@@ -173,35 +159,20 @@
         self.unreachable_until = now.after(wait.min(UNREACHABLE_BACKOFF_MAX));
     }
 
-    /// Returns the expected cost of a call with `profile` at this endpoint, in microseconds of
-    /// delay.
-    ///
-    /// The endpoint's failures count only if `counts_failures`. `utilization` is that of
-    /// other endpoints.
-    pub(super) fn cost(
-        &self,
-        now: Timestamp,
-        tier: usize,
-        profile: Profile,
-        utilization: u64,
-        counts_failures: bool,
-    ) -> u64 {
-        let work = profile.work_us * self.relative_work.get(now) / AVERAGE_RELATIVE_WORK;
-        let load = self.load(now, utilization) + 1_000;
-        let capacity = self.capacity(now, work).max(1);
-        let busy = FULL_LOAD_US * load.min(capacity) / capacity * load.min(capacity) / capacity;
-        let wait = match load.checked_sub(capacity) {
-            None | Some(0) => 0,
-            Some(excess) => QUEUE_US + work * excess / capacity,
-        };
-        let transfer = profile.bytes * TRANSFER_US_PER_KIB[tier] / 1_024;
-        let failure_rate = if counts_failures {
-            self.failure_rate.get(now)
-        } else {
-            0
-        };
-        let failures = failure_rate * FAILURE_US / 1_000;
-        ROUND_TRIP_US[tier] + transfer + work + busy + wait + failures
+    /// Returns the work time of a call relative to the other endpoints, in thousandths, at the pace
+    /// that the last report states while it is recent.
+    pub(super) fn relative_work_now(&self, now: Timestamp) -> u64 {
+        self.relative_work.get(now) * self.pace(now) / AVERAGE_RELATIVE_WORK
+    }
+
+    /// Returns the pace that the last report states, in thousandths; without a recent one, the usual
+    /// pace.
+    pub(super) fn pace(&self, now: Timestamp) -> u64 {
+        let recent = self
+            .report
+            .filter(|report| now.since(report.at) < PACE_AGE_MAX);
+        let pace = recent.and_then(|report| report.load.pace);
+        pace.map_or(AVERAGE_RELATIVE_WORK, stated_pace)
     }
 
     /// Returns whether a further call is expected to find a free slot. `utilization` is that of
@@ -215,7 +186,7 @@
     /// Without a recent report, the endpoint is assumed to be as busy as others are on average:
     /// if it counted as idle, calls would leave the region for it whenever all near endpoints are
     /// full.
-    fn load(&self, now: Timestamp, utilization: u64) -> u64 {
+    pub(super) fn load(&self, now: Timestamp, utilization: u64) -> u64 {
         let own = u64::from(self.own_in_flight) * 1_000;
         let recent = self
             .report
@@ -231,7 +202,7 @@
     /// Returns how many calls that take `work_us` the endpoint may run concurrently, in thousandths of
     /// a call; less than its slots during slow start. A backend server with a rate limit runs as many
     /// as arrive at that rate during the time of one call (Little's law).
-    fn capacity(&self, now: Timestamp, work_us: u64) -> u64 {
+    pub(super) fn capacity(&self, now: Timestamp, work_us: u64) -> u64 {
         let weight = self.added.map_or(1_000, |added| {
             let age = now.since(added).get().min(SLOW_START.get());
             SLOW_START_PERMILLE + (1_000 - SLOW_START_PERMILLE) * age / SLOW_START.get()
@@ -244,6 +215,11 @@
     }
 }
 
+/// Returns the pace that a report states, in thousandths.
+fn stated_pace(pace: Permille) -> u64 {
+    u64::from(pace.get()).clamp(*PACE_RANGE.start(), *PACE_RANGE.end())
+}
+
 /// Returns the endpoint of `record`, with the observations of it in `previous` if it is there.
 pub(super) fn endpoint_for(
     previous: &mut [Endpoint],
--- a/crates/cicadagw-call/tests/balancer.rs
+++ b/crates/cicadagw-call/tests/balancer.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use cicadagw_call::Load;
-use cicadagw_call::balancer::{Balancer, Locality, Signal};
+use cicadagw_call::balancer::{Balancer, Demand, Locality, Signal};
 use cicadagw_endpoint::{Record, State};
 use cicadagw_unit::rate::{CallRate, Permille, Priority};
 use cicadagw_unit::size::{Bytes, Slots};
@@ -66,6 +66,15 @@
     "plain".parse().unwrap()
 }
 
+/// A call under `policy` without a latency target.
+fn demand(policy: &id::Policy) -> Demand<'_> {
+    Demand {
+        policy,
+        priority: Priority::default(),
+        target: None,
+    }
+}
+
 fn rng() -> StdRng {
     StdRng::seed_from_u64(7)
 }
@@ -76,7 +85,7 @@
     let mut counts = BTreeMap::new();
     for _ in 0..count {
         let chosen = balancer
-            .choose(now, &mut rng, &[], HALF, (&policy(), Priority::default()))
+            .choose(now, &mut rng, &[], HALF, demand(&policy()))
             .unwrap()
             .endpoint
             .clone();
@@ -115,22 +124,10 @@
     balancer.record_outcome(at(0), &endpoint("near"), Signal::Neutral, Some(full));
 
     let before_expiry = balancer
-        .choose(
-            at(10),
-            &mut rng(),
-            &[],
-            HALF,
-            (&policy(), Priority::default()),
-        )
+        .choose(at(10), &mut rng(), &[], HALF, demand(&policy()))
         .unwrap();
     let after_expiry = balancer
-        .choose(
-            at(1_000),
-            &mut rng(),
-            &[],
-            HALF,
-            (&policy(), Priority::default()),
-        )
+        .choose(at(1_000), &mut rng(), &[], HALF, demand(&policy()))
         .unwrap();
 
     assert_eq!(before_expiry.endpoint, endpoint("middle"));
@@ -224,6 +221,7 @@
         for load in loads {
             let report = Load {
                 in_flight: Slots::new(u32::from(load)),
+                pace: None,
                 slots: Slots::new(5),
             };
             balancer.record_outcome(
@@ -239,13 +237,7 @@
             .collect();
 
         let mut rng = StdRng::seed_from_u64(seed);
-        let chosen = balancer.choose(
-            at(0),
-            &mut rng,
-            &tried,
-            HALF,
-            (&policy(), Priority::default()),
-        );
+        let chosen = balancer.choose(at(0), &mut rng, &tried, HALF, demand(&policy()));
 
         match chosen {
             Some(record) => !tried.contains(&record.endpoint),
@@ -269,7 +261,7 @@
     for step in 0..1_000 {
         let now = at(step * 10);
         let chosen = balancer
-            .choose(now, &mut rng, &[], HALF, (&policy(), Priority::default()))
+            .choose(now, &mut rng, &[], HALF, demand(&policy()))
             .unwrap();
         let (chosen, region) = (chosen.endpoint.clone(), chosen.region.clone());
         crossed += usize::from(region != own_locality().region);
@@ -289,13 +281,7 @@
     balancer.record_outcome(at(0), &endpoint("near"), Signal::Neutral, Some(full));
     balancer.record_outcome(at(0), &endpoint("far"), Signal::Neutral, Some(idle));
 
-    let chosen = balancer.choose(
-        at(10),
-        &mut rng(),
-        &[],
-        HALF,
-        (&policy(), Priority::default()),
-    );
+    let chosen = balancer.choose(at(10), &mut rng(), &[], HALF, demand(&policy()));
 
     assert_eq!(chosen.unwrap().endpoint, endpoint("far"));
 }
@@ -312,13 +298,7 @@
         let load = load.parse().unwrap();
         balancer.record_outcome(at(0), &endpoint("near"), Signal::Neutral, Some(load));
         balancer.record_outcome(at(0), &endpoint("far"), Signal::Neutral, Some(idle));
-        let chosen = balancer.choose(
-            at(10),
-            &mut rng(),
-            &[],
-            HALF,
-            (&policy(), Priority::default()),
-        );
+        let chosen = balancer.choose(at(10), &mut rng(), &[], HALF, demand(&policy()));
         chosen.unwrap().endpoint.clone()
     };
 
@@ -335,13 +315,7 @@
     limited.limit = Some(CallRate::from_milli(10_000));
     let balancer = balancer(&[limited, record("other", "kochi-b", 9)]);
     // At 10 calls/s of 50 ms each, half a call runs on average, so the endpoint counts as full.
-    let chosen = balancer.choose(
-        at(10),
-        &mut rng(),
-        &[],
-        HALF,
-        (&policy(), Priority::default()),
-    );
+    let chosen = balancer.choose(at(10), &mut rng(), &[], HALF, demand(&policy()));
 
     assert_eq!(chosen.unwrap().endpoint.as_str(), "other");
 }
@@ -352,7 +326,11 @@
     let id = "near".parse().unwrap();
     balancer.record_limited(at(0), &id, Span::new(80), Priority::new(1));
     let choose = |time, priority| {
-        let call = (&policy(), Priority::new(priority));
+        let policy = policy();
+        let call = Demand {
+            priority: Priority::new(priority),
+            ..demand(&policy)
+        };
         let chosen = balancer.choose(at(time), &mut rng(), &[], HALF, call);
         chosen.is_some()
     };
--- a/crates/cicadagw-proxy/src/backend.rs
+++ b/crates/cicadagw-proxy/src/backend.rs
@@ -1,6 +1,6 @@
 //! Admission control and connections of a local backend server.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,7 +13,7 @@
 use cicadagw_http::Pool;
 use cicadagw_http::pool::Options;
 use cicadagw_unit::id;
-use cicadagw_unit::rate::CallRate;
+use cicadagw_unit::rate::{CallRate, Permille};
 use cicadagw_unit::size::{Bytes, Slots};
 use cicadagw_unit::time::{Span, Timestamp};
 use tokio::sync::oneshot;
@@ -30,6 +30,9 @@
     tcp_user_timeout: Duration::from_millis(300),
 };
 
+/// How long the pace of work that a backend server states counts; it changes many times per second.
+const PACE_AGE_MAX: Span = Span::new(300);
+
 /// A local backend server: its admission control, the queued calls, and its connection pool.
 pub(crate) struct Backend {
     admission: RefCell<Admission>,
@@ -39,6 +42,8 @@
     pub(crate) endpoint: id::Endpoint,
     pub(crate) pool: Rc<Pool>,
     address: SocketAddr,
+    /// The pace that the last response stated, and when it arrived.
+    pace: Cell<Option<(Timestamp, Permille)>>,
 }
 
 /// The notification that a queued call receives.
@@ -66,6 +71,7 @@
             endpoint: announcement.endpoint.clone(),
             pool: Pool::new(announcement.address, CONNECTIONS),
             address: announcement.address,
+            pace: Cell::new(None),
         })
     }
 
@@ -80,7 +86,18 @@
 
     /// Returns the load of the backend server.
     pub(crate) fn load(&self) -> Load {
-        self.admission.borrow().load()
+        let now = self.clock.now();
+        let pace = self.pace.get();
+        let pace = pace.filter(|(at, _)| now.since(*at) <= PACE_AGE_MAX);
+        Load {
+            pace: pace.map(|(_, pace)| pace),
+            ..self.admission.borrow().load()
+        }
+    }
+
+    /// Records the pace of work that a response states.
+    pub(crate) fn observe_pace(&self, pace: Permille) {
+        self.pace.set(Some((self.clock.now(), pace)));
     }
 
     /// Records the size of a response to a call under `policy`.
--- a/crates/cicadagw-proxy/src/delivery.rs
+++ b/crates/cicadagw-proxy/src/delivery.rs
@@ -212,8 +212,8 @@
     }
 }
 
-/// Processes what a response says of the state of the backend server: its rate limit, and whether it
-/// is leaving. A refusal need not repeat the limit, so only a response to an executed request ends
+/// Processes what a response says of the state of the backend server: its pace of work, its rate
+/// limit, and whether it is leaving. A refusal need not repeat the limit, so only a response to an executed request ends
 /// it.
 fn observe_state(node: &Node, backend: &Backend, head: &ResponseHead, request: &Request) {
     let names = node.dialect.header_names();
@@ -227,6 +227,10 @@
     if header::says_leaving(&head.fields, names) {
         node.leave(&backend.endpoint);
     }
+    let load = text(names.load).and_then(|text| node.dialect.parse_load(text));
+    if let Some(pace) = load.and_then(|load| load.pace) {
+        backend.observe_pace(pace);
+    }
     let is_executed = names.not_run.is_none_or(|name| !head.fields.has(name));
     match text(names.limit).map(str::parse::<CallRate>) {
         Some(Ok(limit)) => backend.observe_limit(Some(limit)),
--- a/crates/cicadagw-proxy/src/peers.rs
+++ b/crates/cicadagw-proxy/src/peers.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cicadagw_call::balancer::{Balancer, Locality, Signal, Summary};
+use cicadagw_call::balancer::{Balancer, Demand, Locality, Signal, Summary};
 use cicadagw_call::{Budget, Load, Returns};
 use cicadagw_config::Cluster;
 use cicadagw_endpoint::Record;
@@ -125,15 +125,14 @@
         self.rng.borrow_mut().random()
     }
 
-    /// Selects an endpoint for a call to `cluster` under `policy` among `endpoints` of the given
-    /// epoch.
+    /// Selects an endpoint of `cluster` for the call of `demand` among `endpoints` of the given epoch.
     pub(crate) fn choose(
         &self,
         now: Timestamp,
         cluster: &Cluster,
         (epoch, endpoints): (u64, &Endpoints),
         tried: &[id::Endpoint],
-        (policy, priority): (&id::Policy, Priority),
+        demand: Demand<'_>,
     ) -> Option<Record> {
         let service = &cluster.service;
         let mut services = self.services.borrow_mut();
@@ -148,8 +147,7 @@
         }
         let rng = &mut *self.rng.borrow_mut();
         let threshold = cluster.panic_threshold;
-        let call = (policy, priority);
-        let chosen = state.balancer.choose(now, rng, tried, threshold, call);
+        let chosen = state.balancer.choose(now, rng, tried, threshold, demand);
         chosen.cloned()
     }
 
--- a/crates/cicadagw-proxy/src/relay.rs
+++ b/crates/cicadagw-proxy/src/relay.rs
@@ -5,7 +5,7 @@
 
 use cicadagw_call::Reason;
 use cicadagw_call::attempt::{Action, Attempts, Conditions, Event};
-use cicadagw_call::balancer::Signal;
+use cicadagw_call::balancer::{Demand, Signal};
 use cicadagw_endpoint::Record;
 use cicadagw_unit::id;
 use cicadagw_unit::size::Bytes;
@@ -209,9 +209,13 @@
     ) -> Option<Record> {
         let target = self.call.target;
         let endpoints = (routing.epoch, &*routing.endpoints);
-        let call = (&target.policy_name, self.call.priority);
+        let demand = Demand {
+            policy: &target.policy_name,
+            priority: self.call.priority,
+            target: self.call.soft_deadline().map(|target| target.since(now)),
+        };
         let peers = &self.node.peers;
-        peers.choose(now, &target.cluster, endpoints, tried, call)
+        peers.choose(now, &target.cluster, endpoints, tried, demand)
     }
 
     /// Makes an attempt at the selected endpoint. If it takes unusually long and the call may be
