Decide about quotas of client accounts over all nodes

Cause: nothing limits the calls of an account over all nodes together. Ruled out: equal parts at all nodes (an account whose callers are at few nodes gets a fraction of its quota); one owner of a whole quota (its loss stops the account, and two owners at once double it); reports after the call (nothing bounds what runs before the report arrives). Change: a quota is divided into parts, each owned by one node, which alone creates its tokens. Nodes ask the owners for tokens, for waiting calls and ahead of expected ones.

--- a/crates/cicadagw-call/src/lib.rs
+++ b/crates/cicadagw-call/src/lib.rs
@@ -16,6 +16,7 @@
 mod load;
 mod outcome;
 pub mod pacing;
+pub mod quota;
 pub mod refusal;
 mod returns;
 pub mod route;
--- a/crates/cicadagw-call/src/outcome.rs
+++ b/crates/cicadagw-call/src/outcome.rs
@@ -52,6 +52,9 @@
         NoEndpoint = "no-endpoint",
         /// No route matches the call.
         NoRoute = "no-route",
+        /// No node that owns a part of the account's quota answers, so it is not known whether the
+        /// quota allows the call.
+        QuotaUnknown = "quota-unknown",
         /// The backend server itself refused the call.
         Rejected = "rejected",
         /// Admission control at the endpoint's node shed the call: the queue is full, or the call
@@ -95,6 +98,7 @@
             | Self::HopLimit
             | Self::HttpVersion
             | Self::OverQuota
+            | Self::QuotaUnknown
             | Self::TooSlow
             | Self::Unauthorized => Event::Refused,
         }
--- /dev/null
+++ b/crates/cicadagw-call/src/quota/shares.rs
@@ -0,0 +1,118 @@
+//! A node's shares of all quotas.
+
+use std::collections::BTreeMap;
+
+use cicadagw_unit::id;
+use cicadagw_unit::time::Timestamp;
+use smallvec::SmallVec;
+
+use super::{Decision, Grant, Request, Share, State, Ticket};
+
+/// A node's shares of the quotas whose accounts make calls at it.
+#[derive(Clone, Debug)]
+pub struct Shares {
+    /// The number of the last request.
+    number: u64,
+    shares: BTreeMap<id::Account, Share>,
+}
+
+/// The number of shares by state.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Counts {
+    /// Those of accounts that have tokens.
+    pub open: u64,
+    /// Those of accounts that have used their quotas up.
+    pub short: u64,
+    /// Those of accounts of whose quotas no owner answers.
+    pub silent: u64,
+}
+
+impl Shares {
+    /// Creates the shares of a node without any; its requests are numbered from `number` on.
+    pub const fn new(number: u64) -> Self {
+        Self {
+            number,
+            shares: BTreeMap::new(),
+        }
+    }
+
+    /// Decides about a call of `account` that has just arrived. The quota is divided into `parts`
+    /// parts.
+    pub fn arrive(&mut self, now: Timestamp, account: &id::Account, parts: u16) -> Decision {
+        if !self.shares.contains_key(account) {
+            self.shares.insert(account.clone(), Share::new(parts));
+        }
+        let Some(share) = self.shares.get_mut(account) else {
+            unreachable!("the share was inserted if it was missing");
+        };
+        share.set_parts(parts);
+        share.arrive(now)
+    }
+
+    /// Decides about a call that arrived at `arrived` and has waited since.
+    pub fn wait(&mut self, now: Timestamp, account: &id::Account, arrived: Timestamp) -> Decision {
+        match self.shares.get_mut(account) {
+            Some(share) => share.wait(now, arrived),
+            None => unreachable!("a share with waiting calls is kept"),
+        }
+    }
+
+    /// Returns the requests for tokens of `account` that are due.
+    pub fn requests(&mut self, now: Timestamp, account: &id::Account) -> SmallVec<[Request; 2]> {
+        match self.shares.get_mut(account) {
+            Some(share) => share.requests(now, account, &mut self.number),
+            None => SmallVec::new(),
+        }
+    }
+
+    /// Returns when a waiting call of `account` has to be decided about again if no answer arrives
+    /// before.
+    pub fn next_change(&self, now: Timestamp, account: &id::Account) -> Timestamp {
+        let share = self.shares.get(account);
+        share.map_or(now, |share| share.next_change(now))
+    }
+
+    /// Records that a waiting call has been given up.
+    pub fn leave(&mut self, account: &id::Account) {
+        if let Some(share) = self.shares.get_mut(account) {
+            share.leave();
+        }
+    }
+
+    /// Puts back the token of a call that has not run.
+    pub fn give_back(&mut self, now: Timestamp, account: &id::Account, ticket: Ticket) {
+        if let Some(share) = self.shares.get_mut(account) {
+            share.give_back(now, ticket);
+        }
+    }
+
+    /// Records the answer of an owner.
+    pub fn grant(&mut self, now: Timestamp, grant: &Grant) {
+        if let Some(share) = self.shares.get_mut(&grant.account) {
+            share.grant(now, grant);
+        }
+    }
+
+    /// Forgets the shares that have not been used for a while.
+    pub fn prune(&mut self, now: Timestamp) {
+        self.shares.retain(|_, share| !share.is_idle(now));
+    }
+
+    /// Returns what is known of the quota of `account`, if it has made calls recently.
+    pub fn state(&self, account: &id::Account) -> Option<State> {
+        self.shares.get(account).map(Share::state)
+    }
+
+    /// Returns the number of shares by state.
+    pub fn counts(&self) -> Counts {
+        let mut counts = Counts::default();
+        for share in self.shares.values() {
+            match share.state() {
+                State::Open => counts.open += 1,
+                State::Short => counts.short += 1,
+                State::Silent => counts.silent += 1,
+            }
+        }
+        counts
+    }
+}
--- a/crates/cicadagw-proxy/src/reply.rs
+++ b/crates/cicadagw-proxy/src/reply.rs
@@ -91,6 +91,7 @@
         | Reason::Lost
         | Reason::NoConfiguration
         | Reason::NoEndpoint
+        | Reason::QuotaUnknown
         | Reason::Rejected
         | Reason::Shed
         | Reason::Stale
--- a/crates/cicadagw-unit/src/rate.rs
+++ b/crates/cicadagw-unit/src/rate.rs
@@ -31,6 +31,11 @@
     Priority(u8), "priority", ""
 }
 
+number! {
+    /// A number of calls that a quota allows.
+    Tokens(u32), "number of calls", ""
+}
+
 number! {
     /// The relative share of a route's calls that one destination of a split receives.
     Weight(u32), "weight", ""
