Enforce quotas of client accounts over all nodes

Cause: no node asked for the tokens that the decisions about quotas grant, so calls beyond a quota ran. Ruled out: tokens taken at the node of the backend server (a call may be sent to several); a socket of its own for tokens (the gossip duty's is known to all members). Change: the calls duty takes a token for each call of an account with a quota, and waits for the answer of an owner if it holds none. The gossip duty sends its requests to the owners, which rank by a hash of account and node within each failure domain, and grants tokens of the parts that this node owns. Two messages, `ask` and `grant`; two rings; the reasons `over-quota` (429) and `quota-unknown` (503), metrics and log lines. Without quotas in the configuration, nothing is sent or kept.

--- a/crates/cicadagw-admin/src/metrics.rs
+++ b/crates/cicadagw-admin/src/metrics.rs
@@ -50,6 +50,7 @@
         instruments.add_rings();
         instruments.add_endpoints();
         instruments.add_calls();
+        instruments.add_quotas();
         Ok(Self {
             registry,
             _provider: provider,
@@ -228,6 +229,54 @@
         );
     }
 
+    fn add_quotas(&self) {
+        self.counter(
+            "calls_over_quota",
+            "",
+            "Calls refused because of the quota of their client account, by reason",
+            |sources, instrument| {
+                let counts = sources.calls.counts();
+                for (number, reason) in [
+                    (counts.over_quota, "over-quota"),
+                    (counts.quota_unknown, "quota-unknown"),
+                ] {
+                    instrument.observe(number, &[KeyValue::new("reason", reason)]);
+                }
+            },
+        );
+        self.counter(
+            "quota_tokens",
+            "",
+            "Tokens of quotas that owners have granted to this node, or that calls have given back",
+            |sources, instrument| {
+                let quotas = sources.calls.counts().quotas;
+                for (number, event) in [(quotas.granted, "granted"), (quotas.returned, "returned")]
+                {
+                    instrument.observe(number, &[KeyValue::new("event", event)]);
+                }
+            },
+        );
+        self.gauge(
+            "quota_accounts",
+            "Client accounts with quotas that make calls at this node, by state",
+            |sources, instrument| {
+                let quotas = sources.calls.counts().quotas;
+                for (number, state) in [
+                    (quotas.open, "open"),
+                    (quotas.short, "short"),
+                    (quotas.silent, "silent"),
+                ] {
+                    instrument.observe(number, &[KeyValue::new("state", state)]);
+                }
+            },
+        );
+        self.gauge(
+            "quotas_owned",
+            "Client accounts of whose quotas this node owns a part that is in use",
+            |sources, instrument| instrument.observe(sources.meter.quotas_owned(), &[]),
+        );
+    }
+
     fn add_calls(&self) {
         self.counter(
             "calls",
--- a/crates/cicadagw-call/src/quota/holding.rs
+++ b/crates/cicadagw-call/src/quota/holding.rs
@@ -78,11 +78,11 @@
         has_token
     }
 
-    /// Puts a token back, if those with it have not expired.
-    pub(super) fn give_back(&mut self, now: Timestamp) {
-        if now < self.expires {
-            self.tokens += 1;
-        }
+    /// Puts a token back; returns whether it can be spent, as those granted with it have not expired.
+    pub(super) fn give_back(&mut self, now: Timestamp) -> bool {
+        let is_valid = now < self.expires;
+        self.tokens += u32::from(is_valid);
+        is_valid
     }
 
     /// Returns what is to be expected of the owner, and gives up a request that has not been answered
--- a/crates/cicadagw-call/src/quota/share.rs
+++ b/crates/cicadagw-call/src/quota/share.rs
@@ -34,6 +34,9 @@
 /// spent in another window than the one it was created for.
 const GIVE_BACK_MAX: Span = Span::new(200);
 
+/// Minimum time between two reports of changes of the state.
+const REPORT_INTERVAL_MIN: Span = Span::seconds(5);
+
 /// The time after which an unused share is forgotten.
 const IDLE_MAX: Span = Span::seconds(10);
 
@@ -90,6 +93,10 @@
     demand: Demand,
     /// What the node holds of each part, nearest owner first.
     holdings: SmallVec<[Holding; 4]>,
+    /// When a change of the state was reported last.
+    reported: Timestamp,
+    /// The state that was reported last.
+    reported_state: State,
     returns: Returns,
     state: State,
     /// The tokens that arrive.
@@ -106,6 +113,8 @@
             asked: Timestamp::default(),
             demand: Demand::default(),
             holdings: SmallVec::from_elem(Holding::default(), usize::from(parts)),
+            reported: Timestamp::default(),
+            reported_state: chart().initial(),
             returns: Returns::default(),
             state: chart().initial(),
             supply: Demand::default(),
@@ -125,6 +134,18 @@
         held.fold(0, u32::saturating_add)
     }
 
+    /// Returns the state if it differs from the one that was returned last, at most once in
+    /// [`REPORT_INTERVAL_MIN`].
+    pub(super) fn change(&mut self, now: Timestamp) -> Option<State> {
+        let is_due = now.since(self.reported) >= REPORT_INTERVAL_MIN;
+        if self.state == self.reported_state || !is_due {
+            return None;
+        }
+        self.reported = now;
+        self.reported_state = self.state;
+        Some(self.state)
+    }
+
     /// Returns whether the share is unused and may be forgotten.
     pub(super) fn is_idle(&self, now: Timestamp) -> bool {
         self.waiting == 0 && now.since(self.used) >= IDLE_MAX
@@ -173,30 +194,31 @@
         self.waiting = self.waiting.saturating_sub(1);
     }
 
-    /// Puts back the token of a call that has not run.
-    pub fn give_back(&mut self, now: Timestamp, ticket: Ticket) {
-        if now.since(ticket.taken) < GIVE_BACK_MAX
-            && let Some(holding) = self.holdings.get_mut(ticket.part)
-        {
-            holding.give_back(now);
-        }
+    /// Puts back the token of a call that has not run; returns whether it can be spent again.
+    pub fn give_back(&mut self, now: Timestamp, ticket: Ticket) -> bool {
+        let holding = self.holdings.get_mut(ticket.part);
+        now.since(ticket.taken) < GIVE_BACK_MAX
+            && holding.is_some_and(|holding| holding.give_back(now))
     }
 
-    /// Records the answer of an owner.
-    pub fn grant(&mut self, now: Timestamp, grant: &Grant) {
+    /// Records the answer of an owner; returns the number of tokens granted.
+    pub fn grant(&mut self, now: Timestamp, grant: &Grant) -> u32 {
         let waiting = self.waiting;
         let matches = |holding: &&mut Holding| {
             let asked = holding.asked();
             asked.is_some_and(|asked| asked.number == grant.number)
         };
         let Some(holding) = self.holdings.iter_mut().find(matches) else {
-            return;
+            return 0;
         };
         let Some(asked) = holding.asked() else {
-            return;
+            return 0;
         };
         match grant.answer {
-            Answer::Elsewhere => holding.refer(now),
+            Answer::Elsewhere => {
+                holding.refer(now);
+                0
+            }
             Answer::Granted {
                 is_dry,
                 pace,
@@ -211,6 +233,7 @@
                 holding.supply(now, asked, supply, waiting);
                 self.supply.add(now, tokens);
                 self.step(if is_dry { Event::Answered } else { Event::Met });
+                tokens
             }
         }
     }
--- a/crates/cicadagw-control/src/sync.rs
+++ b/crates/cicadagw-control/src/sync.rs
@@ -145,6 +145,7 @@
             snapshot: self.snapshots.held().cloned(),
             endpoints: Arc::clone(&self.endpoints),
             members: 0,
+            quota_parts: 0,
         };
         self.effects.push(Effect::Publish(view));
     }
--- a/crates/cicadagw-gossip/src/core/anti_entropy.rs
+++ b/crates/cicadagw-gossip/src/core/anti_entropy.rs
@@ -86,9 +86,13 @@
         // record to it. Nodes of other regions receive that record from peers in their region.
         let is_new = known.is_none_or(|known| known.stamp.0 != member.stamp.0)
             && member.region == self.own.region;
+        let was_active = known.is_some_and(|known| !known.is_leaving);
         if !self.table.merge(member) {
             return false;
         }
+        if was_active == member.is_leaving {
+            self.change_owners(now, member);
+        }
         if is_new {
             self.outbound.add(now, &member.node);
         }
--- a/crates/cicadagw-gossip/src/core/dissemination.rs
+++ b/crates/cicadagw-gossip/src/core/dissemination.rs
@@ -129,6 +129,7 @@
             departures: self.own.departures.clone(),
             endpoints: self.endpoints.clone(),
             members: self.table.iter().count(),
+            quota_parts: self.quota_parts(),
         }));
     }
 }
--- a/crates/cicadagw-gossip/src/core/mod.rs
+++ b/crates/cicadagw-gossip/src/core/mod.rs
@@ -3,6 +3,7 @@
 mod anti_entropy;
 mod configuration;
 mod dissemination;
+mod quota;
 mod step;
 
 pub use step::{Core, Setup};
--- a/crates/cicadagw-gossip/src/core/step.rs
+++ b/crates/cicadagw-gossip/src/core/step.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use bon::Builder;
+use cicadagw_call::quota::Asker;
 use cicadagw_config::Snapshot;
 use cicadagw_endpoint::{Departure, Departures, LocalUpdate, State};
 use cicadagw_unit::time::{Span, Timestamp};
@@ -13,6 +14,7 @@
 use rand::rngs::StdRng;
 
 use super::anti_entropy::Range;
+use super::quota::Quotas;
 use crate::outbound::Outbound;
 use crate::registration::{Registration, Request};
 use crate::source::Source;
@@ -74,6 +76,7 @@
     pub(super) outbound: Outbound,
     /// The record that this node publishes about itself.
     pub(super) own: Member,
+    pub(super) quotas: Quotas,
     pub(super) registration: Registration,
     pub(super) rng: StdRng,
     pub(super) snapshot: Option<Arc<Snapshot>>,
@@ -110,6 +113,7 @@
             is_platform_unavailable: false,
             outbound: Outbound::default(),
             own,
+            quotas: Quotas::default(),
             registration: Registration::new(setup.first_start),
             rng: StdRng::seed_from_u64(setup.seed),
             snapshot: None,
@@ -142,6 +146,7 @@
             Event::Tick => self.tick(now),
             Event::Local(local) => self.handle_local(now, &local),
             Event::Message(sender, message) => self.handle_message(now, sender, message),
+            Event::Quota(request) => self.request_tokens(now, request),
             Event::Reply(reply) => self.handle_reply(now, reply),
             Event::Shutdown => {
                 self.own.is_leaving = true;
@@ -169,6 +174,7 @@
             None => {}
         }
         self.push(now);
+        self.update_quotas(now);
         if now >= self.digest_due {
             let is_starting = now.since(Timestamp::default()) < STARTUP_PERIOD;
             let interval = if is_starting || self.source.is_failing() || self.snapshot.is_none() {
@@ -274,6 +280,22 @@
                 let range = Range { part, after, last };
                 self.compare_range(&from, &range, &stamps, may_answer);
             }
+            Message::Ask {
+                ask,
+                from,
+                parts,
+                start_ms,
+            } => {
+                let asker = Asker {
+                    node: from,
+                    start_ms,
+                };
+                if let Some(grant) = self.grant_tokens(now, &asker, parts, &ask) {
+                    let answer = Message::Grant(grant);
+                    self.effects.push(Effect::Send(sender, answer));
+                }
+            }
+            Message::Grant(grant) => self.effects.push(Effect::Grant(grant)),
         }
     }
 
--- a/crates/cicadagw-gossip/src/event.rs
+++ b/crates/cicadagw-gossip/src/event.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use cicadagw_call::quota::{Grant, Request};
 use cicadagw_config::Snapshot;
 use cicadagw_endpoint::{Departures, LocalUpdate};
 use cicadagw_platform::{Error, Revision};
@@ -22,6 +23,8 @@
     Local(LocalUpdate),
     /// A gossip message arrived from another node, at this address.
     Message(SocketAddr, Message),
+    /// Calls at this node need tokens of a quota.
+    Quota(Request),
     /// A [`Call`] succeeded or failed.
     Reply(Reply),
     /// The node begins to shut down, so its endpoints must be removed everywhere.
@@ -83,6 +86,8 @@
 pub enum Effect {
     /// Make a request; its response comes back as [`Event::Reply`].
     Call(Call),
+    /// Give the calls duty an answer to its [`Event::Quota`].
+    Grant(Grant),
     /// Write a line to the log.
     Log(Notice),
     /// Publish the configuration and endpoints that proxied calls are routed by.
--- a/crates/cicadagw-gossip/src/hash.rs
+++ b/crates/cicadagw-gossip/src/hash.rs
@@ -21,6 +21,18 @@
     first_eight(&hasher.finalize())
 }
 
+/// Returns the rank of a node among those that may own a part of the quota of `account`: the first
+/// eight bytes of the BLAKE3 hash of the account's name, a zero byte and the node's name, in
+/// little-endian order.
+pub(crate) fn rank(account: &id::Account, node: &id::Node) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher
+        .update(account.as_str().as_bytes())
+        .update(&[0])
+        .update(node.as_str().as_bytes());
+    first_eight(&hasher.finalize())
+}
+
 fn first_eight(hash: &blake3::Hash) -> u64 {
     let (first, _) = hash
         .as_bytes()
--- a/crates/cicadagw-gossip/src/lib.rs
+++ b/crates/cicadagw-gossip/src/lib.rs
@@ -14,6 +14,7 @@
 mod member;
 pub mod message;
 mod outbound;
+pub mod owners;
 mod partition;
 mod registration;
 pub mod source;
--- a/crates/cicadagw-gossip/src/message.rs
+++ b/crates/cicadagw-gossip/src/message.rs
@@ -1,5 +1,6 @@
 //! Gossip messages, each sent as one UDP datagram of JSON.
 
+use cicadagw_call::quota::{Ask, Grant};
 use cicadagw_endpoint::Departures;
 use cicadagw_unit::{Version, id};
 
@@ -80,6 +81,19 @@
         /// so that the exchange ends.
         may_answer: bool,
     },
+    /// Asks the receiver, which owns a part of an account's quota, for tokens.
+    Ask {
+        /// What the sender asks for.
+        ask: Ask,
+        /// Name of the sender.
+        from: id::Node,
+        /// Number of parts that the sender divides the quota into.
+        parts: u16,
+        /// Start time of the sender's process, in milliseconds since the Unix epoch.
+        start_ms: u64,
+    },
+    /// Answers a [`Message::Ask`].
+    Grant(Grant),
 }
 
 /// Splits member records into groups that fit one message each.
--- a/crates/cicadagw-gossip/src/outbound.rs
+++ b/crates/cicadagw-gossip/src/outbound.rs
@@ -44,6 +44,11 @@
         self.pending.remove(node);
     }
 
+    /// Returns whether `node` has not acknowledged the record.
+    pub(crate) fn is_pending(&self, node: &id::Node) -> bool {
+        self.pending.contains_key(node)
+    }
+
     /// Returns the nodes to send the record to now, and schedules their next retransmission.
     pub(crate) fn due(&mut self, now: Timestamp) -> Vec<id::Node> {
         let mut due = Vec::new();
--- a/crates/cicadagw-gossip/src/registration.rs
+++ b/crates/cicadagw-gossip/src/registration.rs
@@ -88,6 +88,11 @@
         })
     }
 
+    /// Returns whether the platform has listed the nodes since the start.
+    pub(crate) const fn has_listed(&self) -> bool {
+        self.lists > 0
+    }
+
     /// Writes the record again, which has changed in what must outlive the process.
     pub(crate) fn rewrite(&mut self, now: Timestamp) {
         self.is_written = false;
--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use cicadagw_call::quota::Grant;
 use cicadagw_config::Snapshot;
 use cicadagw_gossip::{Call, Core, Effect, Event, Member, Message, Notice, Reply};
 use cicadagw_platform::{Error, Revision};
@@ -20,7 +21,7 @@
 use cicadagw_view::View;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-pub use record::{address, local, member, new_core, snapshot};
+pub use record::{address, local, member, new_core, snapshot, snapshot_with_quota};
 
 /// Time between two ticks.
 pub const TICK: Span = Span::new(50);
@@ -33,6 +34,8 @@
     pub core: Core,
     pub view: View,
     pub notices: Vec<String>,
+    /// The answers to requests for tokens.
+    pub grants: Vec<Grant>,
     /// Number of requests that the platform has received from the node.
     pub requests: usize,
     /// The watch that waits for a change, if one does: its revision, and when its wait is over.
@@ -127,6 +130,7 @@
         for effect in effects {
             match effect {
                 Effect::Call(call) => self.call(index, call),
+                Effect::Grant(grant) => self.nodes[index].grants.push(grant),
                 Effect::Log(notice) => self.nodes[index].log(&notice),
                 Effect::Publish(view) => self.nodes[index].view = view,
                 Effect::Send(to, message) => self.send(index, to, message),
@@ -312,6 +316,7 @@
             core,
             view: View::default(),
             notices: Vec::new(),
+            grants: Vec::new(),
             requests: 0,
             pending_watch: None,
             delayed: Vec::new(),
--- a/crates/cicadagw-gossip/tests/support/record.rs
+++ b/crates/cicadagw-gossip/tests/support/record.rs
@@ -3,10 +3,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use cicadagw_config::{Config, Preset, Snapshot};
+use cicadagw_config::account::Quota;
+use cicadagw_config::{Account, Config, Preset, Snapshot};
 use cicadagw_endpoint::{Departures, LocalUpdate, State};
 use cicadagw_gossip::{Core, Member, Setup, Stamp};
 use cicadagw_unit::Version;
+use cicadagw_unit::rate::{Burst, CallRate};
 use cicadagw_unit::size::Slots;
 
 /// The regions; nodes are assigned to them in turn.
@@ -20,6 +22,22 @@
     Arc::new(Snapshot::new(Version::new(version), preset, config))
 }
 
+/// Returns a snapshot of this version with one account, `club`, that has a quota of 40 calls a second.
+pub fn snapshot_with_quota(version: u64) -> Arc<Snapshot> {
+    let mut config = snapshot(version).config.clone();
+    let quota = Quota {
+        burst: Burst::new(40),
+        rate: CallRate::from_milli(40_000),
+    };
+    let account = Account {
+        quota: Some(quota),
+        ..Account::default()
+    };
+    config.accounts.insert("club".parse().unwrap(), account);
+    let preset = "operator".parse().unwrap();
+    Arc::new(Snapshot::new(Version::new(version), preset, config))
+}
+
 /// Returns a state change of an endpoint of a backend server.
 pub fn local(endpoint: &str, state: State) -> LocalUpdate {
     LocalUpdate {
--- a/crates/cicadagw-meter/src/meter.rs
+++ b/crates/cicadagw-meter/src/meter.rs
@@ -30,6 +30,8 @@
     /// The highest version that the node has held.
     held: AtomicU64,
     platform: Counts<OPERATIONS>,
+    /// The number of accounts of whose quotas this node owns a part that is in use.
+    quotas_owned: AtomicU64,
     rings: Mutex<Vec<Gauge>>,
     /// The highest version known to exist.
     seen: AtomicU64,
@@ -58,6 +60,11 @@
         self.0.endpoints.set(state_index(state), number);
     }
 
+    /// Sets the number of accounts of whose quotas this node owns a part that is in use.
+    pub fn set_quotas_owned(&self, number: u64) {
+        self.0.quotas_owned.store(number, Ordering::Relaxed);
+    }
+
     /// Adds the gauge of a ring buffer to those in dumps and metrics.
     pub fn add_ring(&self, gauge: Gauge) {
         self.with_rings(|rings| rings.push(gauge));
@@ -96,6 +103,11 @@
         self.0.endpoints.get(state_index(state))
     }
 
+    /// Returns the number of accounts of whose quotas this node owns a part that is in use.
+    pub fn quotas_owned(&self) -> u64 {
+        self.0.quotas_owned.load(Ordering::Relaxed)
+    }
+
     /// Returns the gauges of the ring buffers.
     pub fn rings(&self) -> Vec<Gauge> {
         self.with_rings(|rings| rings.clone())
--- a/crates/cicadagw-node/src/peering/gossip.rs
+++ b/crates/cicadagw-node/src/peering/gossip.rs
@@ -67,6 +67,7 @@
             }
             _ = ticks.tick() => Some(Event::Tick),
             local = event_loop.rings.locals.recv() => local.map(Event::Local),
+            request = event_loop.rings.quota_requests.recv() => request.map(Event::Quota),
             reply = event_loop.rings.replies.recv() => reply.map(Event::Reply),
             received = event_loop.socket.recv_from(&mut datagram) => {
                 match decode(received, &datagram) {
@@ -122,6 +123,8 @@
         for effect in self.core.step(self.clock.now(), event) {
             match effect {
                 Effect::Call(call) => failed.extend(self.submit(call)),
+                // An answer that does not fit is lost, as a datagram may be.
+                Effect::Grant(grant) => drop(self.rings.quota_grants.try_send(grant)),
                 Effect::Log(notice) => log_notice(&notice),
                 Effect::Publish(view) => self.view.publish(view),
                 Effect::Send(to, message) => self.send(to, &message).await,
@@ -188,6 +191,7 @@
         let draining = backends().count() - ready;
         self.meter.set_endpoints(State::Ready, ready as u64);
         self.meter.set_endpoints(State::Draining, draining as u64);
+        self.meter.set_quotas_owned(self.core.quotas_owned() as u64);
     }
 }
 
--- a/crates/cicadagw-node/src/peering/node.rs
+++ b/crates/cicadagw-node/src/peering/node.rs
@@ -113,6 +113,7 @@
             node: settings.node.clone(),
             region: settings.region.clone(),
         })
+        .quota(rings.quota)
         .ready(sockets.ready)
         .retry_slack(peering.retry_slack.into())
         .seed(seed)
--- a/crates/cicadagw-node/src/peering/rings.rs
+++ b/crates/cicadagw-node/src/peering/rings.rs
@@ -1,8 +1,10 @@
 //! The rings between the duties of a peering node, with their capacities in messages.
 
+use cicadagw_call::quota::{Grant, Request};
 use cicadagw_endpoint::LocalUpdate;
 use cicadagw_gossip::{Call, Reply};
 use cicadagw_meter::Meter;
+use cicadagw_proxy::Quota;
 use cicadagw_ring::{Receiver, Sender, channel};
 
 /// Capacity of the ring of changes of the backend server on this host. When it is full, the calls
@@ -16,10 +18,18 @@
 /// Capacity of the ring of replies to these calls. When it is full, the platform duty waits.
 const REPLIES_CAPACITY: usize = 32;
 
+/// Capacity of the ring of requests for tokens of quotas. When it is full, a request is lost.
+const QUOTA_REQUESTS_CAPACITY: usize = 256;
+
+/// Capacity of the ring of answers to these requests. When it is full, an answer is lost.
+const QUOTA_GRANTS_CAPACITY: usize = 256;
+
 /// The ring ends held by the gossip duty.
 pub(crate) struct Gossip {
     pub(crate) calls: Sender<Call>,
     pub(crate) locals: Receiver<LocalUpdate>,
+    pub(crate) quota_grants: Sender<Grant>,
+    pub(crate) quota_requests: Receiver<Request>,
     pub(crate) replies: Receiver<Reply>,
 }
 
@@ -29,11 +39,13 @@
     pub(crate) replies: Sender<Reply>,
 }
 
-/// Every ring of a node, grouped by the duty that holds its end; `locals` is for the calls duty.
+/// Every ring of a node, grouped by the duty that holds its end; `locals` and `quota` are for the
+/// calls duty.
 pub(crate) struct Rings {
     pub(crate) gossip: Gossip,
     pub(crate) locals: Sender<LocalUpdate>,
     pub(crate) platform: Platform,
+    pub(crate) quota: Quota,
 }
 
 impl Rings {
@@ -42,6 +54,10 @@
         let (locals_sender, locals) = channel("locals", LOCALS_CAPACITY);
         let (calls, calls_receiver) = channel("platform-calls", CALLS_CAPACITY);
         let (replies_sender, replies) = channel("platform-replies", REPLIES_CAPACITY);
+        let (requests, quota_requests) = channel("quota-requests", QUOTA_REQUESTS_CAPACITY);
+        let (quota_grants, grants) = channel("quota-grants", QUOTA_GRANTS_CAPACITY);
+        meter.add_ring(requests.gauge().clone());
+        meter.add_ring(quota_grants.gauge().clone());
         meter.add_ring(locals_sender.gauge().clone());
         meter.add_ring(calls.gauge().clone());
         meter.add_ring(replies_sender.gauge().clone());
@@ -49,6 +65,8 @@
             gossip: Gossip {
                 calls,
                 locals,
+                quota_grants,
+                quota_requests,
                 replies,
             },
             locals: locals_sender,
@@ -56,6 +74,7 @@
                 calls: calls_receiver,
                 replies: replies_sender,
             },
+            quota: Quota { grants, requests },
         }
     }
 }
--- a/crates/cicadagw-proxy/src/ingress.rs
+++ b/crates/cicadagw-proxy/src/ingress.rs
@@ -17,6 +17,7 @@
 use crate::delivery::{self, Call, Outcome};
 use crate::listener_kind::ListenerKind;
 use crate::node::Node;
+use crate::quotas::Token;
 use crate::relay::Relay;
 use crate::reply::{End, add_node_fields};
 use crate::request::Request;
@@ -126,10 +127,14 @@
             priority,
             target,
         }) => {
+            let token = match take_token(node, &routing, request, account.as_ref()).await {
+                Ok(token) => token,
+                Err(refused) => return refused,
+            };
             let limits = node.limits();
             let reading = Upload::read(body, &limits);
             let until = node.clock.instant(deadline);
-            match request.track_wait(timeout_at(until, reading)).await {
+            let outcome = match request.track_wait(timeout_at(until, reading)).await {
                 Ok(Ok(upload)) => {
                     let call = Call {
                         request,
@@ -143,12 +148,42 @@
                 }
                 Ok(Err(reason)) => Outcome::not_run(reason),
                 Err(_) => Outcome::not_run(Reason::Deadline),
+            };
+            if let (End::NotRun(_), Some(token)) = (&outcome.end, &token) {
+                node.quotas.give_back(token);
             }
+            outcome
         }
         Err(reason) => Outcome::not_run(reason),
     }
 }
 
+/// Takes a token from the quota of the account that makes a call, if it has one. The node of the
+/// caller takes it; the node that the call is passed on to does not.
+async fn take_token(
+    node: &Node,
+    routing: &Routing,
+    request: &Request,
+    account: Option<&id::Account>,
+) -> Result<Option<Token>, Outcome> {
+    let Some((account, parts)) =
+        account.and_then(|account| Some((account, routing.quota(account)?)))
+    else {
+        return Ok(None);
+    };
+    if request.selection.is_some() {
+        return Ok(None);
+    }
+    let taken = request.track_wait(node.quotas.take(account, parts)).await;
+    taken.map(Some).map_err(|refused| {
+        node.stats.count_quota_refusal(refused.reason);
+        Outcome {
+            retry_in: refused.retry_in,
+            ..Outcome::not_run(refused.reason)
+        }
+    })
+}
+
 /// A call that may be made.
 struct Routed {
     /// The client account that makes the call, if it needs one or presents a key.
--- a/crates/cicadagw-proxy/src/lib.rs
+++ b/crates/cicadagw-proxy/src/lib.rs
@@ -24,6 +24,7 @@
 mod pacer;
 mod parts;
 mod peers;
+mod quotas;
 mod relay;
 mod reply;
 mod request;
@@ -35,6 +36,7 @@
 mod upload;
 
 pub use listener::SNAPSHOT_PATH;
+pub use quotas::Quota;
 pub use run::run;
 pub use setup::{Limits, Setup};
 pub use stats::Stats;
--- a/crates/cicadagw-proxy/src/node.rs
+++ b/crates/cicadagw-proxy/src/node.rs
@@ -26,6 +26,7 @@
 use crate::pacer::Pacer;
 use crate::parts::Parts;
 use crate::peers::Peers;
+use crate::quotas::Quotas;
 use crate::request::Request;
 use crate::routing::Routing;
 use crate::{Limits, Stats, stats};
@@ -41,6 +42,7 @@
     pub(crate) shutdown_delay: Span,
     pub(crate) pacer: Rc<Pacer>,
     pub(crate) peers: Rc<Peers>,
+    pub(crate) quotas: Quotas,
     /// The service whose callers run on this host.
     pub(crate) service: Option<id::Service>,
     pub(crate) stats: Arc<Stats>,
@@ -61,14 +63,16 @@
 
 impl Node {
     pub(crate) fn new(parts: Parts) -> Self {
+        let clock = Clock::start();
         Self {
             budget: parts.budget,
-            clock: Clock::start(),
+            clock,
             dialect: parts.dialect,
             abort: CancellationToken::new(),
             shutdown_delay: parts.shutdown_delay,
             pacer: Rc::new(Pacer::new(parts.link_rate)),
             peers: Rc::new(Peers::new(parts.locality, parts.retry_slack, parts.seed)),
+            quotas: Quotas::new(clock, parts.quota_requests),
             service: parts.service,
             stats: parts.stats,
             timing: parts.timing,
--- a/crates/cicadagw-proxy/src/parts.rs
+++ b/crates/cicadagw-proxy/src/parts.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use cicadagw_call::balancer::Locality;
+use cicadagw_call::quota::Request;
 use cicadagw_dialect::Dialect;
 use cicadagw_endpoint::LocalUpdate;
 use cicadagw_ring::Sender;
@@ -23,6 +24,7 @@
     pub(crate) shutdown_delay: Span,
     pub(crate) link_rate: Option<Throughput>,
     pub(crate) locality: Locality,
+    pub(crate) quota_requests: Option<Sender<Request>>,
     pub(crate) retry_slack: Option<u64>,
     pub(crate) seed: u64,
     pub(crate) service: Option<id::Service>,
--- a/crates/cicadagw-proxy/src/routing.rs
+++ b/crates/cicadagw-proxy/src/routing.rs
@@ -5,6 +5,7 @@
 
 use cicadagw_call::route::Index;
 use cicadagw_config::Edge;
+use cicadagw_unit::id;
 use cicadagw_view::{Endpoints, View};
 
 /// The state by which calls are routed, derived from the view.
@@ -20,3 +21,14 @@
     pub(crate) caller_limits: Edge,
     pub(crate) view: Option<Arc<View>>,
 }
+
+impl Routing {
+    /// Returns the number of parts that the quota of `account` is divided into, if it has a quota and
+    /// quotas are enforced.
+    pub(crate) fn quota(&self, account: &id::Account) -> Option<u16> {
+        let view = self.view.as_ref()?;
+        let snapshot = view.snapshot.as_ref()?;
+        let account = snapshot.config.accounts.get(account)?;
+        (account.quota.is_some() && view.quota_parts > 0).then_some(view.quota_parts)
+    }
+}
--- a/crates/cicadagw-proxy/src/run.rs
+++ b/crates/cicadagw-proxy/src/run.rs
@@ -14,7 +14,7 @@
 use crate::listener_kind::ListenerKind;
 use crate::node::Node;
 use crate::parts::Parts;
-use crate::{Setup, maintenance};
+use crate::{Setup, maintenance, quotas};
 
 /// The maximum time for writing the last responses after the last call has ended.
 const LAST_RESPONSES_TIMEOUT: Duration = Duration::from_millis(500);
@@ -40,6 +40,10 @@
         (ListenerKind::Nodes, setup.nodes),
         (ListenerKind::Ready, setup.ready),
     ];
+    let (quota_requests, grants) = match setup.quota {
+        Some(quota) => (Some(quota.requests), Some(quota.grants)),
+        None => (None, None),
+    };
     let node = Rc::new(Node::new(Parts {
         budget: setup.budget,
         control: setup.control,
@@ -48,6 +52,7 @@
         shutdown_delay: setup.shutdown_delay,
         link_rate: setup.link_rate,
         locality: setup.locality,
+        quota_requests,
         retry_slack: setup.retry_slack,
         seed: setup.seed,
         service: setup.service,
@@ -64,6 +69,14 @@
             servers.spawn_local(server::serve(listener, service, closed.clone()));
         }
     }
+    if let Some(grants) = grants {
+        let node = node.clone();
+        let closed = closed.clone();
+        servers.spawn_local(async move {
+            let receiving = quotas::receive(&node, &grants);
+            closed.run_until_cancelled(receiving).await;
+        });
+    }
     maintenance::run(&node, &setup.token).await;
     closed.cancel();
     servers.close();
--- a/crates/cicadagw-proxy/src/setup.rs
+++ b/crates/cicadagw-proxy/src/setup.rs
@@ -17,6 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::Stats;
+use crate::quotas::Quota;
 
 /// The sockets, channels and options with which the proxy runs.
 #[derive(Builder)]
@@ -49,6 +50,8 @@
     pub locality: Locality,
     /// The bound socket for readiness checks.
     pub ready: Option<TcpListener>,
+    /// The rings for the tokens of quotas. Without them, quotas are not enforced.
+    pub quota: Option<Quota>,
     /// The number of unspent retries that the retry budgets of a service may accumulate on all
     /// nodes together. Without it, each node uses a fixed number.
     pub retry_slack: Option<u64>,
--- a/crates/cicadagw-proxy/src/stats.rs
+++ b/crates/cicadagw-proxy/src/stats.rs
@@ -1,11 +1,11 @@
 //! The counters, the latency histogram and the published state of the proxy.
 
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use cicadagw_call::balancer::Summary;
-use cicadagw_call::{Load, Outcome, lifecycle};
+use cicadagw_call::{Load, Outcome, Reason, lifecycle, quota};
 use cicadagw_meter::{Histogram, Latency};
 use cicadagw_unit::id;
 use cicadagw_unit::rate::CallRate;
@@ -21,6 +21,9 @@
     limited: AtomicU64,
     limited_endpoints: AtomicU64,
     not_run: AtomicU64,
+    over_quota: AtomicU64,
+    quota_unknown: AtomicU64,
+    quotas: Mutex<quota::Counts>,
     retries: AtomicU64,
     shed: AtomicU64,
     unknown: AtomicU64,
@@ -41,6 +44,12 @@
     pub limited_endpoints: u64,
     /// Calls of local callers whose requests were not executed.
     pub not_run: u64,
+    /// Calls refused because their client account had used its quota up.
+    pub over_quota: u64,
+    /// Calls refused because no owner of the quota of their client account answered.
+    pub quota_unknown: u64,
+    /// The client accounts with quotas that make calls at this node, and the tokens for them.
+    pub quotas: quota::Counts,
     /// Attempts that took a retry from the retry budget: retries and hedges, but not new attempts
     /// after a refusal without execution.
     pub retries: u64,
@@ -90,6 +99,9 @@
             limited: read(&self.limited),
             limited_endpoints: read(&self.limited_endpoints),
             not_run: read(&self.not_run),
+            over_quota: read(&self.over_quota),
+            quota_unknown: read(&self.quota_unknown),
+            quotas: self.quotas(),
             retries: read(&self.retries),
             shed: read(&self.shed),
             unknown: read(&self.unknown),
@@ -137,6 +149,24 @@
         self.limited_endpoints.store(number, Ordering::Relaxed);
     }
 
+    /// Counts a call that got no token of its account's quota.
+    pub(crate) fn count_quota_refusal(&self, reason: Reason) {
+        let count = match reason {
+            Reason::QuotaUnknown => &self.quota_unknown,
+            _ => &self.over_quota,
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Sets the counts of quotas.
+    pub(crate) fn set_quotas(&self, counts: quota::Counts) {
+        *self.quotas.lock().unwrap_or_else(PoisonError::into_inner) = counts;
+    }
+
+    fn quotas(&self) -> quota::Counts {
+        *self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn count_shed(&self) {
         self.shed.fetch_add(1, Ordering::Relaxed);
     }
--- a/crates/cicadagw-proxy/tests/support/mesh.rs
+++ b/crates/cicadagw-proxy/tests/support/mesh.rs
@@ -6,11 +6,12 @@
 use std::thread::JoinHandle;
 
 use cicadagw_call::balancer::Locality;
+use cicadagw_call::quota::{Grant, Request};
 use cicadagw_config::{Snapshot, load};
 use cicadagw_dialect::{Dialect, Native};
 use cicadagw_endpoint::{LocalUpdate, Record, State};
-use cicadagw_proxy::{Limits, Setup, Stats, run};
-use cicadagw_ring::{Receiver, channel};
+use cicadagw_proxy::{Limits, Quota, Setup, Stats, run};
+use cicadagw_ring::{Receiver, Sender, channel};
 use cicadagw_settings::{Budget, Timing};
 use cicadagw_unit::size::{Bytes, Hops, Slots};
 use cicadagw_unit::time::Span;
@@ -67,6 +68,10 @@
     pub announce: SocketAddr,
     pub ready: SocketAddr,
     pub stats: Arc<Stats>,
+    /// The answers to the node's requests for tokens.
+    pub grants: Sender<Grant>,
+    /// The node's requests for tokens.
+    pub requests: Receiver<Request>,
     name: id::Node,
     control: Receiver<LocalUpdate>,
     token: CancellationToken,
@@ -115,6 +120,8 @@
         let ready = TcpListener::bind("127.0.0.1:0").unwrap();
         let ready_address = ready.local_addr().unwrap();
         let (sender, control) = channel("control", RING_CAPACITY.into());
+        let (request_sender, requests) = channel("quota-requests", RING_CAPACITY.into());
+        let (grants, grant_receiver) = channel("quota-grants", RING_CAPACITY.into());
         let token = CancellationToken::new();
         let stats = Arc::<Stats>::default();
         let name: id::Node = name.parse().unwrap();
@@ -138,6 +145,10 @@
                 node: name.clone(),
                 region: "kochi".parse().unwrap(),
             })
+            .quota(Quota {
+                grants: grant_receiver,
+                requests: request_sender,
+            })
             .ready(ready)
             .seed(7)
             .service("shop".parse().unwrap())
@@ -155,6 +166,8 @@
             announce: addresses.1,
             ready: ready_address,
             stats,
+            grants,
+            requests,
             name,
             control,
             token,
@@ -229,6 +242,7 @@
             }
         }
         self.view.publish(View {
+            quota_parts: 1,
             departures: cicadagw_endpoint::Departures::default(),
             snapshot: Some(self.snapshot.clone()),
             endpoints: Arc::new(endpoints),
--- a/crates/cicadagw-view/src/view.rs
+++ b/crates/cicadagw-view/src/view.rs
@@ -22,4 +22,7 @@
     pub endpoints: Arc<Endpoints>,
     /// The number of nodes in the fleet, this one included, or zero if it is unknown.
     pub members: usize,
+    /// The number of parts that each quota is divided into, or zero if quotas are not enforced: without
+    /// any, and where no other duty exchanges tokens with other nodes.
+    pub quota_parts: u16,
 }
