--- a/crates/cicadagw-dev/src/process/fleet.rs
+++ b/crates/cicadagw-dev/src/process/fleet.rs
@@ -36,10 +36,14 @@
     /// Its loopback address, which represents its host; the backend servers of the host listen
     /// there too.
     pub host: IpAddr,
+    /// The listen address for links from other nodes.
+    pub link: SocketAddr,
     /// The name of the node.
     pub name: id::Node,
     /// Its region and failure domain.
     pub locality: Locality,
+    /// The maximum number of file descriptors of its next process; unlimited by this if `None`.
+    pub descriptors_max: Option<u32>,
     /// Its process; `None` while it is stopped.
     pub process: Option<Process>,
     program: PathBuf,
@@ -114,8 +118,10 @@
             announce: listen.announce,
             calls: listen.calls,
             host: listen.calls.ip(),
+            link: listen.link,
             name: checked.node,
             locality: locality.clone(),
+            descriptors_max: None,
             process: None,
             program: programs.path(Program::Cicadagw),
             settings: path,
@@ -128,7 +134,10 @@
     ///
     /// Fails if the process cannot be started.
     pub fn start(&mut self, dir: &Path) -> io::Result<()> {
-        let mut command = Command::new(&self.program);
+        let mut command = match self.descriptors_max {
+            Some(limit) => with_descriptors_max(limit, &self.program),
+            None => Command::new(&self.program),
+        };
         command.arg("run").arg(&self.settings);
         let process = Process::start(self.name.as_str(), &mut command, dir)?;
         self.process = Some(process);
@@ -150,6 +159,16 @@
     }
 }
 
+/// Returns a command that runs `program` with at most `limit` file descriptors.
+fn with_descriptors_max(limit: u32, program: &Path) -> Command {
+    let mut command = Command::new("sh");
+    command
+        .args(["-c", "ulimit -n \"$0\" && exec \"$@\""])
+        .arg(limit.to_string())
+        .arg(program);
+    command
+}
+
 /// Returns the settings of node `number`, counted from 0, of its failure domain. The addresses of
 /// the platform are left to the overrides.
 fn settings(locality: &Locality, number: usize, listen: &Addresses, seeds: &[SocketAddr]) -> Value {
