Split admission control into order, shedding, running calls and work

Change: modules of their own for each; core.rs keeps the path of a call. No change of behaviour.

Result: the tests of cicadagw-call pass unchanged.

--- a/crates/cicadagw-call/src/admission/mod.rs
+++ b/crates/cicadagw-call/src/admission/mod.rs
@@ -2,8 +2,12 @@
 
 mod core;
 mod decision;
+mod order;
 mod queue;
+mod running;
+mod shed;
 mod wait;
+mod work;
 
 pub use core::Admission;
 pub use decision::{Decision, Release, Ticket};
