Ask refused callers to come back while there may be room

Cause: every caller that found too little room was asked to come back after 200 ms, whatever time it had left: with a target of 500 ms and work of 150 ms that leaves 150 ms to wait, a caller with 300 ms left does not heed it, and those refused together come back together and are refused again.

Change: refusal::Prospect. A first return comes after a quarter to half of the slack, a further or late one after a sixth to a third of the time before the caller's deadline, where the peak may be over.

--- a/crates/cicadagw-call/src/refusal.rs
+++ b/crates/cicadagw-call/src/refusal.rs
@@ -18,6 +18,15 @@
 /// The time over which callers that came too early come back, so that they do not come together.
 const RETURN_SPREAD: Span = Span::new(400);
 
+/// The shortest time left for waiting in a queue with which a retry may still be in time.
+const SLACK_MIN: Span = Span::new(100);
+
+/// Callers wait for one part in this of what is left at most: half of the slack of a call that can
+/// still be in time, and a third of the time before the caller's deadline, up to which callers heed
+/// `retry-after`.
+const SLACK_PARTS: u64 = 2;
+const DEADLINE_PARTS: u64 = 3;
+
 /// How many refused calls are kept: a few seconds of them at an overloaded node.
 const HISTORY_MAX: usize = 2_048;
 
@@ -42,6 +51,43 @@
     }
 }
 
+/// The time that the caller of a refused call has left.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Prospect {
+    /// Whether the caller was refused before and has come back.
+    pub has_returned: bool,
+    /// The time by which the response should arrive to be of full value, if there is one.
+    pub soft_deadline: Option<Timestamp>,
+    /// The caller's deadline, if it states one.
+    pub deadline: Option<Timestamp>,
+    /// The average work time of such a call; zero if it is not known.
+    pub work: Span,
+}
+
+impl Prospect {
+    /// Returns how long the caller is asked to wait at `now`, when a service has too little room.
+    ///
+    /// A call that can still be in time comes back once while it can. A later one, and one that was
+    /// refused again, come back when the peak may be over. All are spread over half of the longest
+    /// wait, so that those refused together do not come back together.
+    pub fn return_wait(&self, now: Timestamp, random: u64) -> Span {
+        let Some(soft_deadline) = self.soft_deadline else {
+            return SLOT_WAIT;
+        };
+        let slack = soft_deadline
+            .since(now)
+            .get()
+            .saturating_sub(self.work.get());
+        let longest = match self.deadline {
+            _ if slack >= SLACK_MIN.get() && !self.has_returned => slack / SLACK_PARTS,
+            Some(deadline) => deadline.since(now).get() / DEADLINE_PARTS,
+            None => SLOT_WAIT.get(),
+        };
+        let shortest = longest / 2;
+        Span::new(shortest + random % (longest - shortest).max(1))
+    }
+}
+
 /// The recently refused calls, oldest first.
 #[derive(Clone, Debug, Default)]
 pub struct History {
--- a/crates/cicadagw-call/tests/refusal.rs
+++ b/crates/cicadagw-call/tests/refusal.rs
@@ -1,11 +1,16 @@
 //! A retry of a refused call is recognized by its digest and its deadline.
 
 use cicadagw_call::Reason;
-use cicadagw_call::refusal::{History, retry_after};
+use cicadagw_call::refusal::{History, Prospect, retry_after};
 use cicadagw_unit::time::{Span, Timestamp};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 
 const DIGEST: u64 = 7;
 
+/// The seed of the generator.
+const SEED: u64 = 7;
+
 /// The deadline of the refused call, in milliseconds.
 const DEADLINE: u64 = 4_000;
 
@@ -117,3 +122,54 @@
 
     assert_eq!(wait, Span::new(200));
 }
+
+/// Returns when a hundred callers that are refused together at `now` come back.
+fn returns(prospect: &Prospect, now: u64) -> Vec<u64> {
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let mut returns: Vec<u64> = (0..100)
+        .map(|_| prospect.return_wait(at(now), rng.random()).get() + now)
+        .collect();
+    returns.sort_unstable();
+    returns
+}
+
+fn prospect() -> Prospect {
+    Prospect {
+        has_returned: false,
+        soft_deadline: Some(at(800)),
+        deadline: Some(at(5_000)),
+        work: Span::new(200),
+    }
+}
+
+#[test]
+fn callers_that_can_still_be_in_time_come_back_while_they_can_and_not_together() {
+    let returns = returns(&prospect(), 0);
+
+    let in_time = prospect().soft_deadline.unwrap().before(prospect().work);
+    assert!(returns[99] < in_time.get(), "{}", returns[99]);
+    let together = returns.chunk_by(|left, right| left / 20 == right / 20);
+    let most = together.map(<[u64]>::len).max();
+    assert!(most < Some(30), "{most:?} come back within 20 ms");
+}
+
+#[test]
+fn late_callers_wait_longer_but_no_more_than_they_heed() {
+    let now = 700;
+
+    let returns = returns(&prospect(), now);
+
+    let left = prospect().deadline.unwrap().since(at(now)).get();
+    assert!(returns[0] >= now + left / 6, "{}", returns[0]);
+    assert!(returns[99] <= now + left / 3, "{}", returns[99]);
+}
+
+#[test]
+fn callers_without_a_target_come_back_after_the_time_of_a_call() {
+    let prospect = Prospect {
+        soft_deadline: None,
+        ..prospect()
+    };
+
+    assert_eq!(prospect.return_wait(at(0), 7), Span::new(200));
+}
--- a/crates/cicadagw-proxy/src/relay.rs
+++ b/crates/cicadagw-proxy/src/relay.rs
@@ -6,6 +6,7 @@
 use cicadagw_call::Reason;
 use cicadagw_call::attempt::{Action, Attempts, Conditions, Event};
 use cicadagw_call::balancer::Signal;
+use cicadagw_call::refusal::Prospect;
 use cicadagw_endpoint::Record;
 use cicadagw_unit::id;
 use cicadagw_unit::size::Bytes;
@@ -102,11 +103,24 @@
         self.node.peers.spend(&self.call.target.cluster.service);
     }
 
-    /// Refuses the call; a rate limit tells when its caller may come back.
+    /// Refuses the call. A rate limit tells when its caller may come back, or else, where there is
+    /// too little room, the time that the caller has left.
     fn refuse(&self) -> Outcome {
+        let peers = &self.node.peers;
+        let now = self.node.clock.now();
         let service = &self.call.target.cluster.service;
         let retry_in = match self.reason {
-            Reason::Limited => self.node.peers.return_wait(self.node.clock.now(), service),
+            Reason::Limited => peers.return_wait(now, service),
+            Reason::Rejected | Reason::Shed => {
+                let request = self.call.request;
+                let prospect = Prospect {
+                    has_returned: request.first_arrival < request.arrival,
+                    soft_deadline: self.call.soft_deadline(),
+                    deadline: request.caller_deadline(),
+                    work: self.average_work().unwrap_or_default(),
+                };
+                Some(prospect.return_wait(now, peers.random()))
+            }
             _ => None,
         };
         Outcome {
