Decide by urgency which calls wait and which are refused

Cause: the queue of a backend server was ordered by the share of the slack that has passed, and a call was refused by the share of its own slack that the wait would take. One account that sends 7 times its usual took the slots of all others.

Ruled out: priority alone: an overload of the most urgent calls starves the others. An equal share for each account: the largest account would pay for every overload.

Change: calls are queued by urgency: brief ones, then by the priority of the account, that of the policy, and whether the account is within its part: twice its usual calls, grown as much as those of all others. A kind of call that gets a slot less than a quarter as often as a more urgent one is queued with that one. The expected wait counts the part of the slots that more urgent calls take, and a queued call that they push back until it would be late is refused at once.

--- a/crates/cicadagw-call/src/admission/core.rs
+++ b/crates/cicadagw-call/src/admission/core.rs
@@ -12,6 +12,7 @@
 use super::queue::{Constraints, Key, QueuedCall};
 use super::running::Running;
 use super::shed::queue_or_shed;
+use super::turnout::Turnout;
 use super::wait::is_acceptable_wait;
 use super::work::Work;
 use crate::Load;
@@ -24,6 +25,7 @@
     queue: BTreeMap<Key, QueuedCall>,
     work: Work,
     order: Order,
+    turnout: Turnout,
     limit: Limit,
     last_ticket: Ticket,
 }
@@ -41,6 +43,7 @@
             queue: BTreeMap::new(),
             work: Work::default(),
             order: Order::default(),
+            turnout: Turnout::default(),
             limit,
             last_ticket: Ticket(0),
         }
@@ -75,13 +78,20 @@
     ) -> (Ticket, Decision) {
         self.last_ticket = Ticket(self.last_ticket.0 + 1);
         let ticket = self.last_ticket;
-        let key = self
-            .order
-            .place(now, deadline, &constraints, (&self.work, ticket));
+        let urgency = self.order.urgency(now, &constraints);
+        if !order::is_return(now, &constraints) {
+            self.turnout.offer(now, urgency);
+        }
+        let key = Key {
+            urgency: self.turnout.effective(urgency),
+            due: order::due(now, deadline, &constraints, &self.work),
+            ticket,
+        };
         let call = QueuedCall {
             latest_start: order::latest_start(deadline, &constraints, &self.work),
             deadline,
             constraints,
+            urgency,
         };
         let decision = match self.decide(now, key, &call) {
             Decision::Start | Decision::Queue { .. }
@@ -92,7 +102,7 @@
             decision => decision,
         };
         match decision {
-            Decision::Start => self.running.start(call.constraints.policy),
+            Decision::Start => self.start(call),
             Decision::Queue { displaced } => {
                 self.queue.retain(|key, _| Some(key.ticket) != displaced);
                 self.queue.insert(key, call);
@@ -104,7 +114,7 @@
 
     /// Takes a call that will start or be queued from the backend server's limit.
     fn take(&mut self, now: Timestamp, key: Key, call: &QueuedCall) -> Result<(), Span> {
-        let priority = if key.is_long {
+        let priority = if key.urgency.is_long {
             call.constraints.priority
         } else {
             Priority::default()
@@ -143,6 +153,12 @@
         self.work.record_size(policy, size);
     }
 
+    fn start(&mut self, call: QueuedCall) {
+        let policy = call.constraints.policy;
+        self.turnout.start(call.urgency, self.work.of(&policy));
+        self.running.start(policy);
+    }
+
     fn end(&mut self, now: Timestamp, policy: &id::Policy) -> Release {
         self.running.end(policy);
         self.start_queued(now)
@@ -207,29 +223,37 @@
     }
 
     /// Starts queued calls for which there is room, expires those that cannot be answered before
-    /// their deadlines, and sheds overdue ones for which there is no room.
+    /// their deadlines, and sheds those for which there will be no room in time: overdue ones, and
+    /// those that more urgent calls have pushed back until they would be late.
     ///
-    /// Brief calls go first, then those that can still meet their soft deadlines, in the order in
-    /// which they are due, and late calls last.
+    /// The most urgent calls go first; of equally urgent ones those that can still meet their soft
+    /// deadlines, in the order in which they are due, and late calls last.
     fn start_queued(&mut self, now: Timestamp) -> Release {
         let mut release = Release::default();
         let queue = std::mem::take(&mut self.queue);
         let (late, timely): (Vec<_>, Vec<_>) = queue
             .into_iter()
             .partition(|(key, call)| call.is_late(now, *key));
+        let mut work_ahead = Span::new(0);
         for (key, call) in timely.into_iter().chain(late) {
             let work_left_min = self.work.left_min(&call.constraints.policy);
             if call.deadline <= now.after(work_left_min) {
                 release.expired.push(key.ticket);
-            } else if call.is_late(now, key)
-                && call.is_overdue(now)
-                && !self.running.has_room(&call.constraints)
-            {
-                release.shed.push(key.ticket);
             } else if self.running.has_room(&call.constraints) {
-                self.running.start(call.constraints.policy);
+                self.start(call);
                 release.started.push(key.ticket);
+            } else if call.is_late(now, key) {
+                if call.is_overdue(now) {
+                    release.shed.push(key.ticket);
+                } else {
+                    self.queue.insert(key, call);
+                }
+            } else if key.urgency.is_long
+                && now.after(self.wait_behind(work_ahead, key, &call)) > call.latest_start
+            {
+                release.shed.push(key.ticket);
             } else {
+                work_ahead = work_ahead.plus(self.work.of(&call.constraints.policy));
                 self.queue.insert(key, call);
             }
         }
@@ -246,13 +270,16 @@
         let work_ahead: u64 = calls_ahead
             .map(|(_, queued)| self.work.of(&queued.constraints.policy).get())
             .sum();
-        let slots = self
-            .running
-            .slots
-            .get()
-            .min(call.constraints.concurrency.get())
-            .max(1);
-        let running = self.running.average_work(&self.work);
-        Span::new((running.get() + work_ahead) / u64::from(slots))
+        self.wait_behind(Span::new(work_ahead), key, call)
+    }
+
+    /// Returns how long a call is expected to wait until the running calls and `work_ahead` are
+    /// done. More urgent calls take their part of the slots as they arrive.
+    fn wait_behind(&self, work_ahead: Span, key: Key, call: &QueuedCall) -> Span {
+        let concurrency = call.constraints.concurrency;
+        let slots = u64::from(self.running.slots.min(concurrency).get().max(1));
+        let work = self.running.average_work(&self.work).plus(work_ahead);
+        let permille = self.turnout.permille_from(key.urgency).max(1);
+        Span::new(work.get() * 1_000 / (slots * permille))
     }
 }
--- a/crates/cicadagw-call/src/admission/mod.rs
+++ b/crates/cicadagw-call/src/admission/mod.rs
@@ -5,7 +5,9 @@
 mod order;
 mod queue;
 mod running;
+mod shares;
 mod shed;
+mod turnout;
 mod wait;
 mod work;
 
--- a/crates/cicadagw-call/src/admission/order.rs
+++ b/crates/cicadagw-call/src/admission/order.rs
@@ -2,8 +2,8 @@
 
 use cicadagw_unit::time::{Span, Timestamp};
 
-use super::decision::Ticket;
-use super::queue::{Constraints, Key, QueuedCall};
+use super::queue::{Constraints, Key, QueuedCall, Urgency};
+use super::shares::Shares;
 use super::wait::{share, slack};
 use super::work::Work;
 
@@ -20,24 +20,19 @@
 pub(super) struct Order {
     /// The longest target latency of any call so far; it never decreases, see [`BRIEF_FACTOR`].
     longest_latency: Span,
+    shares: Shares,
 }
 
 impl Order {
-    /// Returns the position of a call that arrives now.
-    pub(super) fn place(
-        &mut self,
-        now: Timestamp,
-        deadline: Timestamp,
-        constraints: &Constraints,
-        (work, ticket): (&Work, Ticket),
-    ) -> Key {
+    /// Returns the urgency of a call that arrives now.
+    pub(super) fn urgency(&mut self, now: Timestamp, constraints: &Constraints) -> Urgency {
         self.longest_latency = self
             .longest_latency
             .max(constraints.target_latency.unwrap_or_default());
-        Key {
+        Urgency {
             is_long: !self.is_brief(constraints),
-            due: due(now, deadline, constraints, work),
-            ticket,
+            rank: (constraints.priority, constraints.policy_priority),
+            is_excess: self.shares.count(now, constraints.account.as_ref()),
         }
     }
 
@@ -50,10 +45,27 @@
     }
 }
 
+/// The shortest time by which the target of a call must have begun earlier for its caller to have
+/// come back: longer than a call takes from its caller to the backend server's node.
+const RETURN_MIN: Span = Span::new(70);
+
+/// Returns whether the caller of a call that arrives now was refused before and has come back: then
+/// the target counts from its first arrival.
+pub(super) fn is_return(now: Timestamp, constraints: &Constraints) -> bool {
+    let target = constraints.soft_deadline.zip(constraints.target_latency);
+    target
+        .is_some_and(|(soft_deadline, latency)| soft_deadline.since(now).plus(RETURN_MIN) < latency)
+}
+
 /// Returns when a call that arrives now is due to start. That is well before the latest possible
 /// start: if all calls waited until they could barely meet their soft deadlines, those that then
 /// take longer than the average would miss them.
-fn due(now: Timestamp, deadline: Timestamp, constraints: &Constraints, work: &Work) -> Timestamp {
+pub(super) fn due(
+    now: Timestamp,
+    deadline: Timestamp,
+    constraints: &Constraints,
+    work: &Work,
+) -> Timestamp {
     let work = work.of(&constraints.policy);
     let due =
         |soft_deadline: Timestamp| now.after(share(slack(now, work, soft_deadline), DUE_PERMILLE));
--- a/crates/cicadagw-call/tests/limit.rs
+++ b/crates/cicadagw-call/tests/limit.rs
@@ -55,6 +55,7 @@
         concurrency: Slots::new(100),
         queue: Slots::new(100),
         priority: Priority::default(),
+        policy_priority: Priority::default(),
         soft_deadline: None,
         target_latency: None,
         link_backlog: Span::new(0),
--- a/crates/cicadagw-proxy/src/delivery.rs
+++ b/crates/cicadagw-proxy/src/delivery.rs
@@ -112,6 +112,7 @@
         concurrency: policy.concurrency,
         queue: policy.queue,
         priority: call.priority,
+        policy_priority: policy.priority,
         soft_deadline: call.soft_deadline(),
         target_latency: policy.target_latency,
         // A response to a local caller crosses the host's link wherever the call runs, so the
