--- a/crates/cicadagw-call/src/admission/core.rs
+++ b/crates/cicadagw-call/src/admission/core.rs
@@ -8,50 +8,28 @@
 use cicadagw_unit::time::{Span, Timestamp};
 
 use super::decision::{Decision, Release, Ticket};
+use super::order::{self, Order};
 use super::queue::{Constraints, Key, QueuedCall};
-use super::wait::{is_acceptable_wait, share, slack, updated_average};
+use super::running::Running;
+use super::shed::queue_or_shed;
+use super::turnout::Turnout;
+use super::wait::is_acceptable_wait;
+use super::work::Work;
 use crate::Load;
-use crate::average::{RESPONSE_MAX, smooth};
 use crate::limit::Limit;
 
 /// Admission control for one backend server: its running calls and a short queue.
 #[derive(Clone, Debug)]
 pub struct Admission {
-    slots: Slots,
-    /// How many calls are running.
-    running: u32,
-    running_by_policy: BTreeMap<id::Policy, u32>,
+    running: Running,
     queue: BTreeMap<Key, QueuedCall>,
-    /// The average work time of a call under any policy; zero before the first sample. Work time is
-    /// the time that a call holds its slot.
-    average_work: Span,
-    /// The average work time of a call, by policy.
-    work_by_policy: BTreeMap<id::Policy, Span>,
-    /// The average response size in bytes, by policy.
-    response_sizes: BTreeMap<id::Policy, u64>,
-    /// The longest target latency of any call so far; it never decreases, see [`BRIEF_FACTOR`].
-    longest_latency: Span,
+    work: Work,
+    order: Order,
+    turnout: Turnout,
     limit: Limit,
     last_ticket: Ticket,
 }
 
-/// A call is brief if its target latency is shorter than the longest one by at least this factor.
-/// Calls that are made while serving other calls have such target latencies. They go first, because
-/// the calls that wait for them would fail otherwise.
-const BRIEF_FACTOR: u64 = 4;
-
-/// The average response size of a policy above which its calls also count the wait for the network
-/// link: smaller responses are sent without pacing.
-const LARGE_RESPONSE: Bytes = crate::pacing::UNPACED_MAX;
-
-/// The share of the slack after which a call is due, at any priority, in thousandths.
-const DUE_PERMILLE: u64 = 350;
-
-/// The share of the average work time that must remain before the deadline for a call to start, in
-/// thousandths. The work of a call that runs into its deadline is wasted. A call that cannot start
-/// at once when it arrives is queued only if the whole average remains after the expected wait.
-const WORK_LEFT_MIN_PERMILLE: u64 = 700;
-
 impl Admission {
     /// Creates the admission control of a backend server that runs `slots` calls concurrently.
     pub fn new(slots: Slots) -> Self {
@@ -61,14 +39,11 @@
     /// Creates the admission control of a backend server with this rate limit.
     pub fn with_limit(slots: Slots, limit: Limit) -> Self {
         Self {
-            slots,
-            running: 0,
-            running_by_policy: BTreeMap::new(),
+            running: Running::new(slots),
             queue: BTreeMap::new(),
-            average_work: Span::new(0),
-            work_by_policy: BTreeMap::new(),
-            response_sizes: BTreeMap::new(),
-            longest_latency: Span::new(0),
+            work: Work::default(),
+            order: Order::default(),
+            turnout: Turnout::default(),
             limit,
             last_ticket: Ticket(0),
         }
@@ -76,7 +51,7 @@
 
     /// Changes how many calls the backend server runs concurrently.
     pub fn resize(&mut self, now: Timestamp, slots: Slots) -> Release {
-        self.slots = slots;
+        self.running.slots = slots;
         self.start_queued(now)
     }
 
@@ -84,9 +59,9 @@
     pub fn load(&self) -> Load {
         let waiting = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
         Load {
-            in_flight: Slots::new(self.running.saturating_add(waiting)),
+            in_flight: Slots::new(self.running.count().saturating_add(waiting)),
             pace: None,
-            slots: self.slots,
+            slots: self.running.slots,
         }
     }
 
@@ -96,10 +71,6 @@
     }
 
     /// Starts, queues or refuses a call that must be answered by `deadline`.
-    ///
-    /// If the queue of the call's policy is full, a queued call that can no longer meet its soft
-    /// deadline is displaced, else the one that would start last, which has the most time left for
-    /// an attempt elsewhere. If the new call itself would start last, it is shed.
     pub fn offer(
         &mut self,
         now: Timestamp,
@@ -108,18 +79,20 @@
     ) -> (Ticket, Decision) {
         self.last_ticket = Ticket(self.last_ticket.0 + 1);
         let ticket = self.last_ticket;
-        self.longest_latency = self
-            .longest_latency
-            .max(constraints.target_latency.unwrap_or_default());
+        let urgency = self.order.urgency(now, &constraints);
+        if !order::is_return(now, &constraints) {
+            self.turnout.offer(now, urgency);
+        }
         let key = Key {
-            is_long: !self.is_brief(&constraints),
-            due: self.due(now, deadline, &constraints),
+            urgency: self.turnout.effective(urgency),
+            due: order::due(now, deadline, &constraints, &self.work),
             ticket,
         };
         let call = QueuedCall {
-            latest_start: self.latest_start(deadline, &constraints),
+            latest_start: order::latest_start(deadline, &constraints, &self.work),
             deadline,
             constraints,
+            urgency,
         };
         let decision = match self.decide(now, key, &call) {
             Decision::Start | Decision::Queue { .. }
@@ -130,7 +103,7 @@
             decision => decision,
         };
         match decision {
-            Decision::Start => self.start(call.constraints.policy),
+            Decision::Start => self.start(call),
             Decision::Queue { displaced } => {
                 self.queue.retain(|key, _| Some(key.ticket) != displaced);
                 self.queue.insert(key, call);
@@ -142,7 +115,7 @@
 
     /// Takes a call that will start or be queued from the backend server's limit.
     fn take(&mut self, now: Timestamp, key: Key, call: &QueuedCall) -> Result<(), Span> {
-        let priority = if key.is_long {
+        let priority = if key.urgency.is_long {
             call.constraints.priority
         } else {
             Priority::default()
@@ -163,43 +136,32 @@
 
     /// Records that a running call under `policy` completed after `elapsed`.
     pub fn finish(&mut self, now: Timestamp, policy: &id::Policy, elapsed: Span) -> Release {
-        self.record_work(policy, elapsed);
+        self.work.record(policy, elapsed);
         self.end(now, policy)
     }
 
     /// Records that a running call under `policy` ended without a response after `elapsed`. It
     /// would have taken longer, so the sample counts only if it exceeds the average already.
     pub fn abandon(&mut self, now: Timestamp, policy: &id::Policy, elapsed: Span) -> Release {
-        if elapsed > self.work(policy) {
-            self.record_work(policy, elapsed);
+        if elapsed > self.work.of(policy) {
+            self.work.record(policy, elapsed);
         }
         self.end(now, policy)
     }
 
     /// Records the size of a response to a call under `policy` for the average.
     pub fn record_size(&mut self, policy: &id::Policy, size: Bytes) {
-        let size = size.min(RESPONSE_MAX);
-        let average = self
-            .response_sizes
-            .entry(policy.clone())
-            .or_insert(size.get());
-        *average = smooth(*average, size.get());
+        self.work.record_size(policy, size);
     }
 
-    fn record_work(&mut self, policy: &id::Policy, elapsed: Span) {
-        self.average_work = updated_average(self.average_work, elapsed);
-        let work = self.work_by_policy.entry(policy.clone()).or_default();
-        *work = updated_average(*work, elapsed);
+    fn start(&mut self, call: QueuedCall) {
+        let policy = call.constraints.policy;
+        self.turnout.start(call.urgency, self.work.of(&policy));
+        self.running.start(policy);
     }
 
     fn end(&mut self, now: Timestamp, policy: &id::Policy) -> Release {
-        self.running = self.running.saturating_sub(1);
-        if let Some(count) = self.running_by_policy.get_mut(policy) {
-            *count = count.saturating_sub(1);
-            if *count == 0 {
-                self.running_by_policy.remove(policy);
-            }
-        }
+        self.running.end(policy);
         self.start_queued(now)
     }
 
@@ -227,11 +189,10 @@
         if now >= call.deadline {
             return Decision::Expired;
         }
-        let has_room = self.has_room(constraints);
-        let work = self.work(&constraints.policy);
-        if self.average_work.get() > 0
-            && now.after(share(work, WORK_LEFT_MIN_PERMILLE)) >= call.deadline
-        {
+        let has_room = self.running.has_room(constraints);
+        let work = self.work.of(&constraints.policy);
+        let work_left_min = self.work.left_min(&constraints.policy);
+        if self.work.is_known() && now.after(work_left_min) >= call.deadline {
             return Decision::Shed;
         }
         let link = self.link_wait(constraints);
@@ -250,150 +211,76 @@
         if has_room {
             return Decision::Start;
         }
-        let mut competitors = self
-            .queue
-            .iter()
-            .filter(|(_, queued)| queued.constraints.policy == constraints.policy);
-        if competitors.clone().count() < constraints.queue.get() as usize {
-            return Decision::Queue { displaced: None };
-        }
-        let late = competitors
-            .clone()
-            .find(|(key, queued)| queued.is_late(now, **key));
-        match late.or_else(|| competitors.next_back()) {
-            Some((victim, queued)) if *victim > key || queued.is_late(now, *victim) => {
-                Decision::Queue {
-                    displaced: Some(victim.ticket),
-                }
-            }
-            _ => Decision::Shed,
-        }
-    }
-
-    fn start(&mut self, policy: id::Policy) {
-        self.running += 1;
-        *self.running_by_policy.entry(policy).or_default() += 1;
+        queue_or_shed(now, key, call, &self.queue)
     }
 
     /// Returns how long the response to such a call is expected to wait for the network link.
     fn link_wait(&self, constraints: &Constraints) -> Span {
-        let size = self
-            .response_sizes
-            .get(&constraints.policy)
-            .copied()
-            .unwrap_or(0);
-        if size > LARGE_RESPONSE.get() {
+        if self.work.has_large_response(&constraints.policy) {
             constraints.link_backlog
         } else {
             Span::new(0)
         }
     }
 
-    /// Returns whether the call is brief, see [`BRIEF_FACTOR`].
-    fn is_brief(&self, constraints: &Constraints) -> bool {
-        let longest = self.longest_latency.get();
-        constraints
-            .target_latency
-            .is_some_and(|latency| latency.times(BRIEF_FACTOR).get() <= longest)
-    }
-
-    /// Returns the latest start with which the call can meet its soft deadline; without one, its
-    /// deadline.
-    fn latest_start(&self, deadline: Timestamp, constraints: &Constraints) -> Timestamp {
-        let work = self.work_left_min(&constraints.policy);
-        constraints
-            .soft_deadline
-            .map_or(deadline, |soft_deadline| soft_deadline.before(work))
-    }
-
-    /// Returns when a call that arrives now is due to start. That is well before the latest
-    /// possible start: if all calls waited until they could barely meet their soft deadlines, those
-    /// that then take longer than the average would miss them.
-    fn due(&self, now: Timestamp, deadline: Timestamp, constraints: &Constraints) -> Timestamp {
-        let work = self.work(&constraints.policy);
-        let due = |soft_deadline: Timestamp| {
-            now.after(share(slack(now, work, soft_deadline), DUE_PERMILLE))
-        };
-        constraints.soft_deadline.map_or(deadline, due)
-    }
-
     /// Starts queued calls for which there is room, expires those that cannot be answered before
-    /// their deadlines, and sheds overdue ones for which there is no room.
+    /// their deadlines, and sheds those for which there will be no room in time: overdue ones, and
+    /// those that more urgent calls have pushed back until they would be late.
     ///
-    /// Brief calls go first, then those that can still meet their soft deadlines, in the order in
-    /// which they are due, and late calls last.
+    /// The most urgent calls go first; of equally urgent ones those that can still meet their soft
+    /// deadlines, in the order in which they are due, and late calls last.
     fn start_queued(&mut self, now: Timestamp) -> Release {
         let mut release = Release::default();
         let queue = std::mem::take(&mut self.queue);
         let (late, timely): (Vec<_>, Vec<_>) = queue
             .into_iter()
             .partition(|(key, call)| call.is_late(now, *key));
+        let mut work_ahead = Span::new(0);
         for (key, call) in timely.into_iter().chain(late) {
-            if call.deadline <= now.after(self.work_left_min(&call.constraints.policy)) {
+            let work_left_min = self.work.left_min(&call.constraints.policy);
+            if call.deadline <= now.after(work_left_min) {
                 release.expired.push(key.ticket);
-            } else if call.is_late(now, key)
-                && call.is_overdue(now)
-                && !self.has_room(&call.constraints)
+            } else if self.running.has_room(&call.constraints) {
+                self.start(call);
+                release.started.push(key.ticket);
+            } else if call.is_late(now, key) {
+                if call.is_overdue(now) {
+                    release.shed.push(key.ticket);
+                } else {
+                    self.queue.insert(key, call);
+                }
+            } else if key.urgency.is_long
+                && now.after(self.wait_behind(work_ahead, key, &call)) > call.latest_start
             {
                 release.shed.push(key.ticket);
-            } else if self.has_room(&call.constraints) {
-                self.start(call.constraints.policy);
-                release.started.push(key.ticket);
             } else {
+                work_ahead = work_ahead.plus(self.work.of(&call.constraints.policy));
                 self.queue.insert(key, call);
             }
         }
         release
     }
 
-    /// Returns whether a slot of the backend server is free and the policy may run another call.
-    fn has_room(&self, constraints: &Constraints) -> bool {
-        let of_policy = self.running_by_policy.get(&constraints.policy);
-        self.running < self.slots.get()
-            && of_policy.is_none_or(|count| *count < constraints.concurrency.get())
-    }
-
     /// Returns how long a call is expected to wait for a slot: until the running calls and those
-    /// ahead of it are done. Late calls in the queue are ahead only of a call that is late itself.
+    /// ahead of it are done.
     fn expected_wait(&self, now: Timestamp, key: Key, call: &QueuedCall) -> Span {
-        let is_late = call.is_late(now, key);
         let is_ahead = |(other, queued): &(&Key, &QueuedCall)| {
-            is_late || (**other < key && !queued.is_late(now, **other))
+            order::is_ahead(now, (**other, queued), (key, call))
         };
         let calls_ahead = self.queue.iter().filter(is_ahead);
         let work_ahead: u64 = calls_ahead
-            .map(|(_, queued)| self.work(&queued.constraints.policy).get())
+            .map(|(_, queued)| self.work.of(&queued.constraints.policy).get())
             .sum();
-        let slots = self
-            .slots
-            .get()
-            .min(call.constraints.concurrency.get())
-            .max(1);
-        Span::new((self.average_running_work().get() + work_ahead) / u64::from(slots))
-    }
-
-    /// Returns the average work time over the policies of the running calls.
-    fn average_running_work(&self) -> Span {
-        let all: u64 = self
-            .running_by_policy
-            .iter()
-            .map(|(policy, count)| u64::from(*count) * self.work(policy).get())
-            .sum();
-        let average = all.checked_div(u64::from(self.running));
-        average.map_or(self.average_work, Span::new)
-    }
-
-    /// Returns the average work time of a call under `policy`, or of all calls before the first
-    /// sample under it.
-    fn work(&self, policy: &id::Policy) -> Span {
-        self.work_by_policy
-            .get(policy)
-            .copied()
-            .unwrap_or(self.average_work)
+        self.wait_behind(Span::new(work_ahead), key, call)
     }
 
-    /// Returns how much time must remain before the deadline for a call under `policy` to start.
-    fn work_left_min(&self, policy: &id::Policy) -> Span {
-        share(self.work(policy), WORK_LEFT_MIN_PERMILLE)
+    /// Returns how long a call is expected to wait until the running calls and `work_ahead` are
+    /// done. More urgent calls take their part of the slots as they arrive.
+    fn wait_behind(&self, work_ahead: Span, key: Key, call: &QueuedCall) -> Span {
+        let concurrency = call.constraints.concurrency;
+        let slots = u64::from(self.running.slots.min(concurrency).get().max(1));
+        let work = self.running.average_work(&self.work).plus(work_ahead);
+        let permille = self.turnout.permille_from(key.urgency).max(1);
+        Span::new(work.get() * 1_000 / (slots * permille))
     }
 }
--- a/crates/cicadagw-call/src/admission/mod.rs
+++ b/crates/cicadagw-call/src/admission/mod.rs
@@ -2,8 +2,14 @@
 
 mod core;
 mod decision;
+mod order;
 mod queue;
+mod running;
+mod shares;
+mod shed;
+mod turnout;
 mod wait;
+mod work;
 
 pub use core::Admission;
 pub use decision::{Decision, Release, Ticket};
