--- a/crates/cicadagw-admin/src/metrics.rs
+++ b/crates/cicadagw-admin/src/metrics.rs
@@ -293,6 +293,16 @@
                 }
             },
         );
+        self.counter(
+            "calls_refused",
+            "",
+            "Calls of local callers that were not run, by reason",
+            |sources, instrument| {
+                for (reason, number) in sources.calls.refused() {
+                    instrument.observe(number, &[KeyValue::new("reason", reason.to_string())]);
+                }
+            },
+        );
         self.counter(
             "calls_shed",
             "",
--- a/crates/cicadagw-call/src/access.rs
+++ b/crates/cicadagw-call/src/access.rs
@@ -5,10 +5,22 @@
 use cicadagw_config::Config;
 use cicadagw_config::account::KeyDigest;
 use cicadagw_unit::id;
-use cicadagw_unit::rate::Priority;
+use cicadagw_unit::rate::{Permille, Priority};
+use cicadagw_unit::time::{Span, Timestamp};
 
 use crate::Reason;
 
+/// The part of the limit on the age of a configuration that is left for differences between clocks,
+/// in thousandths.
+const CLOCK_MARGIN: Permille = Permille::new(20);
+
+/// Returns whether a key may have been revoked more than `limit` ago although a snapshot contains
+/// it, when all changes before `confirmed_at` are known.
+pub fn is_stale(now: Timestamp, confirmed_at: Option<Timestamp>, limit: Span) -> bool {
+    let margin = CLOCK_MARGIN.of(limit.get());
+    confirmed_at.is_none_or(|at| now.since(at).get() + margin >= limit.get())
+}
+
 /// The client accounts of one snapshot, indexed by the digests of their keys.
 #[derive(Clone, Debug, Default)]
 pub struct Access {
@@ -38,23 +50,34 @@
         access
     }
 
+    /// Returns whether calls need a key, unless their route is public.
+    pub const fn needs_key(&self) -> bool {
+        self.needs_key
+    }
+
     /// Returns the account that makes a call with `key`; `None` if the call needs no account and
-    /// `key` belongs to none.
+    /// `key` belongs to none. With `is_stale`, the snapshot is so old that no key is known to be
+    /// valid, nor to be invalid.
     ///
     /// # Errors
     ///
-    /// Returns [`Reason::Unauthorized`] if the route is not public, the configuration declares
-    /// accounts, and `key` belongs to none of them.
+    /// If the route is not public and the configuration declares accounts, returns
+    /// [`Reason::Stale`] with `is_stale`, and [`Reason::Unauthorized`] if `key` belongs to no
+    /// account.
     pub fn account(
         &self,
         is_public: bool,
         key: Option<&KeyDigest>,
+        is_stale: bool,
     ) -> Result<Option<&id::Account>, Reason> {
+        let key = key.filter(|_| !is_stale);
         let holder = key.and_then(|key| self.holders.get(key));
-        if holder.is_none() && self.needs_key && !is_public {
-            return Err(Reason::Unauthorized);
+        match holder {
+            None if is_public || !self.needs_key => Ok(None),
+            None if is_stale => Err(Reason::Stale),
+            None => Err(Reason::Unauthorized),
+            Some(holder) => Ok(Some(holder)),
         }
-        Ok(holder)
     }
 
     /// Returns the priority of a call of `account` under a policy with the priority `of_policy`.
--- a/crates/cicadagw-call/tests/access.rs
+++ b/crates/cicadagw-call/tests/access.rs
@@ -1,9 +1,11 @@
 //! Which client account a call belongs to.
 
+use cicadagw_call::access::is_stale;
 use cicadagw_call::{Access, Reason};
 use cicadagw_config::account::KeyDigest;
 use cicadagw_config::{Account, Config};
 use cicadagw_unit::rate::Priority;
+use cicadagw_unit::time::{Span, Timestamp};
 
 /// A configuration with one account, which has the key `one` and `priority`.
 fn config(priority: Option<u8>) -> Config {
@@ -19,9 +21,14 @@
 }
 
 /// Returns the name of the account that makes a call with `key`.
-fn account(access: &Access, is_public: bool, key: Option<&str>) -> Result<Option<String>, Reason> {
+fn account(
+    access: &Access,
+    is_public: bool,
+    key: Option<&str>,
+    is_stale: bool,
+) -> Result<Option<String>, Reason> {
     let key = key.map(|key| KeyDigest::of(key.as_bytes()));
-    let account = access.account(is_public, key.as_ref())?;
+    let account = access.account(is_public, key.as_ref(), is_stale)?;
     Ok(account.map(ToString::to_string))
 }
 
@@ -39,7 +46,7 @@
         (true, Some("two"), Ok(None)),
         (true, None, Ok(None)),
     ] {
-        assert_eq!(account(&access, is_public, key), expected, "{key:?}");
+        assert_eq!(account(&access, is_public, key, false), expected, "{key:?}");
     }
 }
 
@@ -47,8 +54,8 @@
 fn without_accounts_no_call_needs_a_key() {
     let access = Access::new(&Config::default());
 
-    assert_eq!(account(&access, false, Some("one")), Ok(None));
-    assert_eq!(account(&access, false, None), Ok(None));
+    assert_eq!(account(&access, false, Some("one"), true), Ok(None));
+    assert_eq!(account(&access, false, None, true), Ok(None));
 }
 
 #[test]
@@ -61,3 +68,35 @@
     assert_eq!(priority(&config(None), Some(&north)), of_policy);
     assert_eq!(priority(&config(Some(0)), None), of_policy);
 }
+
+#[test]
+fn no_key_counts_under_a_stale_configuration() {
+    let access = Access::new(&config(None));
+
+    for (is_public, key, expected) in [
+        (false, Some("one"), Err(Reason::Stale)),
+        (false, Some("two"), Err(Reason::Stale)),
+        (false, None, Err(Reason::Stale)),
+        (true, Some("one"), Ok(None)),
+    ] {
+        assert_eq!(account(&access, is_public, key, true), expected, "{key:?}");
+    }
+}
+
+#[test]
+fn configuration_is_stale_before_a_key_outlives_its_revocation() {
+    let limit = Span::seconds(5);
+    let now = Timestamp::new(100_000);
+
+    for (age, expected) in [
+        (0, false),
+        (3_000, false),
+        (4_800, false),
+        (4_999, true),
+        (9_000, true),
+    ] {
+        let confirmed_at = Some(now.before(Span::new(age)));
+        assert_eq!(is_stale(now, confirmed_at, limit), expected, "{age}");
+    }
+    assert!(is_stale(now, None, limit));
+}
--- a/crates/cicadagw-control/src/sync.rs
+++ b/crates/cicadagw-control/src/sync.rs
@@ -141,6 +141,7 @@
     /// Publishes the current snapshot and endpoints to the calls duty.
     pub(crate) fn publish(&mut self) {
         let view = View {
+            confirmed_at: None,
             departures: cicadagw_endpoint::Departures::default(),
             snapshot: self.snapshots.held().cloned(),
             endpoints: Arc::clone(&self.endpoints),
--- a/crates/cicadagw-gossip/src/core/configuration.rs
+++ b/crates/cicadagw-gossip/src/core/configuration.rs
@@ -8,8 +8,10 @@
 use cicadagw_unit::time::Timestamp;
 
 use super::Core;
+use crate::freshness::Confirmation;
+use crate::source::State;
 use crate::watchers;
-use crate::{Effect, Notice};
+use crate::{Call, Effect, Notice};
 
 impl Core {
     /// Updates whether this node watches the platform.
@@ -53,16 +55,43 @@
         if outcome.is_ok() {
             self.confirmed_at = now;
         }
+        let confirmation = self.confirmation_of_read(&outcome);
         let (revision, snapshot) = match outcome {
             Ok((revision, snapshot)) => (Ok(revision), snapshot),
             Err(error) => (Err(error), None),
         };
         if let Some(call) = self.source.answered(now, &revision, &mut self.rng) {
-            self.effects.push(Effect::Call(call));
+            self.watch(now, call);
         }
         if let Some(snapshot) = snapshot {
             self.adopt(snapshot, false);
         }
+        if let Some(confirmation) = confirmation {
+            self.confirm(confirmation);
+        }
+    }
+
+    /// Makes a request of the source.
+    pub(super) fn watch(&mut self, now: Timestamp, call: Call) {
+        if call == Call::ReadConfiguration {
+            self.read_at = now;
+        }
+        self.effects.push(Effect::Call(call));
+    }
+
+    /// Returns what the response to a read confirms. That to a watch only tells of the time at which
+    /// the watch began, which is long past.
+    fn confirmation_of_read(
+        &self,
+        outcome: &Result<(Revision, Option<Arc<Snapshot>>), Error>,
+    ) -> Option<Confirmation> {
+        let (revision, snapshot) = outcome.as_ref().ok()?;
+        let snapshot = snapshot.as_ref()?;
+        (self.source.state() == State::Reading).then(|| Confirmation {
+            as_of: self.host_time(self.read_at),
+            revision: *revision,
+            version: snapshot.stamp.version,
+        })
     }
 
     /// Processes the response to a check of the configuration.
@@ -80,7 +109,7 @@
             Err(error) => (Err(error), None),
         };
         if let Some(call) = self.source.checked(now, &revision, &mut self.rng) {
-            self.effects.push(Effect::Call(call));
+            self.watch(now, call);
         }
         if let Some(snapshot) = snapshot {
             self.adopt(snapshot, false);
@@ -95,6 +124,9 @@
             return;
         }
         self.snapshot = Some(snapshot);
+        if let Some(freshness) = &mut self.freshness {
+            freshness.adopt(version);
+        }
         self.publish();
         self.announce_version();
         let notice = Notice::Adopted { version, from_node };
--- a/crates/cicadagw-gossip/src/core/dissemination.rs
+++ b/crates/cicadagw-gossip/src/core/dissemination.rs
@@ -11,6 +11,7 @@
 use rand::seq::IteratorRandom;
 
 use super::Core;
+use crate::freshness::Freshness;
 use crate::{Effect, Member, Message, watchers};
 
 /// How many nodes of each other region are sent a change to relay it there; two, since one of them
@@ -124,7 +125,14 @@
         if *self.endpoints != endpoints {
             self.endpoints = Arc::new(endpoints);
         }
+        self.publish_view();
+    }
+
+    /// Publishes the configuration, its age, and the endpoints as last published.
+    pub(super) fn publish_view(&mut self) {
+        let held = self.freshness.as_ref().and_then(Freshness::held);
         self.effects.push(Effect::Publish(View {
+            confirmed_at: held.map(|held| held.as_of),
             snapshot: self.snapshot.clone(),
             departures: self.own.departures.clone(),
             endpoints: self.endpoints.clone(),
--- a/crates/cicadagw-gossip/src/core/mod.rs
+++ b/crates/cicadagw-gossip/src/core/mod.rs
@@ -2,6 +2,7 @@
 
 mod anti_entropy;
 mod configuration;
+mod confirmation;
 mod dissemination;
 mod quota;
 mod step;
--- a/crates/cicadagw-gossip/src/core/step.rs
+++ b/crates/cicadagw-gossip/src/core/step.rs
@@ -15,6 +15,7 @@
 
 use super::anti_entropy::Range;
 use super::quota::Quotas;
+use crate::freshness::Freshness;
 use crate::outbound::Outbound;
 use crate::registration::{Registration, Request};
 use crate::source::Source;
@@ -45,8 +46,14 @@
     pub gossip: SocketAddr,
     /// Name of the node.
     pub node: id::Node,
+    /// When the clock of the events started, on the clock of views.
+    #[builder(default)]
+    pub origin: Timestamp,
     /// Region of the node.
     pub region: id::Region,
+    /// Age of the configuration from which calls with keys are refused; without one, the node does
+    /// not ask for confirmations.
+    pub revocation: Option<Span>,
     /// Seed of the random number generator.
     pub seed: u64,
     /// Start time of the process, in milliseconds since the Unix epoch.
@@ -73,10 +80,18 @@
     /// Whether this node watches the platform, as of the last tick.
     pub(super) is_watcher: bool,
     pub(super) is_platform_unavailable: bool,
+    /// The age of the configuration, where keys must not outlive their revocation.
+    pub(super) freshness: Option<Freshness>,
+    /// Whether the configuration was too old for calls with keys at the last tick.
+    pub(super) is_stale: bool,
+    /// When the clock of the events started, on the clock of views.
+    pub(super) origin: Timestamp,
     pub(super) outbound: Outbound,
     /// The record that this node publishes about itself.
     pub(super) own: Member,
     pub(super) quotas: Quotas,
+    /// When the last read of the configuration was sent.
+    pub(super) read_at: Timestamp,
     pub(super) registration: Registration,
     pub(super) rng: StdRng,
     pub(super) snapshot: Option<Arc<Snapshot>>,
@@ -111,9 +126,15 @@
             watchers: Watchers::new(Timestamp::default(), setup.first_start),
             is_watcher: false,
             is_platform_unavailable: false,
+            freshness: setup
+                .revocation
+                .map(|limit| Freshness::new(setup.origin, limit)),
+            is_stale: false,
+            origin: setup.origin,
             outbound: Outbound::default(),
             own,
             quotas: Quotas::default(),
+            read_at: Timestamp::default(),
             registration: Registration::new(setup.first_start),
             rng: StdRng::seed_from_u64(setup.seed),
             snapshot: None,
@@ -132,6 +153,9 @@
     /// Returns how long ago the platform last confirmed the configuration, to this node or to a
     /// watcher of its region.
     pub fn confirmed_age(&self, now: Timestamp) -> Span {
+        if let Some(freshness) = &self.freshness {
+            return freshness.age(self.host_time(now));
+        }
         now.since(self.confirmed_at)
     }
 
@@ -161,9 +185,11 @@
     fn tick(&mut self, now: Timestamp) {
         self.update_watching(now);
         if self.is_watcher {
-            let calls = self.source.tick(now, &mut self.rng);
-            self.effects.extend(calls.into_iter().map(Effect::Call));
+            for call in self.source.tick(now, &mut self.rng) {
+                self.watch(now, call);
+            }
         }
+        self.seek_confirmation(now);
         self.send_beacon(now);
         match self.registration.tick(now) {
             Some(Request::Write { create }) => self.effects.push(Effect::Call(Call::Register {
@@ -268,6 +294,14 @@
                     self.introduce(sender);
                 }
             }
+            Message::Question { number, .. } => self.handle_question(now, sender, number),
+            Message::Answer {
+                age,
+                from,
+                number,
+                revision,
+                version,
+            } => self.handle_answer(now, &from, number, age, (revision, version)),
             Message::Parts { from, digests } => self.compare_partitions(&from, &digests),
             Message::Have {
                 from,
@@ -316,6 +350,7 @@
             }
             Reply::Configuration(outcome) => self.handle_configuration(now, outcome),
             Reply::Checked(outcome) => self.handle_check(now, outcome),
+            Reply::Confirmed(inquiry, outcome) => self.handle_inquiry(now, inquiry, outcome),
             Reply::Fetched(outcome) => {
                 self.fetch_deadline = None;
                 match outcome {
--- a/crates/cicadagw-gossip/src/event.rs
+++ b/crates/cicadagw-gossip/src/event.rs
@@ -9,7 +9,7 @@
 use cicadagw_endpoint::{Departures, LocalUpdate};
 use cicadagw_platform::{Error, Revision};
 use cicadagw_unit::Version;
-use cicadagw_unit::time::Span;
+use cicadagw_unit::time::{Span, Timestamp};
 use cicadagw_view::View;
 
 use crate::{Member, Message};
@@ -60,10 +60,23 @@
         /// Timeout of the request.
         timeout: Span,
     },
+    /// Ask whether the configuration is current; the response must not be stale.
+    ConfirmConfiguration(Inquiry),
     /// Fetch the configuration from the node at this address, instead of from the platform.
     FetchConfiguration(SocketAddr),
 }
 
+/// A question to the platform whether the configuration is current.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Inquiry {
+    /// Revision up to which all changes are known, or `None` to read the configuration as a whole.
+    pub after: Option<Revision>,
+    /// When the question was sent, on the clock of views.
+    pub at: Timestamp,
+    /// The version that is current if there is no change after `after`.
+    pub version: Version,
+}
+
 /// The response to a [`Call`].
 #[derive(Debug)]
 pub enum Reply {
@@ -77,6 +90,9 @@
     /// Response to [`Call::CheckConfiguration`]: the revision of the last known configuration, and
     /// the configuration if it has changed.
     Checked(Result<(Revision, Option<Arc<Snapshot>>), Error>),
+    /// Response to [`Call::ConfirmConfiguration`], with the inquiry: the revision up to which all
+    /// changes are known, and the configuration if it has changed.
+    Confirmed(Inquiry, Result<(Revision, Option<Arc<Snapshot>>), Error>),
     /// Response to [`Call::FetchConfiguration`].
     Fetched(Result<Arc<Snapshot>, Error>),
 }
@@ -108,6 +124,10 @@
     },
     /// A configuration fetched from another node was not applied, for this reason.
     Refused(String),
+    /// The configuration, which has been too old for calls with keys, was confirmed again; its age.
+    Fresh(Span),
+    /// The configuration has not been confirmed for too long for calls with keys; its age.
+    Stale(Span),
     /// Other nodes have told which backend servers had left this host before this process started.
     DeparturesRestored(Departures),
     /// A member was added to the table, or its record changed.
@@ -130,6 +150,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Adopted { .. } => "configuration applied",
+            Self::Fresh(_) => "configuration confirmed again",
+            Self::Stale(_) => "configuration not confirmed in time",
             Self::Refused(_) => "configuration refused",
             Self::DeparturesRestored(_) => "departures from this host restored",
             Self::MemberChanged(_) => "member record changed",
--- a/crates/cicadagw-gossip/src/lib.rs
+++ b/crates/cicadagw-gossip/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod core;
 mod event;
+mod freshness;
 mod hash;
 mod member;
 pub mod message;
@@ -22,7 +23,7 @@
 mod watchers;
 
 pub use core::{Core, Setup};
-pub use event::{Call, Effect, Event, Notice, Reply};
+pub use event::{Call, Effect, Event, Inquiry, Notice, Reply};
 pub use member::{Backend, Member, Stamp};
 pub use message::Message;
 pub use partition::Partition;
--- a/crates/cicadagw-gossip/src/message.rs
+++ b/crates/cicadagw-gossip/src/message.rs
@@ -2,6 +2,8 @@
 
 use cicadagw_call::quota::{Ask, Grant};
 use cicadagw_endpoint::Departures;
+use cicadagw_platform::Revision;
+use cicadagw_unit::time::Span;
 use cicadagw_unit::{Version, id};
 
 use crate::{Member, Partition, Stamp};
@@ -56,6 +58,27 @@
         /// Version of the sender's configuration; zero without one.
         version: Version,
     },
+    /// Asks how old the receiver's configuration is.
+    Question {
+        /// Name of the sender.
+        from: id::Node,
+        /// A random number that identifies the question.
+        number: u64,
+    },
+    /// Answers a [`Message::Question`]: all changes of the configuration are known that the platform
+    /// acknowledged more than `age` before this message was sent.
+    Answer {
+        /// The age.
+        age: Span,
+        /// Name of the sender.
+        from: id::Node,
+        /// The number of the question.
+        number: u64,
+        /// A revision of the store at which the version was the newest.
+        revision: Revision,
+        /// The newest version at that time.
+        version: Version,
+    },
     /// Digests of the sender's table by partition, sent when the digests of the whole tables
     /// differ.
     Parts {
--- a/crates/cicadagw-gossip/src/watchers.rs
+++ b/crates/cicadagw-gossip/src/watchers.rs
@@ -20,11 +20,15 @@
 
 /// How many nodes of a region watch the platform; three, so that any two may be unavailable at
 /// once.
-const WATCHERS_PER_REGION: usize = 3;
+pub(crate) const WATCHERS_PER_REGION: usize = 3;
 
 /// How many children a node has in the tree that passes new versions on.
 const FANOUT: usize = 3;
 
+/// How many nodes of a region ask the same relay for the age of the configuration. Up to
+/// [`WATCHERS_PER_REGION`] times as many ask the watchers themselves.
+const NODES_PER_RELAY: usize = 24;
+
 /// How much the beacon interval grows with each receiver, so that a watcher in a larger region does
 /// not send more beacons per second. The two bounds below apply.
 const BEACON_INTERVAL_PER_NODE: Span = Span::new(20);
@@ -127,14 +131,10 @@
         if now.since(self.last_message) >= MESSAGE_TIMEOUT {
             return true;
         }
-        let timeout = beacon_timeout(order.len());
-        if uptime < timeout {
+        if uptime < beacon_timeout(order.len()) {
             return false;
         }
-        let is_alive = |member: &&&Member| {
-            let last = self.last_beacon.get(&member.node);
-            last.is_some_and(|last| now.since(*last) < timeout)
-        };
+        let is_alive = |member: &&&Member| self.is_watching(now, member, order.len());
         if order[..position].iter().filter(is_alive).count() >= WATCHERS_PER_REGION {
             self.lacking_since = None;
             return false;
@@ -145,6 +145,46 @@
     }
 }
 
+impl Watchers {
+    /// Returns how many other nodes before `own` in the order send beacons.
+    pub(crate) fn rank(&self, now: Timestamp, table: &Table, own: &Member) -> usize {
+        let order = order(table, own);
+        let before = order[..position(&order, own)].iter();
+        before
+            .filter(|member| self.is_watching(now, member, order.len()))
+            .count()
+    }
+
+    /// Returns the gossip addresses of the nodes that `own` asks for the age of the configuration:
+    /// the watchers of the region, or, in a large region, the first nodes in the order, which ask
+    /// the watchers.
+    pub(crate) fn sources(
+        &self,
+        now: Timestamp,
+        table: &Table,
+        own: &Member,
+    ) -> SmallVec<[SocketAddr; WATCHERS_PER_REGION]> {
+        let order = order(table, own);
+        let relays = order.len() / NODES_PER_RELAY;
+        let is_relayed = relays > WATCHERS_PER_REGION && position(&order, own) >= relays;
+        let sources = order.iter().enumerate().filter(|(position, member)| {
+            let is_source = if is_relayed {
+                *position < relays
+            } else {
+                self.is_watching(now, member, order.len())
+            };
+            is_source && member.node != own.node
+        });
+        sources.map(|(_, member)| member.gossip).collect()
+    }
+
+    /// Returns whether `member`, in a region of `count` nodes, sends beacons.
+    fn is_watching(&self, now: Timestamp, member: &Member, count: usize) -> bool {
+        let last = self.last_beacon.get(&member.node);
+        last.is_some_and(|last| now.since(*last) < beacon_timeout(count))
+    }
+}
+
 /// Returns the interval between two beacons of a watcher that sends them to `count` nodes.
 pub(crate) fn beacon_interval(count: usize) -> Span {
     let interval = BEACON_INTERVAL_PER_NODE.times(count as u64);
--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -7,6 +7,7 @@
     reason = "each test file uses its own part of the fixtures"
 )]
 
+mod platform;
 mod record;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -19,16 +20,17 @@
 use cicadagw_platform::{Error, Revision};
 use cicadagw_unit::time::{Span, Timestamp};
 use cicadagw_view::View;
+pub use platform::Platform;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-pub use record::{address, local, member, new_core, snapshot, snapshot_with_quota};
+pub use record::{
+    REVOCATION, address, local, member, new_core, new_strict_core, origin, snapshot,
+    snapshot_with_quota,
+};
 
 /// Time between two ticks.
 pub const TICK: Span = Span::new(50);
 
-/// Timeout of a request to the platform; the wait of a watch is added to it.
-const CALL_TIMEOUT: Span = Span::seconds(2);
-
 /// A node of the fleet.
 pub struct Node {
     pub core: Core,
@@ -44,26 +46,6 @@
     delayed: Vec<(Timestamp, Reply)>,
 }
 
-/// A simulated platform.
-#[derive(Default)]
-pub struct Platform {
-    pub members: BTreeMap<String, Member>,
-    pub config: Option<(Revision, Arc<Snapshot>)>,
-    pub revision: u64,
-    /// Number of member records written.
-    pub writes: usize,
-    /// Nodes whose requests fail.
-    pub unavailable_to: BTreeSet<usize>,
-    /// Nodes whose requests get no response, so that they time out.
-    pub silent_to: BTreeSet<usize>,
-    /// Whether watches stay open without delivering any change.
-    pub is_deaf: bool,
-    /// Whether checks fail because the history that they need was compacted.
-    pub checks_find_no_history: bool,
-    /// Whether watches fail because the history that they need was compacted.
-    pub has_compacted: bool,
-}
-
 /// The nodes, the network between them, and the platform.
 pub struct Fleet {
     pub now: Timestamp,
@@ -73,6 +55,10 @@
     pub loss_permille: u32,
     /// Nodes that neither send nor receive any message.
     pub isolated: BTreeSet<usize>,
+    /// Nodes whose processes stand still; messages to them wait.
+    pub frozen: BTreeSet<usize>,
+    /// The longest time that a message takes, in ticks.
+    pub delay_ticks: u64,
     /// Nodes from which a fetch of the configuration gets no response.
     pub silent_to_fetches: BTreeSet<usize>,
     /// Total size of all messages sent, in bytes.
@@ -81,8 +67,10 @@
     pub cross_region_bytes: usize,
     /// Number of reads of the configuration that the platform has received.
     pub config_reads: usize,
+    /// Number of questions whether the configuration is current that the platform has answered.
+    pub confirmations: usize,
     rng: StdRng,
-    in_flight: VecDeque<(usize, usize, Message)>,
+    in_flight: VecDeque<(Timestamp, usize, usize, Message)>,
 }
 
 impl Fleet {
@@ -95,15 +83,26 @@
             platform: Platform::default(),
             loss_permille: 0,
             isolated: BTreeSet::new(),
+            frozen: BTreeSet::new(),
+            delay_ticks: 0,
             silent_to_fetches: BTreeSet::new(),
             bytes: 0,
             cross_region_bytes: 0,
             rng: StdRng::seed_from_u64(5),
             in_flight: VecDeque::new(),
             config_reads: 0,
+            confirmations: 0,
         }
     }
 
+    /// Creates a fleet in which keys must not outlive their revocation.
+    pub fn strict(count: usize) -> Self {
+        let mut fleet = Self::new(0);
+        let nodes = (0..count).map(|index| Node::new(new_strict_core(index, 1)));
+        fleet.nodes = nodes.collect();
+        fleet
+    }
+
     /// Stores a configuration of this version at the platform.
     pub fn publish_configuration(&mut self, version: u64) {
         self.platform.revision += 1;
@@ -117,6 +116,9 @@
         while self.now < end {
             self.now = self.now.after(TICK);
             for index in 0..self.nodes.len() {
+                if self.frozen.contains(&index) {
+                    continue;
+                }
                 self.respond_to_watch(index);
                 self.respond_late(index);
                 self.step(index, Event::Tick);
@@ -143,6 +145,11 @@
         self.nodes[index] = Node::new(new_core(index, start_ms));
     }
 
+    /// Replaces a node where keys must not outlive their revocation.
+    pub fn restart_strict(&mut self, index: usize, start_ms: u64) {
+        self.nodes[index] = Node::new(new_strict_core(index, start_ms));
+    }
+
     /// Returns the version of each node's configuration.
     pub fn versions(&self) -> Vec<u64> {
         let versions = self.nodes.iter().map(|node| node.core.version().get());
@@ -172,142 +179,28 @@
         let is_isolated = self.isolated.contains(&from) || self.isolated.contains(&to);
         let is_lost = self.rng.random_range(0..1_000) < self.loss_permille;
         if to < self.nodes.len() && !is_isolated && !is_lost {
-            self.in_flight.push_back((from, to, message));
+            let delay = self.delay_ticks;
+            let ticks = if delay > 0 {
+                self.rng.random_range(0..=delay)
+            } else {
+                0
+            };
+            let due = self.now.after(TICK.times(ticks));
+            self.in_flight.push_back((due, from, to, message));
         }
     }
 
     fn deliver(&mut self) {
         // Messages that are sent in response are delivered after the next tick.
         for _ in 0..self.in_flight.len() {
-            let (from, to, message) = self.in_flight.pop_front().unwrap();
-            self.step(to, Event::Message(address(from), message));
-        }
-    }
-
-    /// Responds to a request of a node, except for a watch, which waits for a change.
-    fn call(&mut self, index: usize, call: Call) {
-        if let Call::FetchConfiguration(address) = &call {
-            let from = usize::from(address.port()) - 1;
-            if self.silent_to_fetches.contains(&from) {
-                return self.time_out(index, &call);
-            }
-            let version = self.nodes[from].core.version().get();
-            let is_isolated = self.isolated.contains(&from) || self.isolated.contains(&index);
-            let fetched = if is_isolated {
-                Err(Error::Unavailable("isolated".to_owned()))
-            } else {
-                Ok(snapshot(version))
-            };
-            return self.step(index, Event::Reply(Reply::Fetched(fetched)));
-        }
-        self.nodes[index].requests += 1;
-        self.config_reads += usize::from(matches!(call, Call::ReadConfiguration));
-        let is_unavailable = self.platform.unavailable_to.contains(&index);
-        let unavailable = || Error::Unavailable("unavailable".to_owned());
-        if self.platform.silent_to.contains(&index) {
-            return self.time_out(index, &call);
-        }
-        let reply = match call {
-            Call::Register { .. } if is_unavailable => Reply::Registered(Err(unavailable())),
-            Call::ListMembers if is_unavailable => Reply::Members(Err(unavailable())),
-            Call::ReadConfiguration | Call::WatchConfiguration { .. } if is_unavailable => {
-                Reply::Configuration(Err(unavailable()))
-            }
-            Call::CheckConfiguration { .. } if is_unavailable => Reply::Checked(Err(unavailable())),
-            Call::CheckConfiguration { .. } if self.platform.checks_find_no_history => {
-                Reply::Checked(Err(Error::Compacted))
-            }
-            Call::CheckConfiguration { after, .. } => {
-                Reply::Checked(Ok(match &self.platform.config {
-                    Some((revision, snapshot)) if *revision > after => {
-                        (*revision, Some(snapshot.clone()))
-                    }
-                    _ => (after, None),
-                }))
-            }
-            Call::Register { member, create } => {
-                let exists = self.platform.members.contains_key(member.node.as_str());
-                Reply::Registered(if exists == create {
-                    Err(Error::Conflict)
-                } else {
-                    let name = member.node.to_string();
-                    self.platform.writes += 1;
-                    self.platform.members.insert(name, *member);
-                    Ok(())
-                })
-            }
-            Call::ListMembers => {
-                Reply::Members(Ok(self.platform.members.values().cloned().collect()))
-            }
-            Call::ReadConfiguration => Reply::Configuration(match &self.platform.config {
-                Some((revision, snapshot)) => Ok((*revision, Some(snapshot.clone()))),
-                None => Err(Error::Compacted),
-            }),
-            Call::WatchConfiguration { after, wait } => {
-                self.nodes[index].pending_watch = Some((after, self.now.after(wait)));
-                return;
-            }
-            Call::FetchConfiguration(_) => unreachable!("a fetch returns above"),
-        };
-        self.step(index, Event::Reply(reply));
-    }
-
-    /// Lets a request end with a timeout.
-    fn time_out(&mut self, index: usize, call: &Call) {
-        let error = || Error::Unavailable("timeout".to_owned());
-        let (timeout, reply) = match call {
-            Call::Register { .. } => (CALL_TIMEOUT, Reply::Registered(Err(error()))),
-            Call::ListMembers => (CALL_TIMEOUT, Reply::Members(Err(error()))),
-            Call::ReadConfiguration => (CALL_TIMEOUT, Reply::Configuration(Err(error()))),
-            Call::WatchConfiguration { wait, .. } => {
-                (wait.plus(CALL_TIMEOUT), Reply::Configuration(Err(error())))
+            let (due, from, to, message) = self.in_flight.pop_front().unwrap();
+            if due > self.now || self.frozen.contains(&to) {
+                self.in_flight.push_back((due, from, to, message));
+                continue;
             }
-            Call::CheckConfiguration { timeout, .. } => (*timeout, Reply::Checked(Err(error()))),
-            Call::FetchConfiguration(_) => (CALL_TIMEOUT, Reply::Fetched(Err(error()))),
-        };
-        let at = self.now.after(timeout);
-        self.nodes[index].delayed.push((at, reply));
-    }
-
-    /// Delivers the responses that are due.
-    fn respond_late(&mut self, index: usize) {
-        let delayed = std::mem::take(&mut self.nodes[index].delayed);
-        let (due, later) = delayed.into_iter().partition(|(at, _)| *at <= self.now);
-        self.nodes[index].delayed = later;
-        let due: Vec<(Timestamp, Reply)> = due;
-        for (_, reply) in due {
-            self.step(index, Event::Reply(reply));
+            self.step(to, Event::Message(address(from), message));
         }
     }
-
-    /// Responds to a pending watch if the configuration has changed, the platform fails, or the
-    /// wait is over. A watch of a node to which the platform has fallen silent ends with a timeout.
-    fn respond_to_watch(&mut self, index: usize) {
-        let Some((after, until)) = self.nodes[index].pending_watch else {
-            return;
-        };
-        let is_silent = self.platform.silent_to.contains(&index);
-        let change = match &self.platform.config {
-            Some((revision, snapshot)) if *revision > after && !self.platform.is_deaf => {
-                Some((*revision, Some(snapshot.clone())))
-            }
-            _ if self.now >= until => Some((after, None)),
-            _ => None,
-        };
-        let reply = if is_silent && self.now < until.after(CALL_TIMEOUT) {
-            return;
-        } else if is_silent || self.platform.unavailable_to.contains(&index) {
-            Err(Error::Unavailable("unavailable".to_owned()))
-        } else if self.platform.has_compacted {
-            Err(Error::Compacted)
-        } else if let Some(change) = change {
-            Ok(change)
-        } else {
-            return;
-        };
-        self.nodes[index].pending_watch = None;
-        self.step(index, Event::Reply(Reply::Configuration(reply)));
-    }
 }
 
 impl Node {
--- /dev/null
+++ b/crates/cicadagw-gossip/tests/support/platform.rs
@@ -0,0 +1,177 @@
+//! The simulated platform.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use cicadagw_config::Snapshot;
+use cicadagw_gossip::{Call, Event, Member, Reply};
+use cicadagw_platform::{Error, Revision};
+use cicadagw_unit::time::{Span, Timestamp};
+
+use super::{Fleet, snapshot};
+
+/// Timeout of a request to the platform; the wait of a watch is added to it.
+const CALL_TIMEOUT: Span = Span::seconds(2);
+
+/// A simulated platform.
+#[derive(Default)]
+pub struct Platform {
+    pub members: BTreeMap<String, Member>,
+    pub config: Option<(Revision, Arc<Snapshot>)>,
+    pub revision: u64,
+    /// Number of member records written.
+    pub writes: usize,
+    /// Nodes whose requests fail.
+    pub unavailable_to: BTreeSet<usize>,
+    /// Nodes whose requests get no response, so that they time out.
+    pub silent_to: BTreeSet<usize>,
+    /// Whether watches stay open without delivering any change.
+    pub is_deaf: bool,
+    /// Whether checks fail because the history that they need was compacted.
+    pub checks_find_no_history: bool,
+    /// Whether watches fail because the history that they need was compacted.
+    pub has_compacted: bool,
+}
+
+impl Fleet {
+    /// Responds to a request of a node, except for a watch, which waits for a change.
+    pub(super) fn call(&mut self, index: usize, call: Call) {
+        if let Call::FetchConfiguration(address) = &call {
+            let from = usize::from(address.port()) - 1;
+            if self.silent_to_fetches.contains(&from) {
+                return self.time_out(index, &call);
+            }
+            let version = self.nodes[from].core.version().get();
+            let is_isolated = self.isolated.contains(&from) || self.isolated.contains(&index);
+            let fetched = if is_isolated {
+                Err(Error::Unavailable("isolated".to_owned()))
+            } else {
+                Ok(snapshot(version))
+            };
+            return self.step(index, Event::Reply(Reply::Fetched(fetched)));
+        }
+        self.nodes[index].requests += 1;
+        self.config_reads += usize::from(matches!(call, Call::ReadConfiguration));
+        let is_unavailable = self.platform.unavailable_to.contains(&index);
+        let unavailable = || Error::Unavailable("unavailable".to_owned());
+        if self.platform.silent_to.contains(&index) {
+            return self.time_out(index, &call);
+        }
+        let reply = match call {
+            Call::Register { .. } if is_unavailable => Reply::Registered(Err(unavailable())),
+            Call::ListMembers if is_unavailable => Reply::Members(Err(unavailable())),
+            Call::ReadConfiguration | Call::WatchConfiguration { .. } if is_unavailable => {
+                Reply::Configuration(Err(unavailable()))
+            }
+            Call::CheckConfiguration { .. } if is_unavailable => Reply::Checked(Err(unavailable())),
+            Call::CheckConfiguration { .. } if self.platform.checks_find_no_history => {
+                Reply::Checked(Err(Error::Compacted))
+            }
+            Call::CheckConfiguration { after, .. } => {
+                Reply::Checked(Ok(match &self.platform.config {
+                    Some((revision, snapshot)) if *revision > after => {
+                        (*revision, Some(snapshot.clone()))
+                    }
+                    _ => (after, None),
+                }))
+            }
+            Call::Register { member, create } => {
+                let exists = self.platform.members.contains_key(member.node.as_str());
+                Reply::Registered(if exists == create {
+                    Err(Error::Conflict)
+                } else {
+                    let name = member.node.to_string();
+                    self.platform.writes += 1;
+                    self.platform.members.insert(name, *member);
+                    Ok(())
+                })
+            }
+            Call::ListMembers => {
+                Reply::Members(Ok(self.platform.members.values().cloned().collect()))
+            }
+            Call::ReadConfiguration => Reply::Configuration(match &self.platform.config {
+                Some((revision, snapshot)) => Ok((*revision, Some(snapshot.clone()))),
+                None => Err(Error::Compacted),
+            }),
+            Call::WatchConfiguration { after, wait } => {
+                self.nodes[index].pending_watch = Some((after, self.now.after(wait)));
+                return;
+            }
+            Call::ConfirmConfiguration(inquiry) if is_unavailable => {
+                Reply::Confirmed(inquiry, Err(unavailable()))
+            }
+            Call::ConfirmConfiguration(inquiry) => {
+                self.confirmations += 1;
+                let at = Revision(self.platform.revision);
+                let config = self.platform.config.as_ref();
+                let newer = config.filter(|(revision, _)| Some(*revision) > inquiry.after);
+                Reply::Confirmed(
+                    inquiry,
+                    Ok((at, newer.map(|(_, snapshot)| snapshot.clone()))),
+                )
+            }
+            Call::FetchConfiguration(_) => unreachable!("a fetch returns above"),
+        };
+        self.step(index, Event::Reply(reply));
+    }
+
+    /// Lets a request end with a timeout.
+    fn time_out(&mut self, index: usize, call: &Call) {
+        let error = || Error::Unavailable("timeout".to_owned());
+        let (timeout, reply) = match call {
+            Call::Register { .. } => (CALL_TIMEOUT, Reply::Registered(Err(error()))),
+            Call::ListMembers => (CALL_TIMEOUT, Reply::Members(Err(error()))),
+            Call::ReadConfiguration => (CALL_TIMEOUT, Reply::Configuration(Err(error()))),
+            Call::WatchConfiguration { wait, .. } => {
+                (wait.plus(CALL_TIMEOUT), Reply::Configuration(Err(error())))
+            }
+            Call::CheckConfiguration { timeout, .. } => (*timeout, Reply::Checked(Err(error()))),
+            Call::ConfirmConfiguration(inquiry) => {
+                (CALL_TIMEOUT, Reply::Confirmed(*inquiry, Err(error())))
+            }
+            Call::FetchConfiguration(_) => (CALL_TIMEOUT, Reply::Fetched(Err(error()))),
+        };
+        let at = self.now.after(timeout);
+        self.nodes[index].delayed.push((at, reply));
+    }
+
+    /// Delivers the responses that are due.
+    pub(super) fn respond_late(&mut self, index: usize) {
+        let delayed = std::mem::take(&mut self.nodes[index].delayed);
+        let (due, later) = delayed.into_iter().partition(|(at, _)| *at <= self.now);
+        self.nodes[index].delayed = later;
+        let due: Vec<(Timestamp, Reply)> = due;
+        for (_, reply) in due {
+            self.step(index, Event::Reply(reply));
+        }
+    }
+
+    /// Responds to a pending watch if the configuration has changed, the platform fails, or the
+    /// wait is over. A watch of a node to which the platform has fallen silent ends with a timeout.
+    pub(super) fn respond_to_watch(&mut self, index: usize) {
+        let Some((after, until)) = self.nodes[index].pending_watch else {
+            return;
+        };
+        let is_silent = self.platform.silent_to.contains(&index);
+        let change = match &self.platform.config {
+            Some((revision, snapshot)) if *revision > after && !self.platform.is_deaf => {
+                Some((*revision, Some(snapshot.clone())))
+            }
+            _ if self.now >= until => Some((after, None)),
+            _ => None,
+        };
+        let reply = if is_silent && self.now < until.after(CALL_TIMEOUT) {
+            return;
+        } else if is_silent || self.platform.unavailable_to.contains(&index) {
+            Err(Error::Unavailable("unavailable".to_owned()))
+        } else if self.platform.has_compacted {
+            Err(Error::Compacted)
+        } else if let Some(change) = change {
+            Ok(change)
+        } else {
+            return;
+        };
+        self.nodes[index].pending_watch = None;
+        self.step(index, Event::Reply(Reply::Configuration(reply)));
+    }
+}
--- a/crates/cicadagw-gossip/tests/support/record.rs
+++ b/crates/cicadagw-gossip/tests/support/record.rs
@@ -10,10 +10,14 @@
 use cicadagw_unit::Version;
 use cicadagw_unit::rate::{Burst, CallRate};
 use cicadagw_unit::size::Slots;
+use cicadagw_unit::time::{Span, Timestamp};
 
 /// The regions; nodes are assigned to them in turn.
 pub const REGIONS: [&str; 2] = ["kochi", "kozhikode"];
 
+/// The time after which a revoked key is not accepted anywhere.
+pub const REVOCATION: Span = Span::seconds(5);
+
 /// Returns a snapshot of this version with an otherwise empty configuration.
 pub fn snapshot(version: u64) -> Arc<Snapshot> {
     let preset: cicadagw_unit::id::Preset = "operator".parse().unwrap();
@@ -77,8 +81,26 @@
 /// Creates the state machine of node `index`, in one of two regions. The process started at
 /// `start_ms`; 1 stands for a node that was never registered.
 pub fn new_core(index: usize, start_ms: u64) -> Core {
+    Core::new(setup(index, start_ms))
+}
+
+/// Creates the state machine of node `index` where keys must not outlive their revocation.
+pub fn new_strict_core(index: usize, start_ms: u64) -> Core {
+    Core::new(Setup {
+        origin: origin(index),
+        revocation: Some(REVOCATION),
+        ..setup(index, start_ms)
+    })
+}
+
+/// Returns the host's time at which the clock of node `index` started; each host has its own.
+pub fn origin(index: usize) -> Timestamp {
+    Timestamp::new(10_000_000 * (index as u64 + 1))
+}
+
+fn setup(index: usize, start_ms: u64) -> Setup {
     let region = REGIONS[index % REGIONS.len()];
-    let setup = Setup::builder()
+    Setup::builder()
         .calls(address(index))
         .domain(format!("{region}-a").parse().unwrap())
         .first_start(start_ms == 1)
@@ -87,6 +109,5 @@
         .region(region.parse().unwrap())
         .seed(index as u64)
         .start_ms(start_ms)
-        .build();
-    Core::new(setup)
+        .build()
 }
--- a/crates/cicadagw-node/src/peering/gossip.rs
+++ b/crates/cicadagw-node/src/peering/gossip.rs
@@ -31,6 +31,7 @@
     pub(crate) cancel: CancellationToken,
     /// Cancelled when the node starts to shut down; the node then announces that it leaves.
     pub(crate) stop: CancellationToken,
+    pub(crate) clock: Clock,
     pub(crate) core: Core,
     pub(crate) meter: Meter,
     pub(crate) requests: Receiver<Request>,
@@ -48,7 +49,7 @@
     // Whether the ring of the admin duty is open.
     let mut has_admin = true;
     let mut event_loop = EventLoop {
-        clock: Clock::start(),
+        clock: setup.clock,
         core: setup.core,
         meter: setup.meter,
         rings: setup.rings,
@@ -156,6 +157,7 @@
                 Reply::Configuration(Err(error()))
             }
             Call::CheckConfiguration { .. } => Reply::Checked(Err(error())),
+            Call::ConfirmConfiguration(inquiry) => Reply::Confirmed(inquiry, Err(error())),
             Call::FetchConfiguration(_) => Reply::Fetched(Err(error())),
         })
     }
@@ -220,6 +222,10 @@
                 .is_some_and(|backend| backend.is_ready);
             log::info!(member:% = member.node, stamp:% = member.stamp, endpoint, is_ready, is_leaving = member.is_leaving; "{notice}");
         }
+        Notice::Fresh(age) => log::info!(age_ms = age.get(); "{notice}"),
+        Notice::Stale(age) => {
+            log::warn!(age_ms = age.get(), next = "the node refuses calls with keys until the platform or another node confirms the configuration"; "{notice}");
+        }
         Notice::PlatformAvailable | Notice::Watching(_) => log::info!("{notice}"),
         Notice::PlatformUnavailable {
             reason,
--- a/crates/cicadagw-node/src/peering/node.rs
+++ b/crates/cicadagw-node/src/peering/node.rs
@@ -9,13 +9,14 @@
 use cicadagw_ring::channel;
 use cicadagw_settings::{Peering, Settings};
 use cicadagw_unit::rate::Permille;
-use cicadagw_unit::time::Span;
-use cicadagw_view::Shared;
+use cicadagw_unit::time::{Span, Timestamp};
+use cicadagw_view::{Shared, host_time};
 use tokio_util::sync::CancellationToken;
 
 use super::rings::Rings;
 use super::sockets::Sockets;
 use super::{gossip, platform};
+use crate::clock::Clock;
 use crate::duty::Duty;
 use crate::{Adapter, Error};
 
@@ -61,20 +62,16 @@
     let cancel = CancellationToken::new();
     let stats = Arc::new(cicadagw_proxy::Stats::default());
 
-    let core = cicadagw_gossip::Setup::builder()
-        .calls(peering.nodes)
-        .domain(settings.domain.clone())
-        .first_start(peering.first_start)
-        .gossip(settings.link)
-        .node(settings.node.clone())
-        .region(settings.region.clone())
-        .seed(seed)
-        .start_ms(unix_milliseconds())
-        .build();
+    let origin = host_time();
+    let clock = match peering.revocation {
+        Some(_) => Clock::from_host_time(origin),
+        None => Clock::start(),
+    };
     let gossip = gossip::Setup {
         cancel: cancel.clone(),
         stop: stop.clone(),
-        core: Core::new(core),
+        clock,
+        core: Core::new(core_setup(settings, peering, origin, seed)),
         meter: meter.clone(),
         requests,
         rings: rings.gossip,
@@ -116,6 +113,7 @@
         .quota(rings.quota)
         .ready(sockets.ready)
         .retry_slack(peering.retry_slack.into())
+        .maybe_revocation(peering.revocation)
         .seed(seed)
         .service(peering.service.clone())
         .stats(stats)
@@ -148,6 +146,27 @@
     outcomes.into_iter().chain([calls_outcome]).collect()
 }
 
+/// Returns the parameters of the gossip core of a node whose clock started at `origin`.
+fn core_setup(
+    settings: &Settings,
+    peering: &Peering,
+    origin: Timestamp,
+    seed: u64,
+) -> cicadagw_gossip::Setup {
+    cicadagw_gossip::Setup::builder()
+        .calls(peering.nodes)
+        .domain(settings.domain.clone())
+        .first_start(peering.first_start)
+        .gossip(settings.link)
+        .node(settings.node.clone())
+        .origin(origin)
+        .region(settings.region.clone())
+        .maybe_revocation(peering.revocation)
+        .seed(seed)
+        .start_ms(unix_milliseconds())
+        .build()
+}
+
 /// Returns the milliseconds since 1970, as the start time of this run of the node.
 fn unix_milliseconds() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/cicadagw-node/src/peering/platform.rs
+++ b/crates/cicadagw-node/src/peering/platform.rs
@@ -13,7 +13,7 @@
 use cicadagw_gossip::{Call, Member, Reply};
 use cicadagw_meter::{Meter, Operation, PlatformOutcome};
 use cicadagw_platform::http::Client;
-use cicadagw_platform::{Condition, Error, Freshness, Key, Object, Revision, Store};
+use cicadagw_platform::{Condition, Error, Freshness, Key, Object, Position, Revision, Store};
 use cicadagw_proxy::SNAPSHOT_PATH;
 use cicadagw_settings::Settings;
 use cicadagw_unit::time::Span;
@@ -94,6 +94,11 @@
                 let checking = self.check(after, timeout);
                 Reply::Checked(self.observe(Operation::Check, checking).await)
             }
+            Call::ConfirmConfiguration(inquiry) => {
+                let confirming = self.confirm(inquiry.after);
+                let outcome = self.observe(Operation::Check, confirming).await;
+                Reply::Confirmed(inquiry, outcome)
+            }
             Call::FetchConfiguration(address) => {
                 let fetched = self.client.fetch(address, SNAPSHOT_PATH).await;
                 Reply::Fetched(fetched.and_then(|bytes| decode_snapshot(&bytes)))
@@ -175,6 +180,36 @@
         )
     }
 
+    /// Asks whether there is a configuration after the revision `after`, or reads it if there is no
+    /// such revision. Returns a revision up to which all changes are known, and the configuration if
+    /// there is one. Neither may be stale.
+    async fn confirm(
+        &self,
+        after: Option<Revision>,
+    ) -> Result<(Revision, Option<Arc<Snapshot>>), Error> {
+        let key = Key::head();
+        let position = match after {
+            Some(after) => Some(self.client.follow(&key, after, Span::new(0)).await?),
+            None => None,
+        };
+        let (at, object) = match position {
+            Some(Position { at, object: None }) => return Ok((at, None)),
+            Some(Position {
+                at,
+                object: Some(object),
+            }) if at > object.revision => (at, object),
+            // The changes may continue after the last one of the response.
+            _ => {
+                let object = self.client.get(&key).await?.ok_or(Error::Compacted)?;
+                (object.revision, object)
+            }
+        };
+        let snapshot = self.decode(&object).ok_or_else(|| {
+            Error::Refused("the configuration that is in force cannot be read".to_owned())
+        })?;
+        Ok((at, Some(snapshot)))
+    }
+
     /// Decodes a configuration. One that cannot be decoded is logged and ignored as a whole.
     fn decode(&self, object: &Object) -> Option<Arc<Snapshot>> {
         (self.adapter.parse_snapshot)(&object.value)
--- a/crates/cicadagw-proxy/src/ingress.rs
+++ b/crates/cicadagw-proxy/src/ingress.rs
@@ -60,7 +60,7 @@
         Err(reason) => Outcome::not_run(reason),
     };
     if !is_from_node {
-        node.stats.count_outcome(end.outcome());
+        node.stats.count_end(&end);
     }
     if let End::Answered(response) = &mut end {
         response.hold_call_guard(guard);
@@ -211,7 +211,8 @@
             node.peers.random(),
         );
         let found = found.ok_or(Reason::NoRoute)?;
-        let account = access.account(found.is_public, request.key.as_ref())?;
+        let is_stale = node.is_stale(routing);
+        let account = access.account(found.is_public, request.key.as_ref(), is_stale)?;
         (found.target.clone(), account.cloned())
     };
     Ok(Routed {
--- a/crates/cicadagw-proxy/src/node.rs
+++ b/crates/cicadagw-proxy/src/node.rs
@@ -7,15 +7,15 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use cicadagw_call::Registry;
 use cicadagw_call::refusal::History;
 use cicadagw_call::route::Index;
+use cicadagw_call::{Registry, access};
 use cicadagw_config::{Edge, Snapshot};
 use cicadagw_dialect::Dialect;
 use cicadagw_settings::{Budget, Timing};
 use cicadagw_unit::id;
 use cicadagw_unit::time::{Span, Timestamp};
-use cicadagw_view::{Shared, View};
+use cicadagw_view::{Shared, View, host_time};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
@@ -43,6 +43,8 @@
     pub(crate) pacer: Rc<Pacer>,
     pub(crate) peers: Rc<Peers>,
     pub(crate) quotas: Quotas,
+    /// The age of the configuration from which calls with keys are refused.
+    revocation: Option<Span>,
     /// The service whose callers run on this host.
     pub(crate) service: Option<id::Service>,
     pub(crate) stats: Arc<Stats>,
@@ -73,6 +75,7 @@
             pacer: Rc::new(Pacer::new(parts.link_rate)),
             peers: Rc::new(Peers::new(parts.locality, parts.retry_slack, parts.seed)),
             quotas: Quotas::new(clock, parts.quota_requests),
+            revocation: parts.revocation,
             service: parts.service,
             stats: parts.stats,
             timing: parts.timing,
@@ -200,7 +203,19 @@
 
     /// Returns whether the node is ready to accept calls.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_shutting_down() && self.routing().index.is_some()
+        let routing = self.routing();
+        let Some(index) = routing.index.as_ref().filter(|_| !self.is_shutting_down()) else {
+            return false;
+        };
+        !index.access().needs_key() || !self.is_stale(&routing)
+    }
+
+    /// Returns whether the configuration was not confirmed for so long that a key may have been
+    /// revoked in the meantime.
+    pub(crate) fn is_stale(&self, routing: &Routing) -> bool {
+        let confirmed_at = routing.view.as_ref().and_then(|view| view.confirmed_at);
+        self.revocation
+            .is_some_and(|limit| access::is_stale(host_time(), confirmed_at, limit))
     }
 
     /// Returns whether new calls are refused.
--- a/crates/cicadagw-proxy/src/parts.rs
+++ b/crates/cicadagw-proxy/src/parts.rs
@@ -26,6 +26,7 @@
     pub(crate) locality: Locality,
     pub(crate) quota_requests: Option<Sender<Request>>,
     pub(crate) retry_slack: Option<u64>,
+    pub(crate) revocation: Option<Span>,
     pub(crate) seed: u64,
     pub(crate) service: Option<id::Service>,
     pub(crate) stats: Arc<Stats>,
--- a/crates/cicadagw-proxy/src/run.rs
+++ b/crates/cicadagw-proxy/src/run.rs
@@ -54,6 +54,7 @@
         locality: setup.locality,
         quota_requests,
         retry_slack: setup.retry_slack,
+        revocation: setup.revocation,
         seed: setup.seed,
         service: setup.service,
         stats: setup.stats,
--- a/crates/cicadagw-proxy/src/setup.rs
+++ b/crates/cicadagw-proxy/src/setup.rs
@@ -55,6 +55,9 @@
     /// The number of unspent retries that the retry budgets of a service may accumulate on all
     /// nodes together. Without it, each node uses a fixed number.
     pub retry_slack: Option<u64>,
+    /// The age of the configuration from which calls with keys are refused, if keys must not outlive
+    /// their revocation.
+    pub revocation: Option<Span>,
     /// The seed of the random choices.
     pub seed: u64,
     /// The service whose callers run on this host.
--- a/crates/cicadagw-proxy/src/stats.rs
+++ b/crates/cicadagw-proxy/src/stats.rs
@@ -6,11 +6,14 @@
 
 use cicadagw_call::balancer::Summary;
 use cicadagw_call::{Load, Outcome, Reason, lifecycle, quota};
+use cicadagw_chart::Name;
 use cicadagw_meter::{Histogram, Latency};
 use cicadagw_unit::id;
 use cicadagw_unit::rate::CallRate;
 use cicadagw_unit::size::Slots;
 
+use crate::reply::End;
+
 /// The counters, the latency histogram and the state that the proxy publishes; other duties may
 /// read them at any time.
 #[derive(Debug, Default)]
@@ -24,6 +27,8 @@
     over_quota: AtomicU64,
     quota_unknown: AtomicU64,
     quotas: Mutex<quota::Counts>,
+    /// Calls of local callers that were not run, by the position of the reason in [`Reason::ALL`].
+    refused: [AtomicU64; Reason::ALL.len()],
     retries: AtomicU64,
     shed: AtomicU64,
     unknown: AtomicU64,
@@ -108,6 +113,12 @@
         }
     }
 
+    /// Returns how many calls of local callers were not run, for each reason.
+    pub fn refused(&self) -> impl Iterator<Item = (Reason, u64)> + '_ {
+        let counts = Reason::ALL.iter().copied().zip(&self.refused);
+        counts.map(|(reason, count)| (reason, count.load(Ordering::Relaxed)))
+    }
+
     /// Returns the state that was last published.
     pub fn state(&self) -> State {
         self.state.lock().map_or_else(
@@ -126,9 +137,14 @@
         self.added_latency.record(time);
     }
 
-    /// Counts a call of a local caller by its outcome.
-    pub(crate) fn count_outcome(&self, outcome: Outcome) {
-        let count = match outcome {
+    /// Counts a call of a local caller by its outcome, and by the reason if it was not run.
+    pub(crate) fn count_end(&self, end: &End) {
+        if let End::NotRun(reason) = end
+            && let Some(index) = Reason::ALL.iter().position(|other| other == reason)
+        {
+            self.refused[index].fetch_add(1, Ordering::Relaxed);
+        }
+        let count = match end.outcome() {
             Outcome::Answered => &self.answered,
             Outcome::NotRun => &self.not_run,
             Outcome::Unknown => &self.unknown,
--- a/crates/cicadagw-proxy/tests/access.rs
+++ b/crates/cicadagw-proxy/tests/access.rs
@@ -4,6 +4,7 @@
 
 use std::sync::Arc;
 
+use cicadagw_unit::time::Span;
 use support::caller::{Call, Response, get};
 use support::mesh::{Mesh, Node};
 use support::scripted::{Scripted, sealed};
@@ -34,7 +35,10 @@
 
 impl Fixture {
     async fn new() -> Self {
-        let mut mesh = Mesh::new();
+        Self::with_mesh(Mesh::new()).await
+    }
+
+    async fn with_mesh(mut mesh: Mesh) -> Self {
         mesh.set_dialect(Arc::new(Strict));
         mesh.configure(2, &config());
         let (near, far) = (mesh.node("near"), mesh.node("far"));
@@ -133,3 +137,52 @@
     let after = fixture.call(call()).await.status;
     assert_eq!((before, after), (200, 401));
 }
+
+#[tokio::test]
+async fn key_is_refused_while_the_configuration_may_be_outdated() {
+    let mut mesh = Mesh::new();
+    mesh.set_revocation(Span::seconds(5));
+    let mut fixture = Fixture::with_mesh(mesh).await;
+
+    for (age, expected) in [
+        (None, 503),
+        (Some(0), 200),
+        (Some(4_000), 200),
+        (Some(6_000), 503),
+        (Some(0), 200),
+    ] {
+        fixture.mesh.confirm(age.map(Span::new));
+        let response = fixture.call(get("/orders").header("t-key", KEY)).await;
+        let public = fixture.call(get("/status")).await;
+        let ready = get("/ready").send(fixture.near.ready).await;
+
+        assert_eq!((response.status, public.status), (expected, 200), "{age:?}");
+        assert_eq!(ready.status == 200, expected == 200, "{age:?}");
+        if expected == 503 {
+            assert_eq!(
+                (response.outcome(), response.reason()),
+                ("not-run", "stale")
+            );
+            assert!(response.headers.contains_key("retry-after"));
+        }
+    }
+}
+
+#[tokio::test]
+async fn call_that_another_node_has_accepted_runs_though_the_configuration_is_outdated() {
+    let mut mesh = Mesh::new();
+    mesh.set_revocation(Span::seconds(5));
+    let mut fixture = Fixture::with_mesh(mesh).await;
+    fixture.mesh.confirm(Some(Span::seconds(9)));
+    let call = get("/orders")
+        .header("x-cicadagw-endpoint", "orders-1")
+        .header("x-cicadagw-cluster", "orders")
+        .header("x-cicadagw-policy", "plain")
+        .header("x-cicadagw-account", "north")
+        .header("t-id", "a1");
+
+    let response = call.send(fixture.far.calls).await;
+
+    assert_eq!(response.status, 200);
+    assert_eq!(fixture.backend.received()[0].headers["t-account"], "north");
+}
--- a/crates/cicadagw-proxy/tests/support/mesh.rs
+++ b/crates/cicadagw-proxy/tests/support/mesh.rs
@@ -14,9 +14,9 @@
 use cicadagw_ring::{Receiver, Sender, channel};
 use cicadagw_settings::{Budget, Timing};
 use cicadagw_unit::size::{Bytes, Hops, Slots};
-use cicadagw_unit::time::Span;
+use cicadagw_unit::time::{Span, Timestamp};
 use cicadagw_unit::{Sequence, Version, id};
-use cicadagw_view::{Shared, View};
+use cicadagw_view::{Shared, View, host_time};
 use tokio_util::sync::CancellationToken;
 
 use super::backend::Backend;
@@ -55,10 +55,13 @@
 /// Creates nodes that share one view, and collects the endpoints that they report.
 pub struct Mesh {
     pub view: Shared,
+    /// When the configuration was confirmed, on the host's clock.
+    confirmed_at: Option<Timestamp>,
     dialect: Arc<dyn Dialect>,
     shutdown_delay: Span,
     drain: Span,
     records: BTreeMap<id::Endpoint, Record>,
+    revocation: Option<Span>,
     snapshot: Arc<Snapshot>,
 }
 
@@ -82,10 +85,12 @@
     pub fn new() -> Self {
         let mesh = Self {
             view: Shared::default(),
+            confirmed_at: None,
             dialect: Arc::new(Native),
             shutdown_delay: Span::new(0),
             drain: Timing::default().drain,
             records: BTreeMap::new(),
+            revocation: None,
             snapshot: snapshot(1, CONFIG),
         };
         mesh.publish();
@@ -103,6 +108,17 @@
         self.dialect = dialect;
     }
 
+    /// Sets the time after which revoked keys are not accepted, of nodes started from now on.
+    pub fn set_revocation(&mut self, span: Span) {
+        self.revocation = Some(span);
+    }
+
+    /// Publishes that the configuration was confirmed `age` ago, or never.
+    pub fn confirm(&mut self, age: Option<Span>) {
+        self.confirmed_at = age.map(|age| host_time().before(age));
+        self.publish();
+    }
+
     /// Sets the shutdown delay of nodes started from now on.
     pub fn set_shutdown_delay(&mut self, span: Span) {
         self.shutdown_delay = span;
@@ -150,6 +166,7 @@
                 requests: request_sender,
             })
             .ready(ready)
+            .maybe_revocation(self.revocation)
             .seed(7)
             .service("shop".parse().unwrap())
             .stats(stats.clone())
@@ -243,6 +260,7 @@
         }
         self.view.publish(View {
             quota_parts: 1,
+            confirmed_at: self.confirmed_at,
             departures: cicadagw_endpoint::Departures::default(),
             snapshot: Some(self.snapshot.clone()),
             endpoints: Arc::new(endpoints),
--- a/crates/cicadagw-settings/src/key.rs
+++ b/crates/cicadagw-settings/src/key.rs
@@ -53,6 +53,8 @@
     Ready,
     /// [`crate::Peering::retry_slack`].
     RetrySlack,
+    /// [`crate::Peering::revocation`].
+    Revocation,
     /// [`crate::Peering::service`].
     Service,
     /// [`Timing::drain`].
@@ -105,7 +107,7 @@
 
 impl Key {
     /// All keys, in the order in which they are rendered.
-    pub const ALL: [Self; 28] = [
+    pub const ALL: [Self; 29] = [
         Self::Node,
         Self::Region,
         Self::Domain,
@@ -128,6 +130,7 @@
         Self::Nodes,
         Self::Ready,
         Self::RetrySlack,
+        Self::Revocation,
         Self::Service,
         Self::Drain,
         Self::Heartbeat,
@@ -161,6 +164,7 @@
             Self::Nodes => "nodes",
             Self::Ready => "ready",
             Self::RetrySlack => "retry_slack",
+            Self::Revocation => "revocation",
             Self::Service => "service",
             Self::Drain => "drain",
             Self::Heartbeat => "heartbeat",
@@ -181,6 +185,7 @@
             | Self::Nodes
             | Self::Ready
             | Self::RetrySlack
+            | Self::Revocation
             | Self::Service => Some(Section::Peering),
             Self::Drain | Self::Heartbeat | Self::Lease | Self::Renewal | Self::Status => {
                 Some(Section::Timing)
@@ -214,6 +219,7 @@
             Self::Drain => Format::Span(0, 600_000),
             Self::Heartbeat | Self::Status => Format::Span(100, 60_000),
             Self::Lease | Self::Renewal => Format::Span(100, 300_000),
+            Self::Revocation => Format::Span(1_000, 300_000),
         }
     }
 
@@ -254,6 +260,9 @@
             Self::RetrySlack => {
                 "Number of retries that all nodes together may make for a service in its retry window, in addition to a share of its calls."
             }
+            Self::Revocation => {
+                "Time after which a key that was removed from the configuration is not accepted anywhere; a node that has not confirmed its configuration for that long refuses calls with keys."
+            }
             Self::Service => "Service of the host's backend server.",
             Self::Drain => "Time for calls in flight to finish when the node stops.",
             Self::Heartbeat => "Interval of the heartbeats between parent and child.",
@@ -268,7 +277,7 @@
         let budget = Budget::default();
         let timing = Timing::default();
         match self {
-            Self::AdminToken => Some("none".to_owned()),
+            Self::AdminToken | Self::Revocation => Some("none".to_owned()),
             key if key.section() == Some(Section::Peering) => {
                 Some("none; the section is complete or absent".to_owned())
             }
--- a/crates/cicadagw-settings/src/load.rs
+++ b/crates/cicadagw-settings/src/load.rs
@@ -143,7 +143,8 @@
     }
 }
 
-/// The result of reading the peering section, all of whose keys are required unless it is empty.
+/// The result of reading the peering section, all of whose keys but `revocation` are required unless
+/// it is empty.
 #[derive(Default)]
 enum PeeringSection {
     #[default]
@@ -167,7 +168,7 @@
     }
 }
 
-/// Reads the fields of the peering section, all of which are required.
+/// Reads the fields of the peering section, all of which but `revocation` are required.
 fn peering_fields(object: &Object<'_, '_>) -> Option<Peering> {
     let dialect = required(object, Key::Dialect);
     let first_start = object
@@ -181,6 +182,7 @@
     let ready = required_address(object, Key::Ready);
     let retry_slack = object.required(Key::RetrySlack.name());
     let retry_slack = retry_slack.and_then(|_| count(object, Key::RetrySlack));
+    let revocation = span(object, Key::Revocation);
     let service = required(object, Key::Service);
     object.report_unknown();
     Some(Peering {
@@ -191,6 +193,7 @@
         nodes: nodes?,
         ready: ready?,
         retry_slack: u32::try_from(retry_slack?).ok()?,
+        revocation,
         service: service?,
     })
 }
--- a/crates/cicadagw-settings/src/render.rs
+++ b/crates/cicadagw-settings/src/render.rs
@@ -94,6 +94,7 @@
         Key::Metrics => quoted(peering.metrics),
         Key::Nodes => quoted(peering.nodes),
         Key::Ready => quoted(peering.ready),
+        Key::Revocation => return peering.revocation.map(quoted),
         Key::RetrySlack => peering.retry_slack.to_string(),
         Key::Service => quoted(&peering.service),
         _ => return None,
--- a/crates/cicadagw-settings/src/settings.rs
+++ b/crates/cicadagw-settings/src/settings.rs
@@ -79,6 +79,9 @@
     /// The number of retries that all nodes together may make for a service in addition to a share
     /// of its calls.
     pub retry_slack: u32,
+    /// The time after which a revoked key is not accepted anywhere, if there is such a limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub revocation: Option<Span>,
     /// The service of the host's backend server.
     pub service: id::Service,
 }
--- a/crates/cicadagw-view/src/view.rs
+++ b/crates/cicadagw-view/src/view.rs
@@ -6,6 +6,7 @@
 use cicadagw_config::Snapshot;
 use cicadagw_endpoint::{Departures, Record};
 use cicadagw_unit::id;
+use cicadagw_unit::time::Timestamp;
 
 /// The records of the endpoints that accept new requests, by service.
 pub type Endpoints = BTreeMap<id::Service, Vec<Record>>;
@@ -15,6 +16,9 @@
 pub struct View {
     /// The active configuration snapshot of the node, or `None` before the first one arrives.
     pub snapshot: Option<Arc<Snapshot>>,
+    /// When the snapshot was current for certain, as [`host_time`](crate::host_time) tells the time:
+    /// it contains every change that was acknowledged before. `None` if that is not known.
+    pub confirmed_at: Option<Timestamp>,
     /// The backend servers that have left this host, as far as the duty that shares endpoints knows:
     /// other nodes remember them beyond a restart of this one.
     pub departures: Departures,
