Keep the tokens of a short account for calls in time

Where few calls of a short account arrive at a node, tokens came after the call was refused, and some expired. Ruled out: a shorter time to come back (the quota does not allow the calls any earlier); refusing late calls altogether (after the excess they run). Change: while an account is short, a call that has missed its target takes a token only if the node holds more than it expects calls in time. One call at a time waits while the owners are asked again. The share of a quota is split into decisions and requests.

--- a/crates/cicadagw-call/src/quota/share.rs
+++ b/crates/cicadagw-call/src/quota/share/core.rs
@@ -1,28 +1,16 @@
-//! A node's share of one quota: the tokens that it holds, and the requests for more.
+//! A node's share of one quota: the tokens that it holds, and the calls that wait for more.
 
-use cicadagw_chart::names;
-use cicadagw_unit::id;
-use cicadagw_unit::rate::{CallRate, Tokens};
+use cicadagw_unit::rate::CallRate;
 use cicadagw_unit::time::{Span, Timestamp};
 use smallvec::SmallVec;
 
-use super::chart::{Event, State, chart};
-use super::demand::Demand;
-use super::holding::{Asked, Holding, Status, Supply};
-use super::{Answer, Ask, Grant, Request};
-use crate::{Reason, Returns};
-
-/// The time for whose calls a node holds tokens, in milliseconds.
-const AHEAD_MS: u64 = 1_000;
-
-/// The share of these tokens below which the node asks for more, as a divisor.
-const AHEAD_LOW_DIVISOR: u32 = 3;
-
-/// The time for whose calls a node that is short asks each owner for tokens, in milliseconds.
-const SHORT_MS: u64 = 300;
-
-/// The most tokens that a node asks an owner for at once.
-const ASK_MAX: u64 = 10_000;
+use super::refill::SHORT_MS;
+use super::{Decision, Refusal, Ticket};
+use crate::Returns;
+use crate::quota::chart::{Event, State, chart};
+use crate::quota::demand::Demand;
+use crate::quota::holding::{Holding, Status, Supply};
+use crate::quota::{Answer, Grant};
 
 /// The time without a request after which the answers to earlier ones tell nothing any more.
 const ANSWERS_VALID: Span = Span::seconds(1);
@@ -40,70 +28,33 @@
 /// The time after which an unused share is forgotten.
 const IDLE_MAX: Span = Span::seconds(10);
 
-names! {
-    /// Why a call does not get a token.
-    pub enum Refusal {
-        /// The account has used its quota up.
-        Over = "over",
-        /// No owner of the quota answers.
-        Unknown = "unknown",
-    }
-}
-
-impl Refusal {
-    /// Returns the reason with which the call is refused.
-    pub const fn reason(self) -> Reason {
-        match self {
-            Self::Over => Reason::OverQuota,
-            Self::Unknown => Reason::QuotaUnknown,
-        }
-    }
-}
-
-/// What happens to a call.
+/// Whether a call has just arrived, or waits already.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Decision {
-    /// The call gets no token. Its caller may come back after `retry_in`, if that is known.
-    Refused {
-        /// Why it gets none.
-        refusal: Refusal,
-        /// When the quota is likely to allow the call.
-        retry_in: Option<Span>,
-    },
-    /// The call has taken a token.
-    Taken(Ticket),
-    /// The call waits for an answer of an owner; see [`Share::next_change`].
-    Wait,
-}
-
-/// A token that a call has taken.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Ticket {
-    /// The index of the part that the token belongs to.
-    part: usize,
-    taken: Timestamp,
+enum Arrival {
+    New,
+    Waiting,
 }
 
 /// A node's share of one quota.
 #[derive(Clone, Debug)]
 pub struct Share {
     /// When an owner was asked last.
-    asked: Timestamp,
+    pub(super) asked: Timestamp,
     /// The calls that arrive.
-    demand: Demand,
+    pub(super) demand: Demand,
     /// What the node holds of each part, nearest owner first.
-    holdings: SmallVec<[Holding; 4]>,
+    pub(super) holdings: SmallVec<[Holding; 4]>,
     /// When a change of the state was reported last.
     reported: Timestamp,
     /// The state that was reported last.
     reported_state: State,
     returns: Returns,
-    state: State,
+    pub(super) state: State,
     /// The tokens that arrive.
     supply: Demand,
     used: Timestamp,
     /// How many calls wait for a token.
-    waiting: u32,
+    pub(super) waiting: u32,
 }
 
 impl Share {
@@ -136,7 +87,7 @@
 
     /// Returns the state if it differs from the one that was returned last, at most once in
     /// [`REPORT_INTERVAL_MIN`].
-    pub(super) fn change(&mut self, now: Timestamp) -> Option<State> {
+    pub(in crate::quota) fn change(&mut self, now: Timestamp) -> Option<State> {
         let is_due = now.since(self.reported) >= REPORT_INTERVAL_MIN;
         if self.state == self.reported_state || !is_due {
             return None;
@@ -147,29 +98,38 @@
     }
 
     /// Returns whether the share is unused and may be forgotten.
-    pub(super) fn is_idle(&self, now: Timestamp) -> bool {
+    pub(in crate::quota) fn is_idle(&self, now: Timestamp) -> bool {
         self.waiting == 0 && now.since(self.used) >= IDLE_MAX
     }
 
     /// Adapts the share to another number of parts.
-    pub(super) fn set_parts(&mut self, parts: u16) {
+    pub(in crate::quota) fn set_parts(&mut self, parts: u16) {
         self.holdings.resize(usize::from(parts), Holding::default());
     }
 
-    /// Decides about a call that has just arrived.
-    pub fn arrive(&mut self, now: Timestamp) -> Decision {
+    /// Decides about a call that has just arrived. While the account is short of tokens, they go to
+    /// calls that can still meet their latency target; one that `is_late` gets a token only if those
+    /// held are more than the calls expected before the next ones.
+    pub fn arrive(&mut self, now: Timestamp, is_late: bool) -> Decision {
         self.used = now;
-        self.demand.add(now, 1);
         if now.since(self.asked) >= ANSWERS_VALID {
             self.step(Event::Outdated);
         }
+        if is_late && self.state == State::Short {
+            let needed = self.expected(now, SHORT_MS).saturating_add(self.waiting);
+            if self.tokens(now) <= needed {
+                return self.refuse(now, Refusal::Over);
+            }
+        } else {
+            self.demand.add(now, 1);
+        }
         // Tokens for which calls wait are theirs.
         if self.tokens(now) > self.waiting
             && let Some(ticket) = self.take(now)
         {
             return Decision::Taken(ticket);
         }
-        let decision = self.settle(now);
+        let decision = self.settle(now, Arrival::New);
         if decision == Decision::Wait {
             self.waiting += 1;
         }
@@ -181,7 +141,7 @@
         let decision = match self.take(now) {
             Some(ticket) => Decision::Taken(ticket),
             None if now.since(arrived) >= WAIT_MAX => self.refuse(now, Refusal::Unknown),
-            None => self.settle(now),
+            None => self.settle(now, Arrival::Waiting),
         };
         if decision != Decision::Wait {
             self.leave();
@@ -238,94 +198,6 @@
         }
     }
 
-    /// Returns the requests that are due, numbered from `number` on.
-    pub(super) fn requests(
-        &mut self,
-        now: Timestamp,
-        account: &id::Account,
-        number: &mut u64,
-    ) -> SmallVec<[Request; 2]> {
-        let mut requests = SmallVec::new();
-        for part in 0..self.holdings.len() {
-            let Some((waiting, ahead)) = self.wanted(now, part) else {
-                continue;
-            };
-            *number += 1;
-            let holding = &mut self.holdings[part];
-            let asked = Asked {
-                ahead,
-                at: now,
-                held: holding.tokens(now),
-                number: *number,
-                waiting,
-            };
-            holding.ask(asked);
-            self.asked = now;
-            requests.push(Request {
-                ask: Ask {
-                    account: account.clone(),
-                    ahead: Tokens::new(ahead),
-                    held: Tokens::new(asked.held),
-                    number: *number,
-                    waiting: Tokens::new(waiting),
-                },
-                part: u16::try_from(part).unwrap_or(u16::MAX),
-            });
-        }
-        requests
-    }
-
-    /// Returns how many tokens the owner of a part is to be asked for now, for waiting calls and ahead
-    /// of others; `None` if it is not to be asked.
-    fn wanted(&mut self, now: Timestamp, part: usize) -> Option<(u32, u32)> {
-        let status = self.holdings[part].status(now);
-        if status == Status::Silent {
-            // An owner that is back may have tokens for the calls that arrive next.
-            let is_due = self.holdings[part].is_probe_due(now);
-            return is_due.then_some((0, 1));
-        }
-        if status != Status::Ready {
-            return None;
-        }
-        match self.state {
-            State::Open => self.wanted_while_open(now, part),
-            State::Short | State::Silent => {
-                let is_due = self.holdings[part].is_ahead_due(now);
-                is_due.then(|| (0, self.expected(now, SHORT_MS).max(1)))
-            }
-        }
-    }
-
-    fn wanted_while_open(&mut self, now: Timestamp, part: usize) -> Option<(u32, u32)> {
-        let pending = |count: fn(Asked) -> u32| {
-            let asked = self.holdings.iter().filter_map(|holding| {
-                let asked = holding.asked()?;
-                (holding.peek(now) == Status::Pending).then(|| count(asked))
-            });
-            asked.fold(0, u32::saturating_add)
-        };
-        let held = self.tokens(now);
-        let waiting_lack = self
-            .waiting
-            .saturating_sub(held.saturating_add(pending(|asked| asked.waiting)));
-        let coming = held.saturating_add(pending(|asked| asked.ahead));
-        // A single call is no sign of further ones at this node.
-        let target = self.expected(now, AHEAD_MS).saturating_sub(1);
-        let is_low = coming <= target / AHEAD_LOW_DIVISOR && target > 0;
-        let ahead_lack = if is_low && self.holdings[part].is_ahead_due(now) {
-            target.saturating_sub(coming)
-        } else {
-            0
-        };
-        (waiting_lack > 0 || ahead_lack > 0).then_some((waiting_lack, ahead_lack))
-    }
-
-    /// Returns how many calls are expected to arrive in the next milliseconds.
-    fn expected(&mut self, now: Timestamp, milliseconds: u64) -> u32 {
-        let calls = self.demand.rate(now).milli() * milliseconds / 1_000_000;
-        u32::try_from(calls.min(ASK_MAX)).unwrap_or(u32::MAX)
-    }
-
     /// Takes a token from the part whose tokens come first.
     fn take(&mut self, now: Timestamp) -> Option<Ticket> {
         let part = self
@@ -336,17 +208,23 @@
     }
 
     /// Decides about a call for which there is no token.
-    fn settle(&mut self, now: Timestamp) -> Decision {
+    fn settle(&mut self, now: Timestamp, arrival: Arrival) -> Decision {
         let statuses: SmallVec<[Status; 4]> = self
             .holdings
             .iter_mut()
             .map(|holding| holding.status(now))
             .collect();
         let is_any = |status| statuses.contains(&status);
+        let is_asked = is_any(Status::Pending) || is_any(Status::Late);
+        let may_wait = match (self.state, arrival) {
+            (State::Open, _) | (_, Arrival::Waiting) => is_asked || is_any(Status::Ready),
+            // One call at a time waits while the owners are asked again; the others are refused.
+            (_, Arrival::New) => self.waiting == 0 && is_any(Status::Ready),
+        };
+        if may_wait {
+            return Decision::Wait;
+        }
         if self.state == State::Open {
-            if is_any(Status::Pending) || is_any(Status::Late) || is_any(Status::Ready) {
-                return Decision::Wait;
-            }
             self.step(if is_any(Status::Dry) {
                 Event::Unmet
             } else {
--- a/crates/cicadagw-call/src/quota/shares.rs
+++ b/crates/cicadagw-call/src/quota/shares.rs
@@ -45,9 +45,15 @@
         }
     }
 
-    /// Decides about a call of `account` that has just arrived. The quota is divided into `parts`
-    /// parts.
-    pub fn arrive(&mut self, now: Timestamp, account: &id::Account, parts: u16) -> Decision {
+    /// Decides about a call of `account` that has just arrived, and that `is_late` for its latency
+    /// target. The quota is divided into `parts` parts.
+    pub fn arrive(
+        &mut self,
+        now: Timestamp,
+        account: &id::Account,
+        parts: u16,
+        is_late: bool,
+    ) -> Decision {
         if !self.by_account.contains_key(account) {
             self.by_account.insert(account.clone(), Share::new(parts));
         }
@@ -55,7 +61,7 @@
             unreachable!("the share was inserted if it was missing");
         };
         share.set_parts(parts);
-        share.arrive(now)
+        share.arrive(now, is_late)
     }
 
     /// Decides about a call that arrived at `arrived` and has waited since.
--- a/crates/cicadagw-call/tests/quota/main.rs
+++ b/crates/cicadagw-call/tests/quota/main.rs
@@ -30,7 +30,7 @@
     Grant {
         account: ask.account.clone(),
         answer: Answer::Granted {
-            is_dry: tokens == 0,
+            is_dry: true,
             pace: Span::new(100),
             tokens: Tokens::new(tokens),
         },
@@ -178,7 +178,7 @@
 fn token_that_is_given_back_is_spent_again() {
     let mut shares = Shares::new(0);
     let account = account("club");
-    shares.arrive(at(0), &account, 1);
+    shares.arrive(at(0), &account, 1, false);
     let asked = shares.requests(at(0), &account);
     shares.grant(at(1), &granted(&asked[0].ask, 1));
     let Decision::Taken(ticket) = shares.wait(at(1), &account, at(0)) else {
@@ -187,7 +187,7 @@
 
     shares.give_back(at(100), &account, ticket);
 
-    let decision = shares.arrive(at(101), &account, 1);
+    let decision = shares.arrive(at(101), &account, 1, false);
     assert!(matches!(decision, Decision::Taken(_)), "{decision:?}");
 }
 
@@ -195,11 +195,11 @@
 fn call_is_refused_at_once_while_no_owner_answers() {
     let mut shares = Shares::new(0);
     let account = account("club");
-    assert_eq!(shares.arrive(at(0), &account, 1), Decision::Wait);
+    assert_eq!(shares.arrive(at(0), &account, 1, false), Decision::Wait);
     shares.requests(at(0), &account);
     let first = shares.wait(at(300), &account, at(0));
 
-    let second = shares.arrive(at(310), &account, 1);
+    let second = shares.arrive(at(310), &account, 1, false);
 
     let refused = Decision::Refused {
         refusal: Refusal::Unknown,
@@ -213,12 +213,12 @@
 fn callers_over_the_quota_are_asked_to_come_back_one_after_the_other() {
     let mut shares = Shares::new(0);
     let account = account("club");
-    shares.arrive(at(0), &account, 1);
+    shares.arrive(at(0), &account, 1, false);
     let asked = shares.requests(at(0), &account);
     shares.grant(at(1), &granted(&asked[0].ask, 0));
 
     let waits: Vec<_> = (2..5)
-        .map(|time| match shares.arrive(at(time), &account, 1) {
+        .map(|time| match shares.arrive(at(time), &account, 1, false) {
             Decision::Refused { retry_in, .. } => retry_in.unwrap(),
             decision => panic!("{decision:?}"),
         })
@@ -227,6 +227,30 @@
     assert!(waits.windows(2).all(|pair| pair[0] <= pair[1]), "{waits:?}");
 }
 
+#[test]
+fn late_calls_leave_the_tokens_of_a_short_account_to_calls_in_time() {
+    let mut shares = Shares::new(0);
+    let account = account("club");
+    for time in 0..20 {
+        let decision = shares.arrive(at(time), &account, 1, false);
+        assert_eq!(decision, Decision::Wait);
+    }
+    let asked = shares.requests(at(20), &account);
+    shares.grant(at(21), &granted(&asked[0].ask, 0));
+    for time in 0..20 {
+        let decision = shares.wait(at(21), &account, at(time));
+        assert!(matches!(decision, Decision::Refused { .. }), "{decision:?}");
+    }
+    let asked = shares.requests(at(200), &account);
+    shares.grant(at(201), &granted(&asked[0].ask, 1));
+
+    let late = shares.arrive(at(202), &account, 1, true);
+    let in_time = shares.arrive(at(203), &account, 1, false);
+
+    assert!(matches!(late, Decision::Refused { .. }), "{late:?}");
+    assert!(matches!(in_time, Decision::Taken(_)), "{in_time:?}");
+}
+
 #[test]
 fn lower_quota_binds_within_the_lifetime_of_grants() {
     let mut network = fleet(6);
--- a/crates/cicadagw-call/tests/quota/network.rs
+++ b/crates/cicadagw-call/tests/quota/network.rs
@@ -119,7 +119,7 @@
         }
         let now = Timestamp::new(self.now);
         let parts = u16::try_from(self.domains).unwrap();
-        let decision = self.nodes[node].shares.arrive(now, account, parts);
+        let decision = self.nodes[node].shares.arrive(now, account, parts, false);
         self.settle(account, self.now, decision);
         if decision == Decision::Wait {
             let waiting = &mut self.nodes[node].waiting;
--- a/crates/cicadagw-proxy/src/ingress.rs
+++ b/crates/cicadagw-proxy/src/ingress.rs
@@ -127,7 +127,8 @@
             priority,
             target,
         }) => {
-            let token = match take_token(node, &routing, request, account.as_ref()).await {
+            let latency = target.policy.target_latency;
+            let token = match take_token(node, &routing, request, account.as_ref(), latency).await {
                 Ok(token) => token,
                 Err(refused) => return refused,
             };
@@ -165,6 +166,7 @@
     routing: &Routing,
     request: &Request,
     account: Option<&id::Account>,
+    target_latency: Option<Span>,
 ) -> Result<Option<Token>, Outcome> {
     let Some((account, parts)) =
         account.and_then(|account| Some((account, routing.quota(account)?)))
@@ -174,7 +176,10 @@
     if request.selection.is_some() {
         return Ok(None);
     }
-    let taken = request.track_wait(node.quotas.take(account, parts)).await;
+    let due = target_latency.map(|latency| request.first_arrival.after(latency));
+    let is_late = due.is_some_and(|due| due < request.arrival);
+    let taking = node.quotas.take(account, parts, is_late);
+    let taken = request.track_wait(taking).await;
     taken.map(Some).map_err(|refused| {
         node.stats.count_quota_refusal(refused.reason);
         Outcome {
--- a/crates/cicadagw-proxy/src/quotas.rs
+++ b/crates/cicadagw-proxy/src/quotas.rs
@@ -53,10 +53,19 @@
         }
     }
 
-    /// Takes a token for a call of `account`, whose quota is divided into `parts` parts.
-    pub(crate) async fn take(&self, account: &id::Account, parts: u16) -> Result<Token, Refused> {
+    /// Takes a token for a call of `account`, whose quota is divided into `parts` parts; `is_late` tells
+    /// whether the call has missed its latency target.
+    pub(crate) async fn take(
+        &self,
+        account: &id::Account,
+        parts: u16,
+        is_late: bool,
+    ) -> Result<Token, Refused> {
         let arrived = self.clock.now();
-        let mut decision = self.shares.borrow_mut().arrive(arrived, account, parts);
+        let mut decision = self
+            .shares
+            .borrow_mut()
+            .arrive(arrived, account, parts, is_late);
         let mut waiting = Waiting {
             account,
             is_counted: decision == Decision::Wait,
