--- a/crates/cicadagw-admin/src/metrics.rs
+++ b/crates/cicadagw-admin/src/metrics.rs
@@ -309,6 +309,17 @@
             "Calls refused by admission control because the local backend server had no free slot",
             |sources, instrument| instrument.observe(sources.calls.counts().shed, &[]),
         );
+        self.counter(
+            "calls_shed_by_priority",
+            "",
+            "Calls refused by admission control, by priority; 3 includes all less urgent ones",
+            |sources, instrument| {
+                let counts = sources.calls.counts().shed_by_priority;
+                for (count, priority) in counts.into_iter().zip(0_i64..) {
+                    instrument.observe(count, &[KeyValue::new("priority", priority)]);
+                }
+            },
+        );
         self.counter(
             "calls_limited",
             "",
--- a/crates/cicadagw-call/src/admission/core.rs
+++ b/crates/cicadagw-call/src/admission/core.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Returns the average work time of a call under `policy`, or under any before the first sample.
+    pub fn average_work(&self, policy: &id::Policy) -> Span {
+        self.work.of(policy)
+    }
+
     /// Returns the number of queued calls.
     pub fn waiting(&self) -> usize {
         self.queue.len()
--- a/crates/cicadagw-call/tests/room/main.rs
+++ b/crates/cicadagw-call/tests/room/main.rs
@@ -207,9 +207,9 @@
 
 #[test]
 fn a_large_account_is_served_as_often_as_small_ones_when_all_send_more() {
-    let burst = |ms| if ms > 20_000 { 12 } else { 6 };
+    let burst = |ms| if ms > 20_000 { 8 } else { 2 };
     let kinds = [
-        of_account("large", |ms| if ms > 20_000 { 40 } else { 20 }),
+        of_account("large", |ms| if ms > 20_000 { 120 } else { 30 }),
         of_account("a", burst),
         of_account("b", burst),
         of_account("c", burst),
--- a/crates/cicadagw-proxy/src/backend.rs
+++ b/crates/cicadagw-proxy/src/backend.rs
@@ -105,6 +105,11 @@
         self.admission.borrow_mut().record_size(policy, size);
     }
 
+    /// Returns the average work time of a call under `policy`.
+    pub(crate) fn average_work(&self, policy: &id::Policy) -> Span {
+        self.admission.borrow().average_work(policy)
+    }
+
     /// Waits for a slot until `deadline`.
     ///
     /// # Errors
--- a/crates/cicadagw-proxy/src/delivery.rs
+++ b/crates/cicadagw-proxy/src/delivery.rs
@@ -128,7 +128,10 @@
         Err(Refusal { reason, wait }) => {
             match reason {
                 Reason::Limited => node.stats.count_limited(),
-                Reason::Shed => node.stats.count_shed(),
+                Reason::Shed => {
+                    node.stats.count_shed(call.priority);
+                    log_shed(node, &backend, call);
+                }
                 _ => {}
             }
             Outcome {
@@ -140,6 +143,28 @@
     }
 }
 
+/// Logs that admission control has no room for a call, with what decided that.
+fn log_shed(node: &Node, backend: &Backend, call: Call<'_>) {
+    let now = node.clock.now();
+    let left_ms = call.deadline.since(now).get();
+    let target_left_ms = call.soft_deadline().map(|target| target.since(now).get());
+    let account = call.account.map(ToString::to_string);
+    let policy = &call.target.policy_name;
+    log::info!(
+        id = call.request.id(),
+        endpoint:% = backend.endpoint,
+        account:?,
+        policy:%,
+        priority:% = call.priority,
+        policy_priority:% = call.target.policy.priority,
+        load:? = backend.load(),
+        work_ms = backend.average_work(policy).get(),
+        target_left_ms:?,
+        left_ms;
+        "a backend server of this host has no room for a call"
+    );
+}
+
 /// Sends a call that has a slot to the backend server, and classifies the response.
 async fn send(node: &Rc<Node>, backend: &Rc<Backend>, slot: Slot, call: Call<'_>) -> Outcome {
     let names = node.dialect.header_names();
--- a/crates/cicadagw-proxy/src/stats.rs
+++ b/crates/cicadagw-proxy/src/stats.rs
@@ -9,11 +9,14 @@
 use cicadagw_chart::Name;
 use cicadagw_meter::{Histogram, Latency};
 use cicadagw_unit::id;
-use cicadagw_unit::rate::CallRate;
+use cicadagw_unit::rate::{CallRate, Priority};
 use cicadagw_unit::size::Slots;
 
 use crate::reply::End;
 
+/// How many priorities are counted apart; the last count includes all less urgent calls.
+pub const PRIORITIES: usize = 4;
+
 /// The counters, the latency histogram and the state that the proxy publishes; other duties may
 /// read them at any time.
 #[derive(Debug, Default)]
@@ -30,7 +33,7 @@
     /// Calls of local callers that were not run, by the position of the reason in [`Reason::ALL`].
     refused: [AtomicU64; Reason::ALL.len()],
     retries: AtomicU64,
-    shed: AtomicU64,
+    shed: [AtomicU64; PRIORITIES],
     unknown: AtomicU64,
     state: Mutex<State>,
 }
@@ -60,6 +63,8 @@
     pub retries: u64,
     /// Calls shed by the admission control of a local backend server.
     pub shed: u64,
+    /// These calls by priority, the most urgent first.
+    pub shed_by_priority: [u64; PRIORITIES],
     /// Calls of local callers of which it is not known whether they were executed.
     pub unknown: u64,
 }
@@ -98,6 +103,7 @@
     /// Returns the values of the counters.
     pub fn counts(&self) -> Counts {
         let read = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        let shed_by_priority = self.shed.each_ref().map(read);
         Counts {
             answered: read(&self.answered),
             in_flight: read(&self.in_flight),
@@ -108,7 +114,8 @@
             quota_unknown: read(&self.quota_unknown),
             quotas: self.quotas(),
             retries: read(&self.retries),
-            shed: read(&self.shed),
+            shed: shed_by_priority.iter().sum(),
+            shed_by_priority,
             unknown: read(&self.unknown),
         }
     }
@@ -183,8 +190,9 @@
         *self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(crate) fn count_shed(&self) {
-        self.shed.fetch_add(1, Ordering::Relaxed);
+    pub(crate) fn count_shed(&self, priority: Priority) {
+        let index = usize::from(priority.get()).min(PRIORITIES - 1);
+        self.shed[index].fetch_add(1, Ordering::Relaxed);
     }
 
     pub(crate) fn start_call(&self) {
