--- a/crates/cicadagw-gossip/src/core/confirmation.rs
+++ b/crates/cicadagw-gossip/src/core/confirmation.rs
@@ -27,15 +27,15 @@
         let at = self.host_time(now);
         let rank = (self.is_watcher && self.source.is_synced())
             .then(|| self.watchers.rank(now, &self.table, &self.own));
-        let has_no_configuration = self.snapshot.is_none();
         let version = self.version();
-        let Some(freshness) = &mut self.freshness else {
-            return;
-        };
         // A node without a configuration reads it first, which confirms it as well.
-        if has_no_configuration {
+        let has_accounts = |snapshot: &Arc<Snapshot>| !snapshot.config.accounts.is_empty();
+        if !self.snapshot.as_ref().is_some_and(has_accounts) {
             return;
         }
+        let Some(freshness) = &mut self.freshness else {
+            return;
+        };
         if freshness.must_ask_platform(at, rank, &mut self.rng) {
             let after = freshness.revision();
             let inquiry = Inquiry { after, at, version };
@@ -132,7 +132,11 @@
                     freshness.forget_history();
                 }
             }
-            Err(_) => {}
+            Err(_) => {
+                if let Some(freshness) = &mut self.freshness {
+                    freshness.record_failure();
+                }
+            }
         }
     }
 
--- a/crates/cicadagw-gossip/src/freshness.rs
+++ b/crates/cicadagw-gossip/src/freshness.rs
@@ -31,9 +31,12 @@
 /// How many questions to peers may be open at once.
 const QUESTIONS_MAX: usize = 4;
 
-/// Minimum time between two requests to the platform.
+/// Minimum time between two requests to the platform, doubled with each that fails in a row.
 const INQUIRY_GAP: Permille = Permille::new(140);
 
+/// How many failed requests to the platform make that time longer.
+const DOUBLINGS_MAX: u32 = 2;
+
 /// The newest configuration of the platform at a moment.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Confirmation {
@@ -61,6 +64,8 @@
     question_due: Timestamp,
     /// Earliest time of the next request to the platform.
     inquiry_due: Timestamp,
+    /// How many requests to the platform have failed since the last confirmation.
+    failures: u32,
     /// How much later than usual a node that is no watcher asks the platform next.
     fallback_delay: Span,
     /// Whether the store no longer has the history since the confirmed revision.
@@ -79,6 +84,7 @@
             repeats: 0,
             question_due: Timestamp::default(),
             inquiry_due: Timestamp::default(),
+            failures: 0,
             fallback_delay: Span::default(),
             has_compacted: false,
             limit,
@@ -118,7 +124,8 @@
         if self.age(at) < due_age || at < self.inquiry_due {
             return false;
         }
-        self.inquiry_due = at.after(self.share(INQUIRY_GAP));
+        let gap = self.share(INQUIRY_GAP);
+        self.inquiry_due = at.after(gap.times(1 << self.failures.min(DOUBLINGS_MAX)));
         let delay_max = self.share(FALLBACK_JITTER).get();
         self.fallback_delay = Span::new(rng.random_range(0..=delay_max));
         true
@@ -181,6 +188,7 @@
         }
         self.held = Some(confirmation);
         self.has_compacted = false;
+        self.failures = 0;
         true
     }
 
@@ -201,6 +209,11 @@
         self.age(at) >= self.limit
     }
 
+    /// Records that a request to the platform failed.
+    pub(crate) const fn record_failure(&mut self) {
+        self.failures = self.failures.saturating_add(1);
+    }
+
     /// Records that the store no longer has the history since the confirmed revision.
     pub(crate) const fn forget_history(&mut self) {
         self.has_compacted = true;
--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -95,6 +95,13 @@
         }
     }
 
+    /// Stores a configuration of this version with a client account at the platform.
+    pub fn publish_account(&mut self, version: u64) {
+        self.publish_configuration(version);
+        let revision = Revision(self.platform.revision);
+        self.platform.config = Some((revision, snapshot_with_quota(version)));
+    }
+
     /// Creates a fleet in which keys must not outlive their revocation.
     pub fn strict(count: usize) -> Self {
         let mut fleet = Self::new(0);
