--- a/crates/cicadagw-gossip/src/core/quota.rs
+++ b/crates/cicadagw-gossip/src/core/quota.rs
@@ -175,7 +175,8 @@
         })
     }
 
-    fn has_quotas(&self) -> bool {
+    /// Returns whether the configuration contains quotas.
+    pub(super) fn has_quotas(&self) -> bool {
         let has_quota = |account: &account::Account| account.quota.is_some();
         let snapshot = self.snapshot.as_ref();
         snapshot.is_some_and(|snapshot| snapshot.config.accounts.values().any(has_quota))
--- a/crates/cicadagw-gossip/tests/quota.rs
+++ b/crates/cicadagw-gossip/tests/quota.rs
@@ -118,6 +118,28 @@
     assert!(later.is_some_and(|tokens| tokens <= 8), "{later:?}");
 }
 
+#[test]
+fn nodes_that_have_left_own_no_part_after_all_others_have_restarted() {
+    let mut fleet = fleet(12);
+    (0..4).for_each(|part| assert!(ask(&mut fleet, 3, part, 1).is_some()));
+    let left = (0..12).find(|index| owns(&fleet, *index)).unwrap();
+    fleet.step(left, Event::Shutdown);
+    fleet.run(Span::seconds(1));
+    fleet.isolated.insert(left);
+
+    for index in (0..12).filter(|index| *index != left) {
+        fleet.restart(index, 100_000);
+    }
+    fleet.run(Span::seconds(12));
+    for index in (0..12).filter(|index| *index != left) {
+        configure(&mut fleet, index);
+    }
+
+    let asker = (0..12).find(|index| *index != left).unwrap();
+    let answers: Vec<_> = (0..4).map(|part| ask(&mut fleet, asker, part, 2)).collect();
+    assert!(answers.iter().all(Option::is_some), "{answers:?}");
+}
+
 /// Returns whether a node has granted tokens of a part.
 fn owns(fleet: &Fleet, index: usize) -> bool {
     fleet.nodes[index].core.quotas_owned() > 0
