Bound what clients that are not controlled can take from a node

Cause: nothing bounded what all connections hold together. Each connection ran up to 32 requests at once whether or not its client read the responses, each response was buffered up to 256 KiB and each upload up to 64 KiB, and connections were accepted until descriptors ran out, after which nothing was accepted and no connection to another node or a backend server could be made.

Ruled out: the kernel's buffers (the resident memory of the process grows); a leak (memory stays constant once all clients are blocked).

Change: a ledger counts the memory of connections, requests in flight and bodies. While half of its budget, a quarter of budget.memory_mb, is held, requests sent ahead wait in the client's socket and bodies are streamed; from three quarters on, connections whose clients stall are closed; when all is held, requests are refused before they are read further. Connections of each listener, requests read ahead and calls in flight to one service have shares of budget.descriptors. A connection whose requests sent ahead are refused again and again is read more slowly.

--- a/crates/cicadagw-admin/src/metrics.rs
+++ b/crates/cicadagw-admin/src/metrics.rs
@@ -333,6 +333,19 @@
                 instrument.observe(sources.calls.counts().limited_endpoints, &[]);
             },
         );
+        self.counter(
+            "connections_closed",
+            "",
+            "Connections of clients closed or refused to make room for others",
+            |sources, instrument| {
+                instrument.observe(sources.calls.counts().connections_closed, &[]);
+            },
+        );
+        self.gauge(
+            "held_bytes",
+            "Memory that connections and calls of clients hold",
+            |sources, instrument| instrument.observe(sources.calls.counts().held_bytes, &[]),
+        );
         self.gauge(
             "calls_in_flight",
             "Calls in flight",
--- a/crates/cicadagw-dev/tests/crowd/fixture.rs
+++ b/crates/cicadagw-dev/tests/crowd/fixture.rs
@@ -125,6 +125,18 @@
         })
     }
 
+    /// Sends `request`, whose connection closes after the response, and returns the response.
+    pub(crate) fn exchange(&self, request: &[u8]) -> Vec<u8> {
+        self.runtime.block_on(async {
+            let mut stream = TcpStream::connect(self.calls()).await.unwrap();
+            stream.write_all(request).await.unwrap();
+            let mut response = Vec::new();
+            let reading = stream.read_to_end(&mut response);
+            timeout(ANSWER_GUARD, reading).await.unwrap().unwrap();
+            response
+        })
+    }
+
     /// Asserts that all nodes are alive, that each has stayed within the memory of its host, that
     /// limited descriptors leave the reserve for files, and that an ordinary request is answered.
     pub(crate) fn assert_serves_within_bounds(&mut self) {
--- a/crates/cicadagw-dev/tests/crowd/main.rs
+++ b/crates/cicadagw-dev/tests/crowd/main.rs
@@ -5,6 +5,7 @@
 //! within those of the smallest host, and that an ordinary request is answered beside the crowd.
 //! Nothing depends on the speed of the machine.
 
+mod calm;
 mod descriptors;
 mod fixture;
 mod members;
--- a/crates/cicadagw-http/src/body.rs
+++ b/crates/cicadagw-http/src/body.rs
@@ -29,6 +29,14 @@
 }
 
 impl Body {
+    /// Returns the number of bytes that are held in memory; parts of a stream do not count.
+    pub(crate) fn buffered_len(&self) -> usize {
+        match self {
+            Self::Buffered(bytes) => bytes.len(),
+            Self::Empty | Self::Streamed { .. } => 0,
+        }
+    }
+
     /// Returns the framing of the body on the next hop.
     pub fn framing(&self) -> Framing {
         match self {
--- a/crates/cicadagw-http/src/server/accept.rs
+++ b/crates/cicadagw-http/src/server/accept.rs
@@ -11,10 +11,11 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::Service;
+use super::connections::Registration;
 use super::queue::Queue;
 use super::reader::Reader;
 use super::writer::Writer;
+use super::{Connections, Service};
 
 /// The buffer size for discarding input while a connection closes, in bytes.
 const READ_BYTES: usize = 16 << 10;
@@ -29,10 +30,29 @@
 /// Accepts and serves connections of `listener` until `token` is cancelled, and then waits until all
 /// connections have ended. Idle ones are closed, and the others complete their responses.
 pub async fn serve<S: Service>(listener: TcpListener, service: Rc<S>, token: CancellationToken) {
+    serve_within(listener, service, token, Rc::default()).await;
+}
+
+/// As [`serve`], with the bounds of `connections`. A connection for which there is no room is closed
+/// unread.
+pub async fn serve_within<S: Service>(
+    listener: TcpListener,
+    service: Rc<S>,
+    token: CancellationToken,
+    open: Rc<Connections>,
+) {
     let connections = TaskTracker::new();
     let start = |stream| {
-        let connection = connection(stream, service.clone(), token.clone());
-        connections.spawn_local(connection);
+        if let Some(registration) = open.register() {
+            let connection = connection(
+                stream,
+                service.clone(),
+                token.clone(),
+                open.clone(),
+                registration,
+            );
+            connections.spawn_local(connection);
+        }
     };
     accept_until(&token, &listener, &start).await;
     // The clients of connections in the backlog may have sent requests already; closing the
@@ -66,12 +86,19 @@
     }
 }
 
-async fn connection<S: Service>(mut stream: TcpStream, service: Rc<S>, token: CancellationToken) {
+async fn connection<S: Service>(
+    mut stream: TcpStream,
+    service: Rc<S>,
+    token: CancellationToken,
+    open: Rc<Connections>,
+    registration: Registration,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:%; "failed to set TCP_NODELAY on an accepted connection");
         return;
     }
-    let queue = Queue::default();
+    let entry = &registration.entry;
+    let queue = Queue::new(open.ledger().clone(), entry.clone());
     let end = {
         let (reader, writer) = stream.split();
         let reader = Reader {
@@ -80,6 +107,8 @@
             queue: &queue,
             service: &service,
             token: &token,
+            open: &open,
+            held: open.ledger().hold(0),
         };
         let writer = Writer {
             half: writer,
@@ -88,6 +117,7 @@
         };
         tokio::select! {
             biased;
+            () = entry.token.cancelled() => End::Evicted,
             end = reader.run() => end,
             end = writer.run() => end,
         }
@@ -101,7 +131,7 @@
     drop(queue);
     if end == End::Closed {
         // All responses are written; a closing server does not wait for its clients to close.
-        tokio::task::spawn_local(lingering_close(stream));
+        tokio::task::spawn_local(lingering_close(stream, registration));
     }
 }
 
@@ -112,9 +142,11 @@
     Disconnected,
     /// The server wrote its last response, or the connection was idle for too long.
     Closed,
+    /// It was closed to make room for others.
+    Evicted,
 }
 
-async fn lingering_close(mut stream: TcpStream) {
+async fn lingering_close(mut stream: TcpStream, registration: Registration) {
     if stream.shutdown().await.is_err() {
         return;
     }
@@ -125,5 +157,8 @@
         }
     };
     // A client that does not close its side in time is cut off.
-    timeout(LINGER_TIMEOUT, draining).await.ok();
+    tokio::select! {
+        _ = timeout(LINGER_TIMEOUT, draining) => {}
+        () = registration.entry.token.cancelled() => {}
+    }
 }
--- a/crates/cicadagw-http/src/server/mod.rs
+++ b/crates/cicadagw-http/src/server/mod.rs
@@ -2,10 +2,14 @@
 //! order.
 
 mod accept;
+pub mod backoff;
+mod connections;
 mod queue;
 mod reader;
 mod service;
+pub mod standing;
 mod writer;
 
-pub use accept::serve;
+pub use accept::{serve, serve_within};
+pub use connections::Connections;
 pub use service::{Limits, Refusal, Reply, Service};
--- a/crates/cicadagw-http/src/server/queue.rs
+++ b/crates/cicadagw-http/src/server/queue.rs
@@ -7,7 +7,9 @@
 use tokio::sync::Notify;
 
 use super::Reply;
-use crate::Task;
+use super::connections::Entry;
+use crate::ledger::Held;
+use crate::{Ledger, Task};
 
 /// The maximum number of pipelined requests of one connection that run concurrently; further
 /// requests are not read until a response was written.
@@ -15,7 +17,6 @@
 
 /// The requests of a connection that await their responses, in the order in which they were
 /// received.
-#[derive(Default)]
 pub(super) struct Queue {
     pub(super) pending: RefCell<VecDeque<Pending>>,
     /// The number of requests in `pending`, plus the one whose response is being written, if any.
@@ -23,10 +24,14 @@
     /// Whether the connection closes after the response that is being written; requests behind it
     /// are not dispatched.
     is_closing: Cell<bool>,
+    /// The number of consecutive refusals that were written last.
+    refusals: Cell<u32>,
     /// Whether the client waits for `100 Continue` before it sends its body.
     awaits_continue: Cell<bool>,
     pushed: Notify,
     finished: Notify,
+    ledger: Rc<Ledger>,
+    pub(super) entry: Rc<Entry>,
 }
 
 /// What the writer sends next.
@@ -46,6 +51,8 @@
     /// Set when the rest of the request body will not be read, so that no further request can
     /// follow.
     pub(super) is_body_abandoned: Rc<Cell<bool>>,
+    /// The memory that the request holds until its response is written.
+    pub(super) held: Held,
 }
 
 /// Where the response comes from.
@@ -57,9 +64,23 @@
 }
 
 impl Queue {
+    pub(super) fn new(ledger: Rc<Ledger>, entry: Rc<Entry>) -> Self {
+        Self {
+            pending: RefCell::default(),
+            in_flight: Cell::new(0),
+            is_closing: Cell::new(false),
+            refusals: Cell::new(0),
+            awaits_continue: Cell::new(false),
+            pushed: Notify::new(),
+            finished: Notify::new(),
+            ledger,
+            entry,
+        }
+    }
+
     /// Appends a request.
     pub(super) fn push(&self, pending: Pending) {
-        self.in_flight.set(self.in_flight.get() + 1);
+        self.set_in_flight(self.in_flight.get() + 1);
         self.pending.borrow_mut().push_back(pending);
         self.pushed.notify_one();
     }
@@ -93,9 +114,25 @@
         }
     }
 
+    /// Records the status of the response that is written next.
+    pub(super) fn record_status(&self, status: u16) {
+        let is_refusal = matches!(status, 429 | 503);
+        let before = self.refusals.get();
+        self.refusals.set(if is_refusal {
+            before.saturating_add(1)
+        } else {
+            0
+        });
+    }
+
+    /// Returns the number of consecutive refusals that were written last.
+    pub(super) const fn refusals(&self) -> u32 {
+        self.refusals.get()
+    }
+
     /// Marks the response of the last popped request as written.
     pub(super) fn finish(&self) {
-        self.in_flight.set(self.in_flight.get() - 1);
+        self.set_in_flight(self.in_flight.get() - 1);
         self.finished.notify_one();
     }
 
@@ -106,10 +143,31 @@
         }
     }
 
-    /// Waits until fewer than [`PIPELINED_REQUESTS_MAX`] requests are in flight.
+    /// Waits until no request is in flight, or fewer than [`PIPELINED_REQUESTS_MAX`] are and the
+    /// ledger allows to read ahead.
     pub(super) async fn wait_for_capacity(&self) {
-        while self.in_flight.get() >= PIPELINED_REQUESTS_MAX {
+        loop {
+            let in_flight = self.in_flight.get();
+            let may_read_ahead = in_flight < PIPELINED_REQUESTS_MAX && self.ledger.may_read_ahead();
+            if in_flight == 0 || may_read_ahead {
+                return;
+            }
             self.finished.notified().await;
         }
     }
+
+    /// Sets the number of requests in flight; all but the first count as read ahead.
+    fn set_in_flight(&self, number: usize) {
+        self.ledger
+            .remove_ahead(self.in_flight.get().saturating_sub(1));
+        self.ledger.add_ahead(number.saturating_sub(1));
+        self.in_flight.set(number);
+        self.entry.in_flight.set(number);
+    }
+}
+
+impl Drop for Queue {
+    fn drop(&mut self) {
+        self.set_in_flight(0);
+    }
 }
--- a/crates/cicadagw-http/src/server/reader.rs
+++ b/crates/cicadagw-http/src/server/reader.rs
@@ -6,13 +6,15 @@
 use bytes::{Bytes, BytesMut};
 use tokio::io::AsyncReadExt;
 use tokio::net::tcp::ReadHalf;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 use super::accept::End;
 use super::queue::{Pending, Queue, Source};
-use super::{Refusal, Service};
+use super::standing::Standing;
+use super::{Connections, Refusal, Service, backoff};
 use crate::body::{self, Body};
+use crate::ledger::Held;
 use crate::parse::{self, Request};
 use crate::{Decoder, Error, Framing, Step, Task};
 
@@ -22,6 +24,12 @@
 /// The buffer space reserved for each read, in bytes.
 const READ_BYTES: usize = 4 << 10;
 
+/// The memory that is counted for a request in flight besides its body, in bytes.
+const REQUEST_BYTES: usize = 16 << 10;
+
+/// The memory that is counted for a request body while it is streamed, in bytes.
+const STREAMED_BYTES: usize = 32 << 10;
+
 /// Reads the requests of a connection and dispatches them to the service.
 pub(super) struct Reader<'c, S> {
     pub(super) buffer: BytesMut,
@@ -30,6 +38,9 @@
     pub(super) service: &'c Rc<S>,
     /// Cancelled when the server closes its idle connections.
     pub(super) token: &'c CancellationToken,
+    pub(super) open: &'c Connections,
+    /// The memory of `buffer`.
+    pub(super) held: Held,
 }
 
 /// The reason why no further request is read.
@@ -47,6 +58,10 @@
     pub(super) async fn run(mut self) -> End {
         loop {
             self.queue.wait_for_capacity().await;
+            let pause = backoff::pause(self.queue.refusals());
+            if !self.buffer.is_empty() && !pause.is_zero() {
+                sleep(pause).await;
+            }
             let request = match self.head().await {
                 Ok(head) => self.receive(head).await,
                 Err(no_request) => Err(no_request),
@@ -65,6 +80,7 @@
                         is_head: false,
                         closes_after: true,
                         is_body_abandoned: Rc::default(),
+                        held: self.open.ledger().hold(0),
                     });
                     return self.wait_for_end().await;
                 }
@@ -81,7 +97,12 @@
                 && let Some(head) =
                     parse::request(&mut self.buffer, limits.head).map_err(refused)?
             {
-                return Ok(head);
+                self.queue.entry.set_reading(Standing::Idle);
+                return if self.open.admit() {
+                    Ok(head)
+                } else {
+                    Err(NoRequest::Refused(Refusal::Overloaded))
+                };
             }
             let has_started = !self.buffer.is_empty();
             let limit = if has_started {
@@ -105,6 +126,7 @@
                     filled?;
                     if !has_started {
                         begin = Instant::now();
+                        self.queue.entry.set_reading(Standing::Receiving);
                     }
                 }
                 Err(_) if has_started => return Err(NoRequest::Refused(Refusal::TooSlow)),
@@ -137,12 +159,14 @@
     async fn read_buffered_body(&mut self, length: u64) -> Result<Bytes, NoRequest> {
         let length = usize::try_from(length).unwrap_or(usize::MAX);
         let begin = Instant::now();
+        self.queue.entry.set_reading(Standing::Receiving);
         while self.buffer.len() < length {
             let left = self.service.limits().header_timeout;
             let left = left.saturating_sub(begin.elapsed());
             let filled = timeout(left, self.fill()).await;
             filled.map_err(|_| NoRequest::Refused(Refusal::TooSlow))??;
         }
+        self.queue.entry.set_reading(Standing::Idle);
         Ok(self.buffer.split_to(length).freeze())
     }
 
@@ -158,6 +182,7 @@
         if !self.dispatch(head, body, is_body_abandoned.clone()) {
             return Ok(false);
         }
+        let _streamed = self.open.ledger().hold(STREAMED_BYTES);
         let mut decoder = Decoder::new(framing);
         let mut remaining = self.service.limits().body;
         loop {
@@ -178,13 +203,17 @@
                     sender.end().await.ok();
                     return Ok(keep_alive);
                 }
-                Ok(Step::More) => tokio::select! {
-                    filled = self.fill() => filled?,
-                    () = sender.closed() => {
-                        is_body_abandoned.set(true);
-                        return Ok(false);
+                Ok(Step::More) => {
+                    self.queue.entry.set_reading(Standing::Receiving);
+                    tokio::select! {
+                        filled = self.fill() => filled?,
+                        () = sender.closed() => {
+                            is_body_abandoned.set(true);
+                            return Ok(false);
+                        }
                     }
-                },
+                    self.queue.entry.set_reading(Standing::Idle);
+                }
                 Err(_) => {
                     is_body_abandoned.set(true);
                     return Ok(false);
@@ -202,18 +231,21 @@
         }
         let is_head = &head.method[..] == b"HEAD";
         let closes_after = !head.keep_alive;
+        let memory = self.open.ledger().hold(REQUEST_BYTES + body.buffered_len());
         let task = Task::spawn(self.service.clone().handle(head, body));
         self.queue.push(Pending {
             reply: Source::Task(task),
             is_head,
             closes_after,
             is_body_abandoned,
+            held: memory,
         });
         true
     }
 
     async fn fill(&mut self) -> Result<(), NoRequest> {
         self.buffer.reserve(READ_BYTES);
+        self.held.set(self.buffer.len());
         match self.half.read_buf(&mut self.buffer).await {
             Ok(1..) => Ok(()),
             Ok(0) | Err(_) => Err(NoRequest::Disconnected),
--- a/crates/cicadagw-http/src/server/service.rs
+++ b/crates/cicadagw-http/src/server/service.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 
+use crate::ledger::Held;
 use crate::parse::Request;
 use crate::{Body, Fields};
 
@@ -31,6 +32,8 @@
     HeadTooLarge,
     /// The head or the buffered body did not arrive in time.
     TooSlow,
+    /// The connections of the node hold too much memory.
+    Overloaded,
 }
 
 /// A response for the server to write.
@@ -47,6 +50,8 @@
     /// The maximum time for which the client may not accept a part of the response; there is no
     /// limit if it is `None`.
     pub write_timeout: Option<Duration>,
+    /// The memory that the body holds.
+    pub held: Option<Held>,
 }
 
 impl Reply {
@@ -58,6 +63,7 @@
             body: Body::Buffered(Bytes::new()),
             content_length: None,
             write_timeout: None,
+            held: None,
         }
     }
 }
--- a/crates/cicadagw-http/src/server/writer.rs
+++ b/crates/cicadagw-http/src/server/writer.rs
@@ -46,6 +46,7 @@
                     None => return End::Disconnected,
                 },
             };
+            self.queue.record_status(reply.status);
             // Requests after this one may already be running; their responses are written before
             // the connection closes.
             let is_last = self.queue.pending.borrow().is_empty();
@@ -56,7 +57,9 @@
                 // From the head on, the client takes what it sends as not read.
                 self.queue.close();
             }
+            let held = pending.held;
             let written = self.write(reply, pending.is_head, closes).await;
+            drop(held);
             self.queue.finish();
             match written {
                 Err(_) => return End::Disconnected,
@@ -96,6 +99,7 @@
         };
         let head = response_head(reply.status, &reply.fields, framing, closes);
         let limit = reply.write_timeout;
+        let _held = reply.held;
         match reply.body {
             _ if is_head => self.write_all(head, limit).await,
             Body::Empty => self.write_all(head, limit).await,
@@ -104,8 +108,11 @@
                 self.write_all(head, limit).await?;
                 let is_chunked = framing == Framing::Chunked;
                 while let Some(data) = parts.next().await? {
+                    self.queue.entry.set_writing(true);
                     let writing = write_part(&mut self.half, data, is_chunked);
-                    with_timeout(writing, limit).await?;
+                    let written = with_timeout(writing, limit).await;
+                    self.queue.entry.set_writing(false);
+                    written?;
                 }
                 if is_chunked {
                     self.write_all(&b"0\r\n\r\n"[..], limit).await?;
@@ -120,7 +127,10 @@
         mut bytes: impl Buf,
         limit: Option<Duration>,
     ) -> Result<(), WriteError> {
-        with_timeout(self.half.write_all_buf(&mut bytes), limit).await
+        self.queue.entry.set_writing(true);
+        let written = with_timeout(self.half.write_all_buf(&mut bytes), limit).await;
+        self.queue.entry.set_writing(false);
+        written
     }
 }
 
--- a/crates/cicadagw-http/tests/support/mod.rs
+++ b/crates/cicadagw-http/tests/support/mod.rs
@@ -147,6 +147,7 @@
             Refusal::Malformed => 400,
             Refusal::HeadTooLarge => 431,
             Refusal::TooSlow => 408,
+            Refusal::Overloaded => 503,
         })
     }
 
--- a/crates/cicadagw-proxy/src/attempts.rs
+++ b/crates/cicadagw-proxy/src/attempts.rs
@@ -125,7 +125,7 @@
         forward(node, call, &record, &has_responded).await
     };
     let begin = node.clock.now();
-    let buffered = outcome.buffer_short().await;
+    let buffered = outcome.buffer_short(&node.ledger).await;
     // The transfer time counts as work: an endpoint behind a busy link is as slow as one that works
     // slowly.
     let transfer = node.clock.now().since(begin);
--- a/crates/cicadagw-proxy/src/delivery.rs
+++ b/crates/cicadagw-proxy/src/delivery.rs
@@ -10,7 +10,7 @@
 use cicadagw_call::{Load, Reason};
 use cicadagw_dialect::HeaderNames;
 use cicadagw_http::client::Incoming;
-use cicadagw_http::{Fields, Response as ResponseHead};
+use cicadagw_http::{Fields, Ledger, Response as ResponseHead};
 use cicadagw_unit::rate::{CallRate, Priority};
 use cicadagw_unit::time::{Span, Timestamp};
 use cicadagw_unit::{id, size};
@@ -84,10 +84,10 @@
 
     /// Buffers short responses completely. A response that is truncated before anything was
     /// forwarded to the caller counts as lost.
-    pub(crate) async fn buffer_short(self) -> Self {
+    pub(crate) async fn buffer_short(self, ledger: &Rc<Ledger>) -> Self {
         let end = match self.end {
             End::Answered(mut response) => match response
-                .buffer_short(BUFFERED_BYTES_MAX, BUFFER_TIMEOUT)
+                .buffer_short(BUFFERED_BYTES_MAX, BUFFER_TIMEOUT, ledger)
                 .await
             {
                 Ok(()) => End::Answered(response),
--- a/crates/cicadagw-proxy/src/ingress.rs
+++ b/crates/cicadagw-proxy/src/ingress.rs
@@ -133,7 +133,7 @@
                 Err(refused) => return refused,
             };
             let limits = node.limits();
-            let reading = Upload::read(body, &limits);
+            let reading = Upload::read(body, &limits, &node.ledger);
             let until = node.clock.instant(deadline);
             let outcome = match request.track_wait(timeout_at(until, reading)).await {
                 Ok(Ok(upload)) => {
@@ -236,9 +236,12 @@
         Some(selection) => {
             delivery::deliver(node, call, &selection.endpoint)
                 .await
-                .buffer_short()
+                .buffer_short(&node.ledger)
                 .await
         }
-        None => Relay::new(node, call).run().await,
+        None => match node.service_calls.start(&call.target.cluster.service) {
+            Some(_guard) => Relay::new(node, call).run().await,
+            None => Outcome::not_run(Reason::Shed),
+        },
     }
 }
--- a/crates/cicadagw-proxy/src/listener.rs
+++ b/crates/cicadagw-proxy/src/listener.rs
@@ -7,6 +7,7 @@
 use cicadagw_config::part;
 use cicadagw_http::server::{Limits, Refusal, Reply, Service};
 use cicadagw_http::{Body, Request};
+use cicadagw_unit::time::Span;
 
 use crate::listener_kind::ListenerKind;
 use crate::node::Node;
@@ -25,6 +26,9 @@
 /// stays open.
 const HEAD_MARGIN_BYTES: usize = 32 << 10;
 
+/// When a call may come back that was refused because the node holds too much memory.
+const OVERLOAD_RETRY_AFTER: Span = Span::seconds(1);
+
 /// The service of one listener of the proxy.
 pub(crate) struct Listener {
     node: Rc<Node>,
@@ -63,10 +67,12 @@
             Refusal::Malformed => Reason::BadRequest,
             Refusal::HeadTooLarge => Reason::HeaderLimit,
             Refusal::TooSlow => Reason::TooSlow,
+            Refusal::Overloaded => Reason::Shed,
         };
         log::info!(reason:%; "refused a request before it was read completely");
-        // None of these reasons has the status 503, so `retry-after` is not sent.
-        End::NotRun(reason).into_reply("1")
+        // Sent only with the status 503, that is, when the node holds too much memory.
+        let retry_after = self.node.dialect.retry_after(OVERLOAD_RETRY_AFTER);
+        End::NotRun(reason).into_reply(&retry_after)
     }
 
     fn is_draining(&self) -> bool {
--- a/crates/cicadagw-proxy/src/maintenance.rs
+++ b/crates/cicadagw-proxy/src/maintenance.rs
@@ -46,6 +46,7 @@
     node.expire();
     node.peers.prune_idle();
     node.publish_limits();
+    node.stats.set_ledger(&node.ledger);
     node.stats.set_quotas(node.quotas.maintain());
     node.flush();
     node.publish();
--- a/crates/cicadagw-proxy/src/node.rs
+++ b/crates/cicadagw-proxy/src/node.rs
@@ -12,6 +12,7 @@
 use cicadagw_call::{Registry, access};
 use cicadagw_config::{Edge, Snapshot};
 use cicadagw_dialect::Dialect;
+use cicadagw_http::Ledger;
 use cicadagw_settings::{Budget, Timing};
 use cicadagw_unit::id;
 use cicadagw_unit::time::{Span, Timestamp};
@@ -29,6 +30,7 @@
 use crate::quotas::Quotas;
 use crate::request::Request;
 use crate::routing::Routing;
+use crate::service_calls::ServiceCalls;
 use crate::{Limits, Stats, stats};
 
 /// The shared state of the proxy.
@@ -36,6 +38,8 @@
     pub(crate) budget: Budget,
     pub(crate) clock: Clock,
     pub(crate) dialect: Arc<dyn Dialect>,
+    /// The memory that connections and calls in flight hold.
+    pub(crate) ledger: Rc<Ledger>,
     /// Cancelled when the remaining calls in flight are aborted.
     pub(crate) abort: CancellationToken,
     /// How long calls of local callers are still accepted after the start of the shutdown.
@@ -47,6 +51,8 @@
     revocation: Option<Span>,
     /// The service whose callers run on this host.
     pub(crate) service: Option<id::Service>,
+    /// The calls in flight of local callers, by service.
+    pub(crate) service_calls: Rc<ServiceCalls>,
     pub(crate) stats: Arc<Stats>,
     pub(crate) timing: Timing,
     local_backends: RefCell<BTreeMap<id::Endpoint, Rc<Backend>>>,
@@ -70,6 +76,7 @@
             budget: parts.budget,
             clock,
             dialect: parts.dialect,
+            ledger: parts.room.ledger(),
             abort: CancellationToken::new(),
             shutdown_delay: parts.shutdown_delay,
             pacer: Rc::new(Pacer::new(parts.link_rate)),
@@ -77,6 +84,7 @@
             quotas: Quotas::new(clock, parts.quota_requests),
             revocation: parts.revocation,
             service: parts.service,
+            service_calls: ServiceCalls::new(parts.room.calls_of_service()),
             stats: parts.stats,
             timing: parts.timing,
             local_backends: RefCell::default(),
--- a/crates/cicadagw-proxy/src/parts.rs
+++ b/crates/cicadagw-proxy/src/parts.rs
@@ -13,6 +13,7 @@
 use cicadagw_unit::time::Span;
 use cicadagw_view::Shared;
 
+use crate::room::Room;
 use crate::{Limits, Stats};
 
 /// The parameters of [`Node::new`](crate::node::Node::new).
@@ -25,6 +26,7 @@
     pub(crate) link_rate: Option<Throughput>,
     pub(crate) locality: Locality,
     pub(crate) quota_requests: Option<Sender<Request>>,
+    pub(crate) room: Room,
     pub(crate) retry_slack: Option<u64>,
     pub(crate) revocation: Option<Span>,
     pub(crate) seed: u64,
--- a/crates/cicadagw-proxy/src/response.rs
+++ b/crates/cicadagw-proxy/src/response.rs
@@ -6,8 +6,9 @@
 use cicadagw_call::pacing::UNPACED_MAX;
 use cicadagw_http::body::{Sender, Truncated};
 use cicadagw_http::client::{self, Incoming};
+use cicadagw_http::ledger::Held;
 use cicadagw_http::server::Reply;
-use cicadagw_http::{Body, Fields, Framing, body};
+use cicadagw_http::{Body, Fields, Framing, Ledger, body};
 use tokio::time::{Instant, timeout_at};
 
 use crate::backend::Slot;
@@ -21,6 +22,9 @@
 /// and its response is delivered even if the transfer makes it late.
 const TRANSFER_GRACE: Duration = Duration::from_millis(200);
 
+/// The memory that is counted for a body while it is streamed, in bytes.
+const STREAMED_BYTES: usize = 64 << 10;
+
 /// A response whose head has been received.
 #[derive(Debug)]
 pub(crate) struct Response {
@@ -37,6 +41,8 @@
     /// The deadline of the call. A body that has not arrived [`TRANSFER_GRACE`] later is truncated: it
     /// may have no end, whatever its head says.
     deadline: Instant,
+    /// The memory that the body holds.
+    held: Option<Held>,
     /// Paces the body on its way to the caller.
     pacer: Option<Rc<Pacer>>,
     guards: Guards,
@@ -72,6 +78,7 @@
             incoming: Some(response.body),
             idle_max,
             deadline,
+            held: None,
             pacer: None,
             guards: Guards::default(),
         }
@@ -104,8 +111,8 @@
         self.length.unwrap_or(self.buffered.len() as u64)
     }
 
-    /// Buffers the body until it is complete, larger than `size_max` bytes, `time_max` is over, or
-    /// the deadline of the call has passed, so that a truncation is noticed before anything is
+    /// Buffers the body until it is complete, larger than `size_max` bytes or than `ledger` allows,
+    /// `time_max` is over, or the deadline of the call has passed, so that a truncation is noticed before anything is
     /// forwarded to the caller.
     ///
     /// # Errors
@@ -115,21 +122,28 @@
         &mut self,
         size_max: u64,
         time_max: Duration,
+        ledger: &Rc<Ledger>,
     ) -> Result<(), Truncated> {
+        let mut held = ledger.hold(self.buffered.len());
         if self.length.is_some_and(|length| length > size_max) {
+            self.held = Some(held);
             return Ok(());
         }
         let until = self.deadline.min(Instant::now() + time_max);
         while let Some(incoming) = &mut self.incoming
-            && self.buffered.len() as u64 <= size_max
+            && self.buffered.len() as u64 <= ledger.buffer_max(size_max)
         {
             match timeout_at(until, incoming.next()).await {
-                Ok(Ok(Some(part))) => self.buffered.push(part),
+                Ok(Ok(Some(part))) => {
+                    self.buffered.push(part);
+                    held.set(self.buffered.len());
+                }
                 Ok(Ok(None)) => self.finish(),
                 Ok(Err(truncated)) => return Err(truncated),
-                Err(_) => return Ok(()),
+                Err(_) => break,
             }
         }
+        self.held = Some(held);
         Ok(())
     }
 
@@ -146,6 +160,7 @@
             }
             reply.content_length = self.length;
             reply.body = Body::Buffered(self.buffered.join());
+            reply.held = self.held.take();
             return reply;
         }
         let is_complete = self.incoming.is_none();
@@ -162,6 +177,9 @@
 
     /// Streams the body until it is complete, it is truncated, or the caller's connection closes.
     async fn forward(mut self, sender: Sender) {
+        if let Some(held) = &mut self.held {
+            held.set(self.buffered.len() + STREAMED_BYTES);
+        }
         let length = self.length.and_then(|length| length.try_into().ok());
         let mut pace = Pace::new(self.pacer.clone(), length);
         for part in std::mem::take(&mut self.buffered).into_parts() {
--- a/crates/cicadagw-proxy/src/run.rs
+++ b/crates/cicadagw-proxy/src/run.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cicadagw_http::server;
+use cicadagw_http::server::{self, Connections};
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -14,7 +14,8 @@
 use crate::listener_kind::ListenerKind;
 use crate::node::Node;
 use crate::parts::Parts;
-use crate::{Setup, maintenance, quotas};
+use crate::room::Room;
+use crate::{Setup, descriptor_limit, maintenance, quotas};
 
 /// The maximum time for writing the last responses after the last call has ended.
 const LAST_RESPONSES_TIMEOUT: Duration = Duration::from_millis(500);
@@ -44,6 +45,7 @@
         Some(quota) => (Some(quota.requests), Some(quota.grants)),
         None => (None, None),
     };
+    let room = Room::new(&setup.budget, descriptor_limit::read());
     let node = Rc::new(Node::new(Parts {
         budget: setup.budget,
         control: setup.control,
@@ -53,6 +55,7 @@
         link_rate: setup.link_rate,
         locality: setup.locality,
         quota_requests,
+        room,
         retry_slack: setup.retry_slack,
         revocation: setup.revocation,
         seed: setup.seed,
@@ -67,7 +70,9 @@
         if let Some(listener) = listener {
             let listener = into_tokio(listener)?;
             let service = Rc::new(Listener::new(node.clone(), kind));
-            servers.spawn_local(server::serve(listener, service, closed.clone()));
+            let open = Connections::new(room.connections(kind), node.ledger.clone());
+            let serving = server::serve_within(listener, service, closed.clone(), Rc::new(open));
+            servers.spawn_local(serving);
         }
     }
     if let Some(grants) = grants {
--- a/crates/cicadagw-proxy/src/stats.rs
+++ b/crates/cicadagw-proxy/src/stats.rs
@@ -7,6 +7,7 @@
 use cicadagw_call::balancer::Summary;
 use cicadagw_call::{Load, Outcome, Reason, lifecycle, quota};
 use cicadagw_chart::Name;
+use cicadagw_http::Ledger;
 use cicadagw_meter::{Histogram, Latency};
 use cicadagw_unit::id;
 use cicadagw_unit::rate::{CallRate, Priority};
@@ -23,6 +24,8 @@
 pub struct Stats {
     added_latency: Histogram,
     answered: AtomicU64,
+    connections_closed: AtomicU64,
+    held_bytes: AtomicU64,
     in_flight: AtomicU64,
     limited: AtomicU64,
     limited_endpoints: AtomicU64,
@@ -44,6 +47,10 @@
 pub struct Counts {
     /// Calls of local callers that got the response of a backend server.
     pub answered: u64,
+    /// Connections of clients that were closed or refused to make room for others.
+    pub connections_closed: u64,
+    /// The memory that connections and calls of clients hold, in bytes.
+    pub held_bytes: u64,
     /// Calls in flight, including those of other nodes.
     pub in_flight: u64,
     /// Calls refused because of the rate limit of a local backend server.
@@ -106,6 +113,8 @@
         let shed_by_priority = self.shed.each_ref().map(read);
         Counts {
             answered: read(&self.answered),
+            connections_closed: read(&self.connections_closed),
+            held_bytes: read(&self.held_bytes),
             in_flight: read(&self.in_flight),
             limited: read(&self.limited),
             limited_endpoints: read(&self.limited_endpoints),
@@ -159,6 +168,14 @@
         count.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Publishes what `ledger` counts.
+    pub(crate) fn set_ledger(&self, ledger: &Ledger) {
+        self.connections_closed
+            .store(ledger.closed(), Ordering::Relaxed);
+        self.held_bytes
+            .store(ledger.held() as u64, Ordering::Relaxed);
+    }
+
     pub(crate) fn count_retry(&self) {
         self.retries.fetch_add(1, Ordering::Relaxed);
     }
--- a/crates/cicadagw-proxy/src/upload.rs
+++ b/crates/cicadagw-proxy/src/upload.rs
@@ -1,11 +1,13 @@
 //! Request bodies to be sent to a backend server.
 
 use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
 use cicadagw_call::Reason;
 use cicadagw_http::body::Receiver;
-use cicadagw_http::{Body, Framing};
+use cicadagw_http::ledger::Held;
+use cicadagw_http::{Body, Framing, Ledger};
 
 use crate::Limits;
 
@@ -14,6 +16,8 @@
 #[derive(Debug)]
 pub(crate) struct Upload {
     buffered: Bytes,
+    /// The memory that `buffered` holds, unless the body was received before the call.
+    _held: Option<Held>,
     stream: RefCell<Option<Receiver>>,
     is_stream_taken: Cell<bool>,
     framing: Framing,
@@ -26,7 +30,11 @@
     ///
     /// Returns [`Reason::BodyLimit`] when the body is too large, and [`Reason::BadRequest`] when it
     /// is truncated.
-    pub(crate) async fn read(body: Body, limits: &Limits) -> Result<Self, Reason> {
+    pub(crate) async fn read(
+        body: Body,
+        limits: &Limits,
+        ledger: &Rc<Ledger>,
+    ) -> Result<Self, Reason> {
         let (length, parts) = match body {
             Body::Empty => return Ok(Self::from_buffered(Bytes::new(), Framing::Empty)),
             Body::Buffered(bytes) if bytes.len() as u64 > limits.body.get() => {
@@ -41,13 +49,19 @@
         if length.is_some_and(|length| length > limits.body.get()) {
             return Err(Reason::BodyLimit);
         }
-        let (buffered, stream) = buffer_start(parts, limits).await?;
+        let mut held = ledger.hold(0);
+        let (buffered, stream) = buffer_start(parts, limits, ledger, &mut held).await?;
         if stream.is_none() {
             let length = buffered.len() as u64;
-            return Ok(Self::from_buffered(buffered, Framing::Length(length)));
+            let upload = Self::from_buffered(buffered, Framing::Length(length));
+            return Ok(Self {
+                _held: Some(held),
+                ..upload
+            });
         }
         Ok(Self {
             buffered,
+            _held: Some(held),
             stream: RefCell::new(stream),
             is_stream_taken: Cell::new(false),
             framing: length.map_or(Framing::Chunked, Framing::Length),
@@ -81,6 +95,7 @@
     const fn from_buffered(bytes: Bytes, framing: Framing) -> Self {
         Self {
             buffered: bytes,
+            _held: None,
             stream: RefCell::new(None),
             is_stream_taken: Cell::new(false),
             framing,
@@ -92,11 +107,16 @@
 async fn buffer_start(
     mut parts: Receiver,
     limits: &Limits,
+    ledger: &Ledger,
+    held: &mut Held,
 ) -> Result<(Bytes, Option<Receiver>), Reason> {
     let mut buffered = BytesMut::new();
-    while buffered.len() as u64 <= limits.replay.get() {
+    while buffered.len() as u64 <= ledger.buffer_max(limits.replay.get()) {
         match parts.next().await {
-            Ok(Some(part)) => buffered.extend_from_slice(&part),
+            Ok(Some(part)) => {
+                buffered.extend_from_slice(&part);
+                held.set(buffered.capacity());
+            }
             Ok(None) => return Ok((buffered.freeze(), None)),
             Err(_) => return Err(Reason::BadRequest),
         }
--- a/crates/cicadagw-settings/src/key.rs
+++ b/crates/cicadagw-settings/src/key.rs
@@ -4,6 +4,7 @@
 
 use std::fmt;
 
+use crate::settings::BYTES_PER_MB;
 use crate::{Budget, Level, Timing};
 
 /// A key of settings.
@@ -33,10 +34,14 @@
     Seeds,
     /// [`crate::Settings::log`].
     Log,
+    /// [`Budget::descriptors`].
+    Descriptors,
     /// [`Budget::fanout`].
     Fanout,
     /// [`Budget::hops`].
     Hops,
+    /// [`Budget::memory`].
+    Memory,
     /// [`Budget::whole_syncs`].
     WholeSyncs,
     /// [`crate::Peering::dialect`].
@@ -107,7 +112,7 @@
 
 impl Key {
     /// All keys, in the order in which they are rendered.
-    pub const ALL: [Self; 29] = [
+    pub const ALL: [Self; 31] = [
         Self::Node,
         Self::Region,
         Self::Domain,
@@ -120,8 +125,10 @@
         Self::Platform,
         Self::Seeds,
         Self::Log,
+        Self::Descriptors,
         Self::Fanout,
         Self::Hops,
+        Self::Memory,
         Self::WholeSyncs,
         Self::Dialect,
         Self::FirstStart,
@@ -154,8 +161,10 @@
             Self::Platform => "platform",
             Self::Seeds => "seeds",
             Self::Log => "log",
+            Self::Descriptors => "descriptors",
             Self::Fanout => "fanout",
             Self::Hops => "hops",
+            Self::Memory => "memory_mb",
             Self::WholeSyncs => "whole_syncs",
             Self::Dialect => "dialect",
             Self::FirstStart => "first_start",
@@ -177,7 +186,9 @@
     /// Returns the section of the key, or `None` for a key at the top level.
     pub const fn section(self) -> Option<Section> {
         match self {
-            Self::Fanout | Self::Hops | Self::WholeSyncs => Some(Section::Budget),
+            Self::Descriptors | Self::Fanout | Self::Hops | Self::Memory | Self::WholeSyncs => {
+                Some(Section::Budget)
+            }
             Self::Dialect
             | Self::FirstStart
             | Self::LinkRate
@@ -208,11 +219,12 @@
             Self::Dialect => Format::Dialect,
             Self::FirstStart => Format::Flag,
             Self::LinkRate => Format::Rate,
-            Self::RetrySlack => Format::Count(1, 1_000_000),
+            Self::Memory | Self::RetrySlack => Format::Count(1, 1_000_000),
             Self::AdminToken => Format::Token,
             Self::Platform => Format::Addresses(1),
             Self::Seeds => Format::Addresses(0),
             Self::Log => Format::Level,
+            Self::Descriptors => Format::Count(201, 1_000_000),
             Self::Fanout => Format::Count(2, 64),
             Self::Hops => Format::Count(2, 200),
             Self::WholeSyncs => Format::Count(1, 64),
@@ -242,8 +254,14 @@
             Self::Log => {
                 "Least severe level that is logged; PUT /log-level changes it at run time."
             }
+            Self::Descriptors => {
+                "Number of file descriptors of the process, unless the system allows fewer; 200 are kept for files."
+            }
             Self::Fanout => "Maximum number of children of the node.",
             Self::Hops => "Maximum number of hops from node to node that a call may have made.",
+            Self::Memory => {
+                "Memory of the host in megabytes; a quarter is for the connections and calls of clients."
+            }
             Self::WholeSyncs => {
                 "Maximum number of complete snapshots that the node sends concurrently."
             }
@@ -283,8 +301,10 @@
             }
             Self::Seeds => Some("[]".to_owned()),
             Self::Log => Some(quoted(Level::default())),
+            Self::Descriptors => Some(budget.descriptors.to_string()),
             Self::Fanout => Some(budget.fanout.to_string()),
             Self::Hops => Some(budget.hops.to_string()),
+            Self::Memory => Some((budget.memory.get() / BYTES_PER_MB).to_string()),
             Self::WholeSyncs => Some(budget.whole_syncs.to_string()),
             Self::Drain => Some(quoted(timing.drain)),
             Self::Heartbeat => Some(quoted(timing.heartbeat)),
@@ -318,7 +338,7 @@
     /// Returns the description of the section.
     pub const fn about(self) -> &'static str {
         match self {
-            Self::Budget => "Limits on children, hops and snapshot transfers.",
+            Self::Budget => "Limits on descriptors, memory, children, hops and snapshot transfers.",
             Self::Peering => {
                 "How the node contacts others where the platform lists the nodes; without it, nodes form a tree."
             }
--- a/crates/cicadagw-settings/src/load.rs
+++ b/crates/cicadagw-settings/src/load.rs
@@ -7,12 +7,13 @@
 use cicadagw_finding::Findings;
 use cicadagw_jsonc::{Object, Reader};
 use cicadagw_unit::rate::Throughput;
-use cicadagw_unit::size::{Hops, Slots};
+use cicadagw_unit::size::{Bytes, Hops, Slots};
 use cicadagw_unit::time::Span;
 use compact_str::CompactString;
 use smallvec::SmallVec;
 
 use crate::address::{address, listen_addresses, remote_addresses};
+use crate::settings::BYTES_PER_MB;
 use crate::{Budget, Format, Key, Peering, Section, Settings, Timing};
 
 /// The number of bytes in a megabit.
@@ -122,10 +123,13 @@
             .map_or(default, Slots::new)
     };
     let budget = Budget {
+        descriptors: slots(Key::Descriptors, default.descriptors),
         fanout: slots(Key::Fanout, default.fanout),
         hops: count(&object, Key::Hops)
             .and_then(|number| u8::try_from(number).ok())
             .map_or(default.hops, Hops::new),
+        memory: count(&object, Key::Memory)
+            .map_or(default.memory, |number| Bytes::new(number * BYTES_PER_MB)),
         whole_syncs: slots(Key::WholeSyncs, default.whole_syncs),
     };
     object.finish();
--- a/crates/cicadagw-settings/src/render.rs
+++ b/crates/cicadagw-settings/src/render.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use crate::key::quoted;
+use crate::settings::BYTES_PER_MB;
 use crate::{Key, Peering, Section, Settings};
 
 /// One level of indentation.
@@ -74,8 +75,10 @@
         Key::Platform => list(&settings.platform),
         Key::Seeds => list(&settings.seeds),
         Key::Log => quoted(settings.log),
+        Key::Descriptors => budget.descriptors.to_string(),
         Key::Fanout => budget.fanout.to_string(),
         Key::Hops => budget.hops.to_string(),
+        Key::Memory => (budget.memory.get() / BYTES_PER_MB).to_string(),
         Key::WholeSyncs => budget.whole_syncs.to_string(),
         Key::Drain => quoted(timing.drain),
         Key::Heartbeat => quoted(timing.heartbeat),
--- a/crates/cicadagw-settings/src/settings.rs
+++ b/crates/cicadagw-settings/src/settings.rs
@@ -6,7 +6,7 @@
 
 use bon::Builder;
 use cicadagw_unit::rate::Throughput;
-use cicadagw_unit::size::{Hops, Slots};
+use cicadagw_unit::size::{Bytes, Hops, Slots};
 use cicadagw_unit::time::Span;
 use cicadagw_unit::{Error, id};
 use compact_str::CompactString;
@@ -114,14 +114,21 @@
     }
 }
 
-/// Limits on children, hops and snapshot transfers of a node.
+/// The number of bytes in a megabyte.
+pub(crate) const BYTES_PER_MB: u64 = 1_000_000;
+
+/// Limits on descriptors, memory, children, hops and snapshot transfers of a node.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Budget {
+    /// The number of file descriptors that the process may open.
+    pub descriptors: Slots,
     /// The maximum number of children of a node.
     pub fanout: Slots,
     /// The maximum number of hops from node to node that a call may have made.
     pub hops: Hops,
+    /// The memory of the host that the process may use.
+    pub memory: Bytes,
     /// The maximum number of complete snapshots that a node sends concurrently.
     pub whole_syncs: Slots,
 }
@@ -145,8 +152,10 @@
 impl Default for Budget {
     fn default() -> Self {
         Self {
+            descriptors: Slots::new(4_100),
             fanout: Slots::new(8),
             hops: Hops::new(44),
+            memory: Bytes::new(88 * BYTES_PER_MB),
             whole_syncs: Slots::new(8),
         }
     }
--- a/crates/cicadagw-settings/tests/render.rs
+++ b/crates/cicadagw-settings/tests/render.rs
@@ -6,7 +6,7 @@
     Budget, Dialect, Format, Key, Level, Peering, Settings, Timing, load, render,
 };
 use cicadagw_unit::rate::Throughput;
-use cicadagw_unit::size::{Hops, Slots};
+use cicadagw_unit::size::{Bytes, Hops, Slots};
 use cicadagw_unit::time::Span;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
@@ -55,8 +55,10 @@
             admin_token: Some(format!("token-{:020}", u64::arbitrary(source)).into()),
             announce: address(source, 8_103),
             budget: Budget {
+                descriptors: Slots::new(201 + u32::from(u16::arbitrary(source))),
                 fanout: Slots::new(small(source).into()),
                 hops: Hops::new(small(source)),
+                memory: Bytes::new(1_000_000 * (1 + u64::from(u16::arbitrary(source)))),
                 whole_syncs: Slots::new(small(source).into()),
             },
             calls: address(source, 8_101),
