--- a/crates/cicadagw-call/tests/quota/network.rs
+++ b/crates/cicadagw-call/tests/quota/network.rs
@@ -1,4 +1,4 @@
-//! Nodes with their shares and ledgers, joined by an in-memory network.
+//! Nodes with their shares and ledgers of one quota, joined by an in-memory network.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -10,8 +10,11 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+/// The number of failure domains, each of which has a part of the quota.
+const DOMAINS: usize = 4;
+
 /// The window over which calls are counted, in milliseconds.
-pub const WINDOW_MS: u64 = 5_000;
+const WINDOW_MS: u64 = 5_000;
 
 /// The time that a restarted node needs to be known to the others again, in milliseconds.
 const RESTART_MS: u64 = 500;
@@ -19,9 +22,6 @@
 /// The delay between nodes of one failure domain and of different ones, in milliseconds.
 const DELAYS_MS: [u64; 2] = [1, 30];
 
-/// How often a restarted process of a node may be told apart from the one before.
-const STARTS: u64 = 1_000_000;
-
 pub fn quota(rate: u64, burst: u32) -> Quota {
     Quota {
         burst: Burst::new(burst),
@@ -29,71 +29,52 @@
     }
 }
 
-pub fn account(name: &str) -> id::Account {
-    name.parse().unwrap()
+pub fn account() -> id::Account {
+    "club".parse().unwrap()
 }
 
 struct Node {
     ledger: Ledger,
     shares: Shares,
+    /// When the process started; a node is down until then.
     start_ms: u64,
-    /// When the node is up again, if it is down.
-    down_until: u64,
-    waiting: Vec<(id::Account, u64)>,
+    /// When the waiting calls arrived.
+    waiting: Vec<u64>,
 }
 
 enum Message {
-    Ask(u16, Asker, Request),
+    Ask(Asker, Request),
     Grant(Grant),
 }
 
-/// What happened to the calls: when they arrived, by account.
-#[derive(Default)]
-pub struct Log {
-    pub refused: BTreeMap<id::Account, Vec<u64>>,
-    pub taken: BTreeMap<id::Account, Vec<u64>>,
-    /// How long each call with a token has waited for it, in milliseconds.
-    pub waits: Vec<u64>,
-}
-
-/// The nodes and the network; the first node of each failure domain owns the domain's part of every
-/// quota.
+/// The nodes and the network. The first node of each failure domain owns the domain's part.
 pub struct Network {
     pub now: u64,
-    pub log: Log,
-    pub loss_permille: u32,
+    /// When each call arrived, and whether it got a token.
+    pub calls: Vec<(u64, bool)>,
+    pub loss_permille: u64,
     /// Nodes that neither send nor receive.
     pub cut: BTreeSet<usize>,
-    pub quotas: BTreeMap<id::Account, Quota>,
-    /// The number of messages sent.
-    pub messages: u64,
-    domains: usize,
+    pub quota: Quota,
     in_flight: BTreeMap<(u64, u64), (usize, usize, Message)>,
     nodes: Vec<Node>,
     rng: StdRng,
+    sent: u64,
 }
 
 impl Network {
     /// Creates a network of nodes that have run for a while.
-    pub fn new(domains: usize, nodes_per_domain: usize, seed: u64) -> Self {
-        let nodes = (0..domains * nodes_per_domain).map(|_| Node {
-            ledger: Ledger::default(),
-            shares: Shares::new(STARTS),
-            start_ms: 0,
-            down_until: 0,
-            waiting: Vec::new(),
-        });
+    pub fn new(nodes: usize, quota: Quota, seed: u64) -> Self {
         Self {
             now: 60_000,
-            log: Log::default(),
+            calls: Vec::new(),
             loss_permille: 0,
             cut: BTreeSet::new(),
-            quotas: BTreeMap::new(),
-            messages: 0,
-            domains,
+            quota,
             in_flight: BTreeMap::new(),
-            nodes: nodes.collect(),
+            nodes: (0..nodes).map(|_| node(0)).collect(),
             rng: StdRng::seed_from_u64(seed),
+            sent: 0,
         }
     }
 
@@ -102,169 +83,152 @@
     }
 
     /// Kills a node, which starts again after a time and has then forgotten everything.
-    pub fn kill(&mut self, node: usize, for_ms: u64) {
-        self.nodes[node] = Node {
-            ledger: Ledger::default(),
-            shares: Shares::new(self.now * STARTS),
-            start_ms: self.now + for_ms,
-            down_until: self.now + for_ms,
-            waiting: Vec::new(),
-        };
+    pub fn kill(&mut self, index: usize, for_ms: u64) {
+        self.nodes[index] = node(self.now + for_ms);
     }
 
-    /// A call of `account` arrives at `node`.
-    pub fn call(&mut self, node: usize, account: &id::Account) {
-        if self.now < self.nodes[node].down_until {
-            return;
-        }
-        let now = Timestamp::new(self.now);
-        let parts = u16::try_from(self.domains).unwrap();
-        let decision = self.nodes[node].shares.arrive(now, account, parts, false);
-        self.settle(account, self.now, decision);
-        if decision == Decision::Wait {
-            let waiting = &mut self.nodes[node].waiting;
-            waiting.push((account.clone(), self.now));
+    /// Runs for `ms` milliseconds with `per_second` calls on average, each at a random one of `nodes`.
+    pub fn run(&mut self, ms: u64, per_second: u64, nodes: std::ops::Range<usize>) {
+        for _ in 0..ms {
+            self.now += 1;
+            while let Some(entry) = self.in_flight.first_entry()
+                && entry.key().0 <= self.now
+            {
+                let (from, to, message) = entry.remove();
+                self.receive(from, to, message);
+            }
+            (0..self.nodes.len()).for_each(|index| self.decide_again(index));
+            // Ten chances each millisecond, so that rates up to 10,000 calls a second are possible.
+            for _ in 0..10 {
+                if self.random(10_000) < per_second {
+                    let index = self.random(nodes.len() as u64);
+                    self.arrive(nodes.start + usize::try_from(index).unwrap());
+                }
+            }
         }
-        self.flush(node, account);
     }
 
-    /// Advances the time by a millisecond.
-    pub fn tick(&mut self) {
-        self.now += 1;
-        while let Some(entry) = self.in_flight.first_entry() {
-            if entry.key().0 > self.now {
-                break;
+    /// Returns the largest number of calls with a token that arrived in a window.
+    pub fn most_in_window(&self) -> usize {
+        let taken = self.calls.iter().filter(|(_, is_taken)| *is_taken);
+        let mut times: Vec<_> = taken.map(|(time, _)| *time).collect();
+        times.sort_unstable();
+        let counts = times
+            .iter()
+            .enumerate()
+            .map(|(first, start)| times.partition_point(|time| *time < start + WINDOW_MS) - first);
+        counts.max().unwrap_or(0)
+    }
+
+    /// Returns how many calls were refused that a single token bucket for all nodes would have let
+    /// through.
+    pub fn refused_below_quota(&self) -> usize {
+        let mut calls = self.calls.clone();
+        calls.sort_unstable();
+        let full = u64::from(self.quota.burst.get()) * 1_000_000;
+        let (mut level, mut updated, mut count) = (full, 0, 0);
+        for (time, is_taken) in calls {
+            level = (level + (time - updated) * self.quota.rate.milli()).min(full);
+            updated = time;
+            if level >= 1_000_000 {
+                level -= 1_000_000;
+                count += usize::from(!is_taken);
             }
-            let (from, to, message) = entry.remove();
-            self.receive(from, to, message);
         }
-        for node in 0..self.nodes.len() {
-            self.poll(node);
+        count
+    }
+
+    pub fn taken(&self) -> usize {
+        self.calls.iter().filter(|(_, is_taken)| *is_taken).count()
+    }
+
+    fn arrive(&mut self, index: usize) {
+        if self.now < self.nodes[index].start_ms {
+            return;
         }
+        let (now, parts) = (Timestamp::new(self.now), u16::try_from(DOMAINS).unwrap());
+        let shares = &mut self.nodes[index].shares;
+        let decision = shares.arrive(now, &account(), parts, false);
+        self.settle(index, self.now, decision);
     }
 
     /// Decides about the waiting calls of a node again.
-    fn poll(&mut self, node: usize) {
+    fn decide_again(&mut self, index: usize) {
         let now = Timestamp::new(self.now);
-        for (account, arrived) in std::mem::take(&mut self.nodes[node].waiting) {
-            let shares = &mut self.nodes[node].shares;
-            let decision = shares.wait(now, &account, Timestamp::new(arrived));
-            self.settle(&account, arrived, decision);
-            if decision == Decision::Wait {
-                self.nodes[node].waiting.push((account.clone(), arrived));
-            }
-            self.flush(node, &account);
+        for arrived in std::mem::take(&mut self.nodes[index].waiting) {
+            let shares = &mut self.nodes[index].shares;
+            let decision = shares.wait(now, &account(), Timestamp::new(arrived));
+            self.settle(index, arrived, decision);
         }
     }
 
-    fn settle(&mut self, account: &id::Account, arrived: u64, decision: Decision) {
-        let times = match decision {
-            Decision::Taken(_) => &mut self.log.taken,
-            Decision::Refused { .. } => &mut self.log.refused,
-            Decision::Wait => return,
-        };
-        times.entry(account.clone()).or_default().push(arrived);
-        if matches!(decision, Decision::Taken(_)) {
-            self.log.waits.push(self.now - arrived);
+    /// Records the decision about a call, and sends the requests that are due.
+    fn settle(&mut self, index: usize, arrived: u64, decision: Decision) {
+        match decision {
+            Decision::Wait => self.nodes[index].waiting.push(arrived),
+            Decision::Taken(_) => self.calls.push((arrived, true)),
+            Decision::Refused { .. } => self.calls.push((arrived, false)),
         }
-    }
-
-    /// Sends the requests of a node that are due.
-    fn flush(&mut self, node: usize, account: &id::Account) {
-        let now = Timestamp::new(self.now);
-        for request in self.nodes[node].shares.requests(now, account) {
-            let domain = node * self.domains / self.nodes.len();
-            let per_domain = self.nodes.len() / self.domains;
-            let owner = (domain + usize::from(request.part)) % self.domains * per_domain;
+        let (now, start_ms) = (Timestamp::new(self.now), self.nodes[index].start_ms);
+        for request in self.nodes[index].shares.requests(now, &account()) {
+            let domain = (self.domain(index) + usize::from(request.part)) % DOMAINS;
             let asker = Asker {
-                node: format!("node-{node}").parse().unwrap(),
-                start_ms: self.nodes[node].start_ms,
+                node: format!("node-{index}").parse().unwrap(),
+                start_ms,
             };
-            let parts = u16::try_from(self.domains).unwrap();
-            self.send(node, owner, Message::Ask(parts, asker, request));
+            let owner = domain * self.nodes.len() / DOMAINS;
+            self.send(index, owner, Message::Ask(asker, request));
         }
     }
 
+    fn domain(&self, index: usize) -> usize {
+        index * DOMAINS / self.nodes.len()
+    }
+
     fn send(&mut self, from: usize, to: usize, message: Message) {
-        self.messages += 1;
-        if self.rng.random_range(0..1_000) < self.loss_permille {
-            return;
+        let is_lost = self.random(1_000) < self.loss_permille;
+        let delay = DELAYS_MS[usize::from(self.domain(from) != self.domain(to))];
+        let at = self.now + delay + self.random(2 * delay);
+        self.sent += 1;
+        if !is_lost {
+            self.in_flight.insert((at, self.sent), (from, to, message));
         }
-        let per_domain = self.nodes.len() / self.domains;
-        let is_far = usize::from(from / per_domain != to / per_domain);
-        let delay = if from == to { 0 } else { DELAYS_MS[is_far] };
-        let jitter = self.random(2 * delay);
-        let key = (self.now + delay + jitter, self.messages);
-        self.in_flight.insert(key, (from, to, message));
     }
 
     fn receive(&mut self, from: usize, to: usize, message: Message) {
         let is_cut = from != to && (self.cut.contains(&from) || self.cut.contains(&to));
-        if is_cut || self.now < self.nodes[to].down_until {
+        let start_ms = self.nodes[to].start_ms;
+        if is_cut || self.now < start_ms {
             return;
         }
-        let now = Timestamp::new(self.now);
-        let node = &mut self.nodes[to];
+        let (now, node) = (Timestamp::new(self.now), &mut self.nodes[to]);
         match message {
             Message::Grant(grant) => node.shares.grant(now, &grant),
-            Message::Ask(parts, asker, request) => {
-                if node.start_ms > 0 && self.now < node.start_ms + RESTART_MS {
-                    return;
-                }
+            Message::Ask(asker, request) if start_ms == 0 || self.now >= start_ms + RESTART_MS => {
                 let terms = Terms {
-                    parts,
-                    quota: self.quotas[&request.ask.account],
-                    since: match node.start_ms {
-                        0 => Timestamp::new(0),
-                        start => Timestamp::new(start + RESTART_MS),
-                    },
+                    parts: u16::try_from(DOMAINS).unwrap(),
+                    quota: self.quota,
+                    since: Timestamp::new(if start_ms == 0 {
+                        0
+                    } else {
+                        start_ms + RESTART_MS
+                    }),
                 };
                 if let Some(grant) = node.ledger.ask(now, terms, &asker, &request.ask) {
                     self.send(to, from, Message::Grant(grant));
                 }
             }
+            Message::Ask(..) => {}
         }
     }
 }
 
-impl Log {
-    /// Returns the largest number of calls with a token that arrived in a window.
-    pub fn most_in_window(&self, account: &id::Account) -> usize {
-        let mut times = self.taken.get(account).cloned().unwrap_or_default();
-        times.sort_unstable();
-        let counts = times.iter().enumerate().map(|(first, start)| {
-            let end = times.partition_point(|time| *time < start + WINDOW_MS);
-            end - first
-        });
-        counts.max().unwrap_or(0)
-    }
-
-    /// Returns how many calls were refused that a single token bucket for all nodes would have let
-    /// through.
-    pub fn refused_below(&self, account: &id::Account, quota: Quota) -> usize {
-        let times = |log: &BTreeMap<id::Account, Vec<u64>>| log.get(account).cloned();
-        let taken = times(&self.taken).unwrap_or_default();
-        let refused = times(&self.refused).unwrap_or_default();
-        let taken = taken.into_iter().map(|time| (time, false));
-        let mut calls: Vec<_> = taken
-            .chain(refused.into_iter().map(|time| (time, true)))
-            .collect();
-        calls.sort_unstable();
-        let full = u64::from(quota.burst.get()) * 1_000_000;
-        let (mut level, mut updated, mut count) = (full, 0, 0);
-        for (time, was_refused) in calls {
-            level = (level + (time - updated) * quota.rate.milli()).min(full);
-            updated = time;
-            if level >= 1_000_000 {
-                level -= 1_000_000;
-                count += usize::from(was_refused);
-            }
-        }
-        count
-    }
-
-    pub fn taken(&self, account: &id::Account) -> usize {
-        self.taken.get(account).map_or(0, Vec::len)
+fn node(start_ms: u64) -> Node {
+    Node {
+        ledger: Ledger::default(),
+        shares: Shares::new(0),
+        start_ms,
+        waiting: Vec::new(),
     }
 }
 
