Test the second return, shed calls by priority, and slots under all rules

Change: a test that a caller refused again waits for the end of the peak, the count by priority in a process test of a refusal, and in every replay the check that no slot runs two calls or is idle while one waits.

--- a/crates/cicadagw-call/tests/refusal.rs
+++ b/crates/cicadagw-call/tests/refusal.rs
@@ -164,6 +164,20 @@
     assert!(returns[99] <= now + left / 3, "{}", returns[99]);
 }
 
+#[test]
+fn callers_that_are_refused_again_wait_until_the_peak_may_be_over() {
+    let prospect = Prospect {
+        has_returned: true,
+        ..prospect()
+    };
+
+    let returns = returns(&prospect, 300);
+
+    let left = prospect.deadline.unwrap().since(at(300)).get();
+    assert!(returns[0] >= 300 + left / 6, "{}", returns[0]);
+    assert!(returns[99] <= 300 + left / 3, "{}", returns[99]);
+}
+
 #[test]
 fn callers_without_a_target_come_back_after_the_time_of_a_call() {
     let prospect = Prospect {
--- a/crates/cicadagw-call/tests/room/replay.rs
+++ b/crates/cicadagw-call/tests/room/replay.rs
@@ -108,6 +108,7 @@
         let now = Timestamp::new(millisecond);
         replay.end_calls(now);
         replay.come_back(now);
+        replay.check_slots();
         for (index, kind) in kinds.iter().enumerate() {
             // Ten chances in each millisecond approximate a Poisson process.
             for _ in 0..10 {
@@ -167,6 +168,13 @@
         self.running.push(call);
     }
 
+    /// Checks that no slot runs two calls, and that none is idle while a call waits.
+    fn check_slots(&self) {
+        let slots = self.admission.load().slots.get() as usize;
+        assert!(self.ends.len() <= slots);
+        assert!(self.queued.is_empty() || self.ends.len() == slots);
+    }
+
     fn refuse_queued(&mut self, now: Timestamp, ticket: Ticket) {
         let call = self.queued.remove(&ticket).expect("the call is queued");
         let held = now.since(call.arrival).get();
--- a/crates/cicadagw-proxy/tests/dialect.rs
+++ b/crates/cicadagw-proxy/tests/dialect.rs
@@ -231,6 +231,8 @@
     // A caller heeds the field up to a third of the time that it has left.
     let retry_after: f64 = response.headers["retry-after"].parse().unwrap();
     assert!((0.02..=0.1).contains(&retry_after), "{retry_after}");
+    let counts = fixture.far.stats.counts();
+    assert_eq!((counts.shed, counts.shed_by_priority), (1, [1, 0, 0, 0]));
     assert!(
         begin.elapsed() < Duration::from_millis(250),
         "{:?}",
