--- a/crates/cicadagw-call/src/balancer/core.rs
+++ b/crates/cicadagw-call/src/balancer/core.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use cicadagw_endpoint::Record;
+use cicadagw_rollout::{Draw, Split};
 use cicadagw_unit::id;
 use cicadagw_unit::rate::{CallRate, Permille, Priority};
 use cicadagw_unit::size::Bytes;
@@ -67,13 +68,15 @@
 #[derive(Clone, Debug, Default)]
 pub struct Balancer {
     /// The endpoints, sorted by id.
-    endpoints: Vec<Endpoint>,
+    pub(super) endpoints: Vec<Endpoint>,
     /// Indices into `endpoints`, by locality tier, nearest first.
     tiers: [SmallVec<[usize; 8]>; TIERS],
     /// Whether [`Self::update`] was called before.
     is_updated: bool,
     /// The average work time and response size of calls, by policy.
     profiles: BTreeMap<id::Policy, Profile>,
+    /// How the calls are split between the releases of the service.
+    pub(super) split: Split,
     /// The average utilization in the load reports of the endpoints.
     utilization: Utilization,
 }
@@ -81,20 +84,6 @@
 /// The endpoints of one tier that are eligible for a call.
 type Tier<'m> = SmallVec<[&'m Endpoint; 8]>;
 
-/// The state of an endpoint, for dumps.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct Summary {
-    /// The endpoint.
-    pub endpoint: id::Endpoint,
-    /// Calls of this node that are in flight to the endpoint.
-    pub in_flight: u32,
-    /// Consecutive failures. After an ejection the count starts one below the limit.
-    pub failures: u32,
-    /// Whether the endpoint is ejected because of its failures.
-    pub is_ejected: bool,
-}
-
 impl Balancer {
     /// Replaces the set of endpoints by those of `records`, which accept calls now. Observations of
     /// endpoints that stay are kept. Endpoints that are added after the first update go through
@@ -112,16 +101,17 @@
         self.assign_tiers(own);
     }
 
-    /// Chooses an endpoint for the call of `demand` that is not in `tried`: of the healthy and
-    /// reachable ones whose rate limit allows a call of its priority, the one with the lowest
-    /// expected cost in time and bytes.
+    /// Chooses an endpoint for the call of `demand` that is not in `tried`: of the drawn,
+    /// healthy and reachable ones whose rate limit allows a call of its priority, the one with the
+    /// lowest expected cost in time and bytes.
     ///
     /// Observed failures alone never leave a service without endpoints: health is ignored if the
     /// share of healthy endpoints is below `panic_threshold` or no healthy one is left, and
     /// unreachable endpoints are chosen if no other is left. Calls with large responses stay in the
     /// node's region while it has a healthy endpoint.
-    pub fn choose(
+    pub(super) fn choose_from(
         &self,
+        draw: Draw,
         now: Timestamp,
         rng: &mut impl Rng,
         tried: &[id::Endpoint],
@@ -131,7 +121,9 @@
         let counts_failures = !self.is_panicking(now, panic_threshold);
         let eligible = |accepts: &dyn Fn(&Endpoint) -> bool| {
             self.eligible(tried, |endpoint| {
-                endpoint.limited_for(now, demand.priority).is_none() && accepts(endpoint)
+                self.split.admits(draw, &endpoint.record)
+                    && endpoint.limited_for(now, demand.priority).is_none()
+                    && accepts(endpoint)
             })
         };
         let mut tiers = eligible(&|endpoint| {
@@ -305,16 +297,6 @@
             .all(|endpoint| endpoint.own_in_flight == 0)
     }
 
-    /// Returns the state of each endpoint.
-    pub fn summaries(&self, now: Timestamp) -> impl Iterator<Item = Summary> + '_ {
-        self.endpoints.iter().map(move |endpoint| Summary {
-            endpoint: endpoint.record.endpoint.clone(),
-            in_flight: endpoint.own_in_flight,
-            failures: endpoint.failures,
-            is_ejected: !endpoint.is_healthy(now),
-        })
-    }
-
     fn assign_tiers(&mut self, own: &Locality) {
         self.tiers = Default::default();
         for (index, endpoint) in self.endpoints.iter().enumerate() {
--- a/crates/cicadagw-call/src/balancer/mod.rs
+++ b/crates/cicadagw-call/src/balancer/mod.rs
@@ -4,7 +4,10 @@
 mod cost;
 mod decay;
 mod endpoint;
+mod rollout;
+mod summary;
 mod utilization;
 
-pub use core::{Balancer, Locality, Signal, Summary};
+pub use core::{Balancer, Locality, Signal};
 pub use cost::Demand;
+pub use summary::Summary;
--- a/crates/cicadagw-control/src/sync.rs
+++ b/crates/cicadagw-control/src/sync.rs
@@ -146,6 +146,7 @@
             endpoints: Arc::clone(&self.endpoints),
             members: 0,
             quota_parts: 0,
+            rollouts: Arc::default(),
         };
         self.effects.push(Effect::Publish(view));
     }
--- a/crates/cicadagw-gossip/src/core/anti_entropy.rs
+++ b/crates/cicadagw-gossip/src/core/anti_entropy.rs
@@ -269,6 +269,7 @@
             digest: self.table.digest(),
             follows: self.is_watcher && self.source.is_synced(),
             version: self.version(),
+            rollouts: self.rollouts.digest(),
         }
     }
 }
--- a/crates/cicadagw-gossip/src/core/dissemination.rs
+++ b/crates/cicadagw-gossip/src/core/dissemination.rs
@@ -130,6 +130,7 @@
             endpoints: self.endpoints.clone(),
             members: self.table.iter().count(),
             quota_parts: self.quota_parts(),
+            rollouts: self.rollouts.published(),
         }));
     }
 }
--- a/crates/cicadagw-gossip/src/core/mod.rs
+++ b/crates/cicadagw-gossip/src/core/mod.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod dissemination;
 mod quota;
+mod rollouts;
 mod step;
 
 pub use step::{Core, Setup};
--- a/crates/cicadagw-gossip/src/core/step.rs
+++ b/crates/cicadagw-gossip/src/core/step.rs
@@ -7,6 +7,7 @@
 use cicadagw_call::quota::Asker;
 use cicadagw_config::Snapshot;
 use cicadagw_endpoint::{Departure, Departures, LocalUpdate, State};
+use cicadagw_rollout::Directive;
 use cicadagw_unit::time::{Span, Timestamp};
 use cicadagw_unit::{Version, id};
 use cicadagw_view::Endpoints;
@@ -17,6 +18,7 @@
 use super::quota::Quotas;
 use crate::outbound::Outbound;
 use crate::registration::{Registration, Request};
+use crate::rollouts::Rollouts;
 use crate::source::Source;
 use crate::watchers::Watchers;
 use crate::{Backend, Call, Effect, Event, Member, Message, Notice, Reply, Stamp, Table};
@@ -47,6 +49,9 @@
     pub node: id::Node,
     /// Region of the node.
     pub region: id::Region,
+    /// Whether operators order rollouts of releases.
+    #[builder(default)]
+    pub rollouts: bool,
     /// Seed of the random number generator.
     pub seed: u64,
     /// Start time of the process, in milliseconds since the Unix epoch.
@@ -79,6 +84,7 @@
     pub(super) quotas: Quotas,
     pub(super) registration: Registration,
     pub(super) rng: StdRng,
+    pub(super) rollouts: Rollouts,
     pub(super) snapshot: Option<Arc<Snapshot>>,
     pub(super) source: Source,
     pub(super) table: Table,
@@ -116,6 +122,7 @@
             quotas: Quotas::default(),
             registration: Registration::new(setup.first_start),
             rng: StdRng::seed_from_u64(setup.seed),
+            rollouts: Rollouts::new(setup.rollouts, setup.start_ms),
             snapshot: None,
             source: Source::default(),
             table,
@@ -140,11 +147,17 @@
         &self.table
     }
 
+    /// Returns the rollouts that this node knows, withdrawn ones included.
+    pub fn rollouts(&self) -> impl Iterator<Item = &Directive> {
+        self.rollouts.iter()
+    }
+
     /// Processes `event` and returns the effects to carry out, in order.
     pub fn step(&mut self, now: Timestamp, event: Event) -> Vec<Effect> {
         match event {
             Event::Tick => self.tick(now),
             Event::Local(local) => self.handle_local(now, &local),
+            Event::Report(report) => self.handle_report(now, *report),
             Event::Message(sender, message) => self.handle_message(now, sender, message),
             Event::Quota(request) => self.request_tokens(now, request),
             Event::Reply(reply) => self.handle_reply(now, reply),
@@ -165,6 +178,7 @@
             self.effects.extend(calls.into_iter().map(Effect::Call));
         }
         self.send_beacon(now);
+        self.tick_rollouts(now);
         match self.registration.tick(now) {
             Some(Request::Write { create }) => self.effects.push(Effect::Call(Call::Register {
                 member: Box::new(self.own.clone()),
@@ -257,6 +271,7 @@
                 digest,
                 follows,
                 version,
+                rollouts,
             } => {
                 self.watchers.record(now, &from, follows);
                 if follows {
@@ -264,10 +279,13 @@
                 }
                 if self.table.get(&from).is_some() {
                     self.handle_digest(now, &from, digest, version);
+                    self.compare_rollouts(sender, rollouts);
                 } else {
                     self.introduce(sender);
                 }
             }
+            Message::Rollout { directive } => self.learn_rollout(&directive),
+            Message::Report { report } => self.handle_report(now, *report),
             Message::Parts { from, digests } => self.compare_partitions(&from, &digests),
             Message::Have {
                 from,
@@ -316,6 +334,10 @@
             }
             Reply::Configuration(outcome) => self.handle_configuration(now, outcome),
             Reply::Checked(outcome) => self.handle_check(now, outcome),
+            Reply::Rollouts(outcome) => self.handle_orders(now, outcome),
+            Reply::RolloutWritten(service, outcome) => {
+                self.handle_rollout_written(now, &service, outcome);
+            }
             Reply::Fetched(outcome) => {
                 self.fetch_deadline = None;
                 match outcome {
--- a/crates/cicadagw-gossip/src/event.rs
+++ b/crates/cicadagw-gossip/src/event.rs
@@ -8,8 +8,9 @@
 use cicadagw_config::Snapshot;
 use cicadagw_endpoint::{Departures, LocalUpdate};
 use cicadagw_platform::{Error, Revision};
-use cicadagw_unit::Version;
+use cicadagw_rollout::{Decision, Directive, Entry, Report, Status};
 use cicadagw_unit::time::Span;
+use cicadagw_unit::{Term, Version, id};
 use cicadagw_view::View;
 
 use crate::{Member, Message};
@@ -21,6 +22,8 @@
     Tick,
     /// The state of a backend server on this host changed.
     Local(LocalUpdate),
+    /// The calls duty reports on a backend server on this host whose service has a rollout.
+    Report(Box<Report>),
     /// A gossip message arrived from another node, at this address.
     Message(SocketAddr, Message),
     /// Calls at this node need tokens of a quota.
@@ -60,6 +63,24 @@
         /// Timeout of the request.
         timeout: Span,
     },
+    /// List the orders of rollouts at the platform.
+    ListRollouts,
+    /// Wait until an order of a rollout, or the status of one, has changed after the revision `after`.
+    WatchRollouts {
+        /// Revision up to which all changes are known.
+        after: Revision,
+        /// How long the platform may hold the request open.
+        wait: Span,
+    },
+    /// Write the status of an order of a rollout, if nobody has changed the order since `term`.
+    WriteRollout {
+        /// The service.
+        service: id::Service,
+        /// The status to write.
+        status: Box<Status>,
+        /// The revision that the order must have.
+        term: Term,
+    },
     /// Fetch the configuration from the node at this address, instead of from the platform.
     FetchConfiguration(SocketAddr),
 }
@@ -77,10 +98,27 @@
     /// Response to [`Call::CheckConfiguration`]: the revision of the last known configuration, and
     /// the configuration if it has changed.
     Checked(Result<(Revision, Option<Arc<Snapshot>>), Error>),
+    /// Response to [`Call::ListRollouts`] and [`Call::WatchRollouts`].
+    Rollouts(Result<Orders, Error>),
+    /// Response to [`Call::WriteRollout`]: the new revision of the order of this service.
+    RolloutWritten(id::Service, Result<Term, Error>),
     /// Response to [`Call::FetchConfiguration`].
     Fetched(Result<Arc<Snapshot>, Error>),
 }
 
+/// The orders of rollouts, or those that have changed.
+#[derive(Clone, Debug, Default)]
+pub struct Orders {
+    /// The revision from which to continue.
+    pub at: Revision,
+    /// The orders.
+    pub entries: Vec<Entry>,
+    /// Whether these are all orders.
+    pub is_complete: bool,
+    /// The services whose order cannot be read; the one before stays in force.
+    pub unreadable: Vec<id::Service>,
+}
+
 /// An output of the state machine, for the gossip duty to carry out.
 #[derive(Debug)]
 pub enum Effect {
@@ -122,6 +160,28 @@
         /// of its region.
         confirmed_age: Span,
     },
+    /// An order of a rollout was noticed, or withdrawn.
+    RolloutOrdered(Directive),
+    /// This node begins or ceases to lead the rollout of a service.
+    RolloutLed {
+        /// The service.
+        service: id::Service,
+        /// Whether it begins.
+        begins: bool,
+    },
+    /// This node decided about a rollout that it leads.
+    RolloutDecided {
+        /// The service.
+        service: id::Service,
+        /// The decision.
+        decision: Box<Decision>,
+        /// How many calls have reached the service, and how many of them the target release got.
+        exposure: (u64, u64),
+    },
+    /// The order of a rollout names a service that the configuration does not have.
+    RolloutServiceUnknown(id::Service),
+    /// The status of a rollout could not be written, for this reason.
+    RolloutNotWritten(id::Service, String),
     /// This node begins or ceases to watch the platform for configurations.
     Watching(bool),
 }
@@ -135,6 +195,13 @@
             Self::MemberChanged(_) => "member record changed",
             Self::PlatformAvailable => "platform available again",
             Self::PlatformUnavailable { .. } => "platform unavailable",
+            Self::RolloutOrdered(directive) if directive.status.is_none() => "rollout withdrawn",
+            Self::RolloutOrdered(_) => "rollout ordered",
+            Self::RolloutLed { begins: true, .. } => "leading a rollout",
+            Self::RolloutLed { begins: false, .. } => "no longer leading a rollout",
+            Self::RolloutDecided { .. } => "rollout decided",
+            Self::RolloutServiceUnknown(_) => "rollout of an unknown service ordered",
+            Self::RolloutNotWritten(..) => "rollout status not written",
             Self::Watching(true) => "watching the platform",
             Self::Watching(false) => "no longer watching the platform",
         })
--- a/crates/cicadagw-gossip/src/hash.rs
+++ b/crates/cicadagw-gossip/src/hash.rs
@@ -1,5 +1,6 @@
 //! Hashes that travel between nodes, and so must be the same in every build.
 
+use cicadagw_rollout::Directive;
 use cicadagw_unit::id;
 
 use crate::Stamp;
@@ -33,6 +34,17 @@
     first_eight(&hasher.finalize())
 }
 
+/// Returns the hash of a rollout by its service and precedence; never zero.
+pub(crate) fn rollout(directive: &Directive) -> u64 {
+    let (term, stopped) = directive.precedence();
+    let mut hasher = blake3::Hasher::new();
+    hasher
+        .update(directive.service.as_str().as_bytes())
+        .update(&[0, u8::from(stopped)])
+        .update(&term.get().to_le_bytes());
+    first_eight(&hasher.finalize()).max(1)
+}
+
 fn first_eight(hash: &blake3::Hash) -> u64 {
     let (first, _) = hash
         .as_bytes()
--- a/crates/cicadagw-gossip/src/lib.rs
+++ b/crates/cicadagw-gossip/src/lib.rs
@@ -17,12 +17,13 @@
 pub mod owners;
 mod partition;
 mod registration;
+mod rollouts;
 pub mod source;
 mod table;
 mod watchers;
 
 pub use core::{Core, Setup};
-pub use event::{Call, Effect, Event, Notice, Reply};
+pub use event::{Call, Effect, Event, Notice, Orders, Reply};
 pub use member::{Backend, Member, Stamp};
 pub use message::Message;
 pub use partition::Partition;
--- a/crates/cicadagw-gossip/src/message.rs
+++ b/crates/cicadagw-gossip/src/message.rs
@@ -2,6 +2,7 @@
 
 use cicadagw_call::quota::{Ask, Grant};
 use cicadagw_endpoint::Departures;
+use cicadagw_rollout::{Directive, Report};
 use cicadagw_unit::{Version, id};
 
 use crate::{Member, Partition, Stamp};
@@ -55,6 +56,19 @@
         follows: bool,
         /// Version of the sender's configuration; zero without one.
         version: Version,
+        /// Digest of the rollouts that it knows; zero without any.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        rollouts: u64,
+    },
+    /// A rollout that may be new to the receiver.
+    Rollout {
+        /// What nodes choose backend servers by.
+        directive: Box<Directive>,
+    },
+    /// What the sender observes of a backend server on its host, for the leader of a rollout.
+    Report {
+        /// The report.
+        report: Box<Report>,
     },
     /// Digests of the sender's table by partition, sent when the digests of the whole tables
     /// differ.
@@ -96,6 +110,15 @@
     Grant(Grant),
 }
 
+/// Returns whether the number is zero, and so not written.
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
 /// Splits member records into groups that fit one message each.
 pub(crate) fn split_members(members: Vec<Member>) -> Vec<Vec<Member>> {
     let mut groups: Vec<Vec<Member>> = Vec::new();
--- a/crates/cicadagw-gossip/src/watchers.rs
+++ b/crates/cicadagw-gossip/src/watchers.rs
@@ -9,7 +9,7 @@
 //!
 //! [`Message::Digest`]: crate::Message::Digest
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use cicadagw_unit::id;
@@ -157,6 +157,14 @@
     Span::new(beacon_interval(count).get() * 5 / 2)
 }
 
+/// Returns the turn of `own` among the nodes of all regions that watch: the first nodes of all regions
+/// come first.
+pub(crate) fn turn(table: &Table, own: &Member) -> usize {
+    let regions: BTreeSet<&id::Region> = table.iter().map(|member| &member.region).collect();
+    let region = regions.iter().position(|region| **region == own.region);
+    position(&order(table, own), own) * regions.len() + region.unwrap_or_default()
+}
+
 /// Returns the gossip addresses of the children of `own` in the tree that passes new versions on.
 pub(crate) fn children(table: &Table, own: &Member) -> SmallVec<[SocketAddr; FANOUT]> {
     let order = order(table, own);
--- a/crates/cicadagw-gossip/tests/fleet.rs
+++ b/crates/cicadagw-gossip/tests/fleet.rs
@@ -85,6 +85,7 @@
     // The table is so large that the stamps of all records would not fit.
     let mut fleet = fleet(120);
     let differing = Message::Digest {
+        rollouts: 0,
         from: "node-0002".parse().unwrap(),
         digest: 0,
         follows: false,
@@ -380,6 +381,7 @@
 #[test]
 fn truncated_messages_are_rejected() {
     let whole = Message::Digest {
+        rollouts: 0,
         from: "node-0001".parse().unwrap(),
         digest: 7,
         follows: true,
--- a/crates/cicadagw-gossip/tests/odd.rs
+++ b/crates/cicadagw-gossip/tests/odd.rs
@@ -201,6 +201,7 @@
                 stamp: Stamp(5, 5),
             },
             2 => Message::Digest {
+                rollouts: 0,
                 from,
                 digest: 5,
                 follows: true,
--- /dev/null
+++ b/crates/cicadagw-gossip/tests/rollout.rs
@@ -0,0 +1,243 @@
+//! Rollouts in a fleet: who leads, what the nodes choose by, and failures of both.
+
+mod support;
+
+use cicadagw_gossip::Event;
+use cicadagw_rollout::{Phase, State, Status};
+use cicadagw_unit::time::Span;
+use support::{Behaviour, Fleet, Load};
+
+const DURATION: Span = Span::seconds(12);
+
+/// How much longer a rollout may take whose leader fails: the lease, the turn of the next one and
+/// what it has to observe again.
+const TAKEOVER_MAX: Span = Span::seconds(8);
+
+/// Returns a fleet whose second half has backend servers of release `v2`, and its load.
+fn ordered(behaviour: Behaviour) -> (Fleet, Load) {
+    let mut fleet = Fleet::with_rollouts(16);
+    let mut load = Load::new(&fleet, 400);
+    load.behaviour.insert("v2".to_owned(), behaviour);
+    fleet.order("v2", DURATION);
+    load.run(&mut fleet, Span::new(500), |_| false);
+    for index in 8..16 {
+        fleet.start_backend(index, "v2");
+    }
+    (fleet, load)
+}
+
+fn has_ended(fleet: &Fleet) -> bool {
+    let status = fleet.rollout_status();
+    status.is_some_and(|status| status.state() != State::Running)
+}
+
+fn state(fleet: &Fleet) -> Option<State> {
+    fleet.rollout_status().map(Status::state)
+}
+
+#[test]
+fn a_good_release_gets_all_calls_in_time_and_the_others_none_when_it_is_done() {
+    let (mut fleet, mut load) = ordered(Behaviour::Good);
+
+    load.run(&mut fleet, Span::new(11_500), has_ended);
+    let at_done = load.last.clone();
+    load.run(&mut fleet, Span::seconds(2), |_| false);
+
+    assert_eq!(state(&fleet), Some(State::Done));
+    assert_eq!(at_done.get("v1"), None, "{at_done:?}");
+    assert_eq!(load.last.get("v1"), None);
+    // One write for each step and each second.
+    assert!(
+        fleet.platform.rollout_writes < 40,
+        "{}",
+        fleet.platform.rollout_writes
+    );
+}
+
+#[test]
+fn a_release_that_is_bad_at_once_or_later_is_left_within_the_allowance() {
+    for after in [Span::new(0), Span::seconds(4), Span::seconds(7)] {
+        let (mut fleet, mut load) = ordered(Behaviour::BadAfter(after));
+
+        load.run(&mut fleet, DURATION, |_| false);
+
+        assert_eq!(state(&fleet), Some(State::RolledBack), "bad after {after}");
+        assert_eq!(load.last.get("v2"), None, "bad after {after}");
+        let exposed = load.exposed("v2");
+        assert!(exposed <= load.allowance(), "bad after {after}: {exposed}");
+    }
+}
+
+#[test]
+fn another_node_leads_on_when_the_leader_is_cut_off_in_any_phase() {
+    for (at, behaviour, expected) in [
+        (1, Behaviour::Good, State::Done),
+        (5, Behaviour::Good, State::Done),
+        (9, Behaviour::Good, State::Done),
+        (1, Behaviour::BadAfter(Span::seconds(3)), State::RolledBack),
+        (3, Behaviour::BadAfter(Span::seconds(3)), State::RolledBack),
+        (5, Behaviour::BadAfter(Span::seconds(5)), State::RolledBack),
+    ] {
+        let (mut fleet, mut load) = ordered(behaviour);
+        load.run(&mut fleet, Span::seconds(at), has_ended);
+        let leader = fleet.leader().unwrap();
+
+        fleet.isolated.insert(leader);
+        fleet.platform.unavailable_to.insert(leader);
+        load.run(&mut fleet, DURATION.plus(TAKEOVER_MAX), has_ended);
+        load.run(&mut fleet, Span::seconds(1), |_| false);
+
+        assert_eq!(
+            state(&fleet),
+            Some(expected),
+            "cut off after {at} s, {behaviour:?}"
+        );
+        if expected == State::RolledBack {
+            let exposed = load.exposed("v2");
+            assert!(
+                exposed <= load.allowance(),
+                "cut off after {at} s: {exposed}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_leader_that_was_frozen_changes_nothing_when_it_goes_on() {
+    let (mut fleet, mut load) = ordered(Behaviour::Good);
+    load.run(&mut fleet, Span::seconds(5), has_ended);
+    let frozen = fleet.leader().unwrap();
+    fleet.frozen.insert(frozen);
+    load.run(&mut fleet, DURATION.plus(TAKEOVER_MAX), has_ended);
+    let before = fleet.rollout_status().cloned();
+
+    fleet.frozen.clear();
+    load.run(&mut fleet, Span::seconds(6), |_| false);
+
+    assert_ne!(fleet.leader(), Some(frozen));
+    assert_eq!(state(&fleet), Some(State::Done));
+    assert_eq!(fleet.rollout_status(), before.as_ref());
+    assert_eq!(load.last.get("v1"), None);
+}
+
+#[test]
+fn a_rollout_ends_although_the_responses_to_writes_are_lost() {
+    let (mut fleet, mut load) = ordered(Behaviour::Good);
+    fleet.platform.loses_responses = true;
+    load.run(&mut fleet, Span::seconds(10), has_ended);
+    fleet.platform.loses_responses = false;
+
+    load.run(&mut fleet, TAKEOVER_MAX, has_ended);
+
+    assert_eq!(state(&fleet), Some(State::Done));
+}
+
+#[test]
+fn a_bad_release_is_left_at_once_while_the_platform_is_unavailable() {
+    let (mut fleet, mut load) = ordered(Behaviour::BadAfter(Span::seconds(4)));
+    load.run(&mut fleet, Span::seconds(3), has_ended);
+
+    fleet.platform.unavailable_to = (0..16).collect();
+    load.run(&mut fleet, Span::seconds(4), |_| false);
+    let during = load.last.clone();
+    fleet.platform.unavailable_to.clear();
+    load.run(&mut fleet, Span::seconds(6), has_ended);
+
+    assert_eq!(during.get("v2"), None, "{during:?}");
+    assert_eq!(state(&fleet), Some(State::RolledBack));
+}
+
+#[test]
+fn a_bad_release_is_left_within_the_allowance_although_a_fifth_of_the_messages_is_lost() {
+    let (mut fleet, mut load) = ordered(Behaviour::BadAfter(Span::seconds(5)));
+    fleet.loss_permille = 200;
+
+    load.run(&mut fleet, DURATION, |_| false);
+
+    assert_eq!(state(&fleet), Some(State::RolledBack));
+    assert!(load.exposed("v2") <= load.allowance());
+}
+
+#[test]
+fn after_an_order_is_withdrawn_all_backend_servers_get_calls() {
+    let (mut fleet, mut load) = ordered(Behaviour::Good);
+    load.run(&mut fleet, Span::seconds(5), has_ended);
+
+    fleet.withdraw();
+    load.run(&mut fleet, Span::seconds(2), |_| false);
+
+    assert_eq!(load.last.len(), 2, "{:?}", load.last);
+    let new = load.last["v2"];
+    assert!(new > 4, "{new} of 20 calls");
+}
+
+#[test]
+fn a_newer_order_replaces_the_one_before_whose_target_gets_no_more_calls() {
+    let (mut fleet, mut load) = ordered(Behaviour::Good);
+    load.run(&mut fleet, Span::seconds(5), has_ended);
+
+    fleet.order("v3", DURATION);
+    for index in 14..16 {
+        fleet.start_backend(index, "v3");
+    }
+    load.run(&mut fleet, Span::seconds(1), |_| false);
+    let before = load.exposed("v2");
+    load.run(&mut fleet, DURATION, has_ended);
+
+    assert_eq!(load.exposed("v2"), before);
+    let status = fleet.rollout_status().unwrap();
+    assert_eq!((status.phase, status.target.as_str()), (Phase::Done, "v3"));
+}
+
+#[test]
+fn a_rollout_goes_on_from_the_platform_after_all_nodes_have_restarted() {
+    for (behaviour, expected) in [
+        (Behaviour::Good, State::Done),
+        (Behaviour::BadAfter(Span::seconds(3)), State::RolledBack),
+    ] {
+        let (mut fleet, mut load) = ordered(behaviour);
+        load.run(&mut fleet, Span::new(2_500), has_ended);
+
+        for index in 0..16 {
+            fleet.restart(index, 6_000);
+        }
+        fleet.run(Span::new(300));
+        for index in 0..16 {
+            fleet.start_backend(index, if index < 8 { "v1" } else { "v2" });
+        }
+        load.run(&mut fleet, DURATION.plus(TAKEOVER_MAX), has_ended);
+
+        assert_eq!(state(&fleet), Some(expected), "{behaviour:?}");
+    }
+}
+
+#[test]
+fn a_target_without_backend_servers_is_rolled_back_when_the_time_is_over() {
+    let mut fleet = Fleet::with_rollouts(8);
+    let mut load = Load::new(&fleet, 100);
+    fleet.order("v9", DURATION);
+
+    load.run(&mut fleet, Span::new(11_500), |_| false);
+    let before = state(&fleet);
+    load.run(&mut fleet, Span::seconds(2), |_| false);
+
+    assert_eq!(
+        (before, state(&fleet)),
+        (Some(State::Running), Some(State::RolledBack))
+    );
+}
+
+#[test]
+fn without_rollouts_the_platform_gets_no_request_about_them() {
+    let mut fleet = Fleet::new(8);
+    fleet.publish_configuration(1);
+    fleet.run(Span::seconds(3));
+    let order = |fleet: &Fleet| fleet.nodes.iter().all(|node| node.view.rollouts.is_empty());
+
+    fleet.order("v2", DURATION);
+    fleet.step(0, Event::Tick);
+    fleet.run(Span::seconds(3));
+
+    assert!(order(&fleet));
+    assert_eq!(fleet.platform.rollout_writes, 0);
+}
--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -7,7 +7,9 @@
     reason = "each test file uses its own part of the fixtures"
 )]
 
+mod load;
 mod record;
+mod rollout;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -17,8 +19,10 @@
 use cicadagw_config::Snapshot;
 use cicadagw_gossip::{Call, Core, Effect, Event, Member, Message, Notice, Reply};
 use cicadagw_platform::{Error, Revision};
+use cicadagw_rollout::Entry;
 use cicadagw_unit::time::{Span, Timestamp};
 use cicadagw_view::View;
+pub use load::{Behaviour, Load};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 pub use record::{address, local, member, new_core, snapshot, snapshot_with_quota};
@@ -40,12 +44,16 @@
     pub requests: usize,
     /// The watch that waits for a change, if one does: its revision, and when its wait is over.
     pending_watch: Option<(Revision, Timestamp)>,
+    /// The watch of rollouts that waits for a change, if one does: its revision, and when its wait is
+    /// over.
+    pending_rollout_watch: Option<(Revision, Timestamp)>,
     /// Responses that arrive later, and when.
     delayed: Vec<(Timestamp, Reply)>,
 }
 
 /// A simulated platform.
 #[derive(Default)]
+#[expect(clippy::struct_excessive_bools, reason = "each is a fault of its own")]
 pub struct Platform {
     pub members: BTreeMap<String, Member>,
     pub config: Option<(Revision, Arc<Snapshot>)>,
@@ -62,6 +70,12 @@
     pub checks_find_no_history: bool,
     /// Whether watches fail because the history that they need was compacted.
     pub has_compacted: bool,
+    /// The orders of rollouts by service, withdrawn ones included.
+    pub orders: BTreeMap<String, Entry>,
+    /// Number of statuses of rollouts written.
+    pub rollout_writes: usize,
+    /// Whether the responses to writes of the status of rollouts are lost.
+    pub loses_responses: bool,
 }
 
 /// The nodes, the network between them, and the platform.
@@ -73,6 +87,10 @@
     pub loss_permille: u32,
     /// Nodes that neither send nor receive any message.
     pub isolated: BTreeSet<usize>,
+    /// Nodes that do nothing for now.
+    pub frozen: BTreeSet<usize>,
+    /// Whether operators order rollouts.
+    has_rollouts: bool,
     /// Nodes from which a fetch of the configuration gets no response.
     pub silent_to_fetches: BTreeSet<usize>,
     /// Total size of all messages sent, in bytes.
@@ -95,6 +113,8 @@
             platform: Platform::default(),
             loss_permille: 0,
             isolated: BTreeSet::new(),
+            frozen: BTreeSet::new(),
+            has_rollouts: false,
             silent_to_fetches: BTreeSet::new(),
             bytes: 0,
             cross_region_bytes: 0,
@@ -117,7 +137,11 @@
         while self.now < end {
             self.now = self.now.after(TICK);
             for index in 0..self.nodes.len() {
+                if self.frozen.contains(&index) {
+                    continue;
+                }
                 self.respond_to_watch(index);
+                self.respond_to_rollout_watch(index);
                 self.respond_late(index);
                 self.step(index, Event::Tick);
             }
@@ -140,7 +164,11 @@
 
     /// Replaces a node by a new process that started at `start_ms` and knows only itself.
     pub fn restart(&mut self, index: usize, start_ms: u64) {
-        self.nodes[index] = Node::new(new_core(index, start_ms));
+        self.nodes[index] = Node::new(if self.has_rollouts {
+            record::new_core_with_rollouts(index, start_ms)
+        } else {
+            new_core(index, start_ms)
+        });
     }
 
     /// Returns the version of each node's configuration.
@@ -169,7 +197,9 @@
         if from % record::REGIONS.len() != to % record::REGIONS.len() {
             self.cross_region_bytes += size;
         }
-        let is_isolated = self.isolated.contains(&from) || self.isolated.contains(&to);
+        let is_isolated = self.isolated.contains(&from)
+            || self.isolated.contains(&to)
+            || self.frozen.contains(&to);
         let is_lost = self.rng.random_range(0..1_000) < self.loss_permille;
         if to < self.nodes.len() && !is_isolated && !is_lost {
             self.in_flight.push_back((from, to, message));
@@ -247,6 +277,9 @@
                 self.nodes[index].pending_watch = Some((after, self.now.after(wait)));
                 return;
             }
+            Call::ListRollouts | Call::WatchRollouts { .. } | Call::WriteRollout { .. } => {
+                return self.rollout_call(index, call);
+            }
             Call::FetchConfiguration(_) => unreachable!("a fetch returns above"),
         };
         self.step(index, Event::Reply(reply));
@@ -263,6 +296,14 @@
                 (wait.plus(CALL_TIMEOUT), Reply::Configuration(Err(error())))
             }
             Call::CheckConfiguration { timeout, .. } => (*timeout, Reply::Checked(Err(error()))),
+            Call::ListRollouts => (CALL_TIMEOUT, Reply::Rollouts(Err(error()))),
+            Call::WatchRollouts { wait, .. } => {
+                (wait.plus(CALL_TIMEOUT), Reply::Rollouts(Err(error())))
+            }
+            Call::WriteRollout { service, .. } => {
+                let reply = Reply::RolloutWritten(service.clone(), Err(error()));
+                (CALL_TIMEOUT, reply)
+            }
             Call::FetchConfiguration(_) => (CALL_TIMEOUT, Reply::Fetched(Err(error()))),
         };
         let at = self.now.after(timeout);
@@ -319,6 +360,7 @@
             grants: Vec::new(),
             requests: 0,
             pending_watch: None,
+            pending_rollout_watch: None,
             delayed: Vec::new(),
         }
     }
--- a/crates/cicadagw-gossip/tests/support/record.rs
+++ b/crates/cicadagw-gossip/tests/support/record.rs
@@ -77,6 +77,15 @@
 /// Creates the state machine of node `index`, in one of two regions. The process started at
 /// `start_ms`; 1 stands for a node that was never registered.
 pub fn new_core(index: usize, start_ms: u64) -> Core {
+    core(index, start_ms, false)
+}
+
+/// Creates the state machine of node `index` where operators order rollouts.
+pub fn new_core_with_rollouts(index: usize, start_ms: u64) -> Core {
+    core(index, start_ms, true)
+}
+
+fn core(index: usize, start_ms: u64, has_rollouts: bool) -> Core {
     let region = REGIONS[index % REGIONS.len()];
     let setup = Setup::builder()
         .calls(address(index))
@@ -85,6 +94,7 @@
         .gossip(address(index))
         .node(format!("node-{index:04}").parse().unwrap())
         .region(region.parse().unwrap())
+        .rollouts(has_rollouts)
         .seed(index as u64)
         .start_ms(start_ms)
         .build();
--- /dev/null
+++ b/crates/cicadagw-gossip/tests/support/rollout.rs
@@ -0,0 +1,162 @@
+//! The platform's part in rollouts: orders, their status, and the requests about them.
+
+use cicadagw_endpoint::{LocalUpdate, State};
+use cicadagw_gossip::{Call, Event, Orders, Reply};
+use cicadagw_platform::{Error, Revision};
+use cicadagw_rollout::{Entry, Order, Status};
+use cicadagw_unit::Term;
+use cicadagw_unit::time::Span;
+
+use super::{Fleet, Node, local, record};
+
+impl Fleet {
+    /// Creates a fleet whose operators order rollouts. The first half of the nodes has backend servers
+    /// of release `v1`, and the second half has none yet.
+    pub fn with_rollouts(count: usize) -> Self {
+        let mut fleet = Self {
+            has_rollouts: true,
+            ..Self::new(0)
+        };
+        for index in 0..count {
+            let core = record::new_core_with_rollouts(index, 1);
+            fleet.nodes.push(Node::new(core));
+        }
+        fleet.publish_configuration(1);
+        fleet.run(Span::seconds(3));
+        for index in 0..count / 2 {
+            fleet.start_backend(index, "v1");
+        }
+        fleet.run(Span::seconds(1));
+        fleet
+    }
+
+    /// Starts a backend server on the host of a node.
+    pub fn start_backend(&mut self, index: usize, release: &str) {
+        let update = LocalUpdate {
+            release: Some(release.parse().unwrap()),
+            ..local(&format!("i-{index}"), State::Ready)
+        };
+        self.step(index, Event::Local(update));
+    }
+
+    /// Orders a rollout of the service `orders`, as an operator does.
+    pub fn order(&mut self, target: &str, duration: Span) {
+        let order = Order {
+            duration,
+            service: "orders".parse().unwrap(),
+            target: target.parse().unwrap(),
+        };
+        self.write_order(Some(order));
+    }
+
+    /// Withdraws the order.
+    pub fn withdraw(&mut self) {
+        self.write_order(None);
+    }
+
+    fn write_order(&mut self, order: Option<Order>) {
+        self.platform.revision += 1;
+        let earlier = self.platform.orders.get("orders");
+        let status = earlier.and_then(|entry| entry.status.clone());
+        let entry = Entry {
+            status: status.filter(|_| order.is_some()),
+            order,
+            service: "orders".parse().unwrap(),
+            term: Term::new(self.platform.revision),
+        };
+        self.platform.orders.insert("orders".to_owned(), entry);
+    }
+
+    /// Returns the status of the order at the platform.
+    pub fn rollout_status(&self) -> Option<&Status> {
+        self.platform.orders.get("orders")?.status.as_ref()
+    }
+
+    /// Returns the node that leads the rollout according to the platform.
+    pub fn leader(&self) -> Option<usize> {
+        let leader = self.rollout_status()?.leader.as_ref()?;
+        let name = leader.as_str().strip_prefix("node-").unwrap();
+        Some(name.parse().unwrap())
+    }
+
+    /// Responds to a request about rollouts, except for a watch, which waits for a change.
+    pub(super) fn rollout_call(&mut self, index: usize, call: Call) {
+        let is_unavailable = self.platform.unavailable_to.contains(&index);
+        let unavailable = || Error::Unavailable("unavailable".to_owned());
+        let reply = match call {
+            Call::ListRollouts if is_unavailable => Reply::Rollouts(Err(unavailable())),
+            Call::ListRollouts => {
+                let all = self.platform.orders.values();
+                let entries = all.filter(|entry| entry.order.is_some()).cloned();
+                Reply::Rollouts(Ok(Orders {
+                    at: Revision(self.platform.revision),
+                    entries: entries.collect(),
+                    is_complete: true,
+                    unreadable: Vec::new(),
+                }))
+            }
+            Call::WatchRollouts { after, wait } => {
+                let until = self.now.after(wait);
+                self.nodes[index].pending_rollout_watch = Some((after, until));
+                return;
+            }
+            Call::WriteRollout { service, .. } if is_unavailable => {
+                Reply::RolloutWritten(service, Err(unavailable()))
+            }
+            Call::WriteRollout {
+                service,
+                status,
+                term,
+            } => {
+                self.platform.revision += 1;
+                let revision = Term::new(self.platform.revision);
+                let entry = self.platform.orders.get_mut(service.as_str());
+                let entry = entry.filter(|entry| entry.order.is_some() && entry.term == term);
+                let written = entry.map(|entry| {
+                    entry.status = Some(*status);
+                    entry.term = revision;
+                });
+                self.platform.rollout_writes += 1;
+                Reply::RolloutWritten(
+                    service,
+                    match written {
+                        None => Err(Error::Conflict),
+                        Some(()) if self.platform.loses_responses => {
+                            Err(Error::Unknown("lost".to_owned()))
+                        }
+                        Some(()) => Ok(revision),
+                    },
+                )
+            }
+            _ => unreachable!("the request is not about rollouts"),
+        };
+        self.step(index, Event::Reply(reply));
+    }
+
+    /// Responds to a pending watch if an order or a status has changed, the platform fails, or the
+    /// wait is over.
+    pub(super) fn respond_to_rollout_watch(&mut self, index: usize) {
+        let Some((after, until)) = self.nodes[index].pending_rollout_watch else {
+            return;
+        };
+        let changed = self.platform.orders.values();
+        let entries: Vec<Entry> = changed
+            .filter(|entry| entry.term.get() > after.0)
+            .cloned()
+            .collect();
+        let reply = if self.platform.unavailable_to.contains(&index) {
+            Err(Error::Unavailable("unavailable".to_owned()))
+        } else if !entries.is_empty() || self.now >= until {
+            Ok(Orders {
+                at: Revision(self.platform.revision),
+                entries,
+                is_complete: false,
+                unreadable: Vec::new(),
+            })
+        } else {
+            return;
+        };
+        self.nodes[index].pending_rollout_watch = None;
+        self.step(index, Event::Reply(Reply::Rollouts(reply)));
+    }
+}
--- a/crates/cicadagw-node/src/peering/gossip.rs
+++ b/crates/cicadagw-node/src/peering/gossip.rs
@@ -10,6 +10,8 @@
 use cicadagw_meter::Meter;
 use cicadagw_platform::Error;
 use cicadagw_ring::{Receiver, TrySendError};
+use cicadagw_rollout::Decision;
+use cicadagw_unit::id;
 use cicadagw_view::Shared;
 use serde_json::json;
 use tokio::net::UdpSocket;
@@ -68,6 +70,7 @@
             _ = ticks.tick() => Some(Event::Tick),
             local = event_loop.rings.locals.recv() => local.map(Event::Local),
             request = event_loop.rings.quota_requests.recv() => request.map(Event::Quota),
+            report = event_loop.rings.reports.recv() => report.map(|report| Event::Report(Box::new(report))),
             reply = event_loop.rings.replies.recv() => reply.map(Event::Reply),
             received = event_loop.socket.recv_from(&mut datagram) => {
                 match decode(received, &datagram) {
@@ -156,6 +159,8 @@
                 Reply::Configuration(Err(error()))
             }
             Call::CheckConfiguration { .. } => Reply::Checked(Err(error())),
+            Call::ListRollouts | Call::WatchRollouts { .. } => Reply::Rollouts(Err(error())),
+            Call::WriteRollout { service, .. } => Reply::RolloutWritten(service, Err(error())),
             Call::FetchConfiguration(_) => Reply::Fetched(Err(error())),
         })
     }
@@ -170,7 +175,12 @@
     fn answer_request(&self, request: Option<Request>) {
         if let Some(Request::Dump(reply)) = request {
             let members: Vec<_> = self.core.table().iter().collect();
-            let dump = json!({ "version": self.core.version(), "members": members });
+            let rollouts: Vec<_> = self.core.rollouts().collect();
+            let dump = json!({
+                "version": self.core.version(),
+                "members": members,
+                "rollouts": rollouts,
+            });
             // The admin request may have timed out in the meantime.
             reply.send(dump).ok();
         }
@@ -220,6 +230,25 @@
                 .is_some_and(|backend| backend.is_ready);
             log::info!(member:% = member.node, stamp:% = member.stamp, endpoint, is_ready, is_leaving = member.is_leaving; "{notice}");
         }
+        Notice::RolloutOrdered(directive) => {
+            let target = directive
+                .status
+                .as_ref()
+                .map(|status| status.target.as_str());
+            log::info!(service:% = directive.service, term:% = directive.term, target = target.unwrap_or("-"); "{notice}");
+        }
+        Notice::RolloutLed { service, .. } => log::info!(service:%; "{notice}"),
+        Notice::RolloutDecided {
+            service,
+            decision,
+            exposure,
+        } => log_decision(service, decision, *exposure),
+        Notice::RolloutServiceUnknown(service) => {
+            log::warn!(service:%, field = "service", next = "the rollout waits for backend servers"; "{notice}");
+        }
+        Notice::RolloutNotWritten(service, reason) => {
+            log::warn!(service:%, reason:%, next = "the write is repeated"; "{notice}");
+        }
         Notice::PlatformAvailable | Notice::Watching(_) => log::info!("{notice}"),
         Notice::PlatformUnavailable {
             reason,
@@ -229,3 +258,13 @@
         }
     }
 }
+
+/// Writes a decision about a rollout to the log. A renewal of the leadership is a decision as well.
+fn log_decision(service: &id::Service, decision: &Decision, (reached, exposed): (u64, u64)) {
+    let Decision { fault, status } = decision;
+    let (phase, share, target) = (status.phase, status.share, &status.target);
+    if let Some(fault) = fault {
+        log::warn!(service:%, target:%, fault:%, reached, exposed, next = "the release gets no more calls"; "rollout stopped");
+    }
+    log::info!(service:%, target:%, phase:%, share:%, beat = status.beat, reached, exposed; "rollout decided");
+}
--- a/crates/cicadagw-node/src/peering/node.rs
+++ b/crates/cicadagw-node/src/peering/node.rs
@@ -68,6 +68,7 @@
         .gossip(settings.link)
         .node(settings.node.clone())
         .region(settings.region.clone())
+        .rollouts(peering.rollouts)
         .seed(seed)
         .start_ms(unix_milliseconds())
         .build();
@@ -115,6 +116,7 @@
         })
         .quota(rings.quota)
         .ready(sockets.ready)
+        .reports(rings.reports)
         .retry_slack(peering.retry_slack.into())
         .seed(seed)
         .service(peering.service.clone())
--- a/crates/cicadagw-node/src/peering/platform.rs
+++ b/crates/cicadagw-node/src/peering/platform.rs
@@ -10,13 +10,15 @@
 
 use bytes::Bytes;
 use cicadagw_config::{Snapshot, part};
-use cicadagw_gossip::{Call, Member, Reply};
+use cicadagw_gossip::{Call, Member, Orders, Reply};
 use cicadagw_meter::{Meter, Operation, PlatformOutcome};
 use cicadagw_platform::http::Client;
 use cicadagw_platform::{Condition, Error, Freshness, Key, Object, Revision, Store};
 use cicadagw_proxy::SNAPSHOT_PATH;
+use cicadagw_rollout::Status;
 use cicadagw_settings::Settings;
 use cicadagw_unit::time::Span;
+use cicadagw_unit::{Term, id};
 use tokio_util::sync::CancellationToken;
 
 use super::rings;
@@ -94,6 +96,23 @@
                 let checking = self.check(after, timeout);
                 Reply::Checked(self.observe(Operation::Check, checking).await)
             }
+            Call::ListRollouts => {
+                let listed = self.observe(Operation::Get, self.rollouts(None)).await;
+                Reply::Rollouts(listed)
+            }
+            Call::WatchRollouts { after, wait } => {
+                let watching = self.rollouts(Some((after, wait)));
+                Reply::Rollouts(self.observe(Operation::Watch, watching).await)
+            }
+            Call::WriteRollout {
+                service,
+                status,
+                term,
+            } => {
+                let writing = self.write_rollout(&service, &status, term);
+                let written = self.observe(Operation::Put, writing).await;
+                Reply::RolloutWritten(service, written)
+            }
             Call::FetchConfiguration(address) => {
                 let fetched = self.client.fetch(address, SNAPSHOT_PATH).await;
                 Reply::Fetched(fetched.and_then(|bytes| decode_snapshot(&bytes)))
@@ -175,6 +194,43 @@
         )
     }
 
+    /// Lists the orders of rollouts, or waits for changes after a revision. Orders that cannot be
+    /// decoded are logged.
+    async fn rollouts(&self, since: Option<(Revision, Span)>) -> Result<Orders, Error> {
+        let changes = self.client.tracked(Key::ROLLOUT_PREFIX, since).await?;
+        let mut orders = Orders {
+            at: changes.at,
+            is_complete: since.is_none(),
+            ..Orders::default()
+        };
+        for object in &changes.objects {
+            match (self.adapter.parse_rollout)(object) {
+                Ok(entry) => orders.entries.push(entry),
+                Err(findings) => {
+                    log::error!(key:% = object.key, revision:% = object.revision, findings:%, next = "the order before it stays in force"; "an order of a rollout cannot be read");
+                    let name = object.key.as_str().strip_prefix(Key::ROLLOUT_PREFIX);
+                    orders
+                        .unreadable
+                        .extend(name.and_then(|name| name.parse().ok()));
+                }
+            }
+        }
+        Ok(orders)
+    }
+
+    /// Writes the status of the order of a rollout, if nobody has changed the order since `term`.
+    async fn write_rollout(
+        &self,
+        service: &id::Service,
+        status: &Status,
+        term: Term,
+    ) -> Result<Term, Error> {
+        let key = Key::rollout(service);
+        let bytes = (self.adapter.render_rollout)(status);
+        let written = self.client.put_status(&key, &bytes, Revision(term.get()));
+        written.await.map(|revision| Term::new(revision.0))
+    }
+
     /// Decodes a configuration. One that cannot be decoded is logged and ignored as a whole.
     fn decode(&self, object: &Object) -> Option<Arc<Snapshot>> {
         (self.adapter.parse_snapshot)(&object.value)
--- a/crates/cicadagw-node/src/peering/rings.rs
+++ b/crates/cicadagw-node/src/peering/rings.rs
@@ -6,6 +6,7 @@
 use cicadagw_meter::Meter;
 use cicadagw_proxy::Quota;
 use cicadagw_ring::{Receiver, Sender, channel};
+use cicadagw_rollout::Report;
 
 /// Capacity of the ring of changes of the backend server on this host. When it is full, the calls
 /// duty keeps only the newest change.
@@ -31,6 +32,7 @@
     pub(crate) quota_grants: Sender<Grant>,
     pub(crate) quota_requests: Receiver<Request>,
     pub(crate) replies: Receiver<Reply>,
+    pub(crate) reports: Receiver<Report>,
 }
 
 /// The ring ends held by the platform duty.
@@ -39,13 +41,18 @@
     pub(crate) replies: Sender<Reply>,
 }
 
-/// Every ring of a node, grouped by the duty that holds its end; `locals` and `quota` are for the
-/// calls duty.
+/// Capacity of the ring of reports on rollouts. When it is full, a report is dropped: the next one
+/// contains its counts.
+const REPORTS_CAPACITY: usize = 16;
+
+/// Every ring of a node, grouped by the duty that holds its end; `locals`, `quota` and `reports` are for
+/// the calls duty.
 pub(crate) struct Rings {
     pub(crate) gossip: Gossip,
     pub(crate) locals: Sender<LocalUpdate>,
     pub(crate) platform: Platform,
     pub(crate) quota: Quota,
+    pub(crate) reports: Sender<Report>,
 }
 
 impl Rings {
@@ -60,7 +67,9 @@
         meter.add_ring(quota_grants.gauge().clone());
         meter.add_ring(locals_sender.gauge().clone());
         meter.add_ring(calls.gauge().clone());
+        let (reports_sender, reports) = channel("reports", REPORTS_CAPACITY);
         meter.add_ring(replies_sender.gauge().clone());
+        meter.add_ring(reports_sender.gauge().clone());
         Self {
             gossip: Gossip {
                 calls,
@@ -68,6 +77,7 @@
                 quota_grants,
                 quota_requests,
                 replies,
+                reports,
             },
             locals: locals_sender,
             platform: Platform {
@@ -75,6 +85,7 @@
                 replies: replies_sender,
             },
             quota: Quota { grants, requests },
+            reports: reports_sender,
         }
     }
 }
--- a/crates/cicadagw-platform/src/encoding/interface.rs
+++ b/crates/cicadagw-platform/src/encoding/interface.rs
@@ -4,7 +4,7 @@
 use cicadagw_unit::time::Span;
 
 use super::{Listing, Request, Response};
-use crate::{Condition, Error, Freshness, Key, Object, Position, Revision};
+use crate::{Changes, Condition, Error, Freshness, Key, Object, Position, Revision};
 
 /// The encoding of one object API: it encodes calls as requests and decodes their responses.
 ///
@@ -56,6 +56,21 @@
     /// Fails if the response reports an error, or is not a valid response to the call.
     fn listed(&self, prefix: &str, response: &Response) -> Result<Listing, Error>;
 
+    /// Encodes a list of the objects whose keys start with `prefix`, with their status; with `since`,
+    /// a wait for changes after a revision. Returns `None` if the API has no status.
+    fn tracked(&self, prefix: &str, since: Option<(Revision, Span)>) -> Option<Request>;
+
+    /// Decodes the response to [`Encoding::tracked`]. An object that cannot be decoded is left out.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the response reports an error, or is not a valid response to the call.
+    fn changes(&self, prefix: &str, response: &Response) -> Result<Changes, Error>;
+
+    /// Encodes a write of the status of an object that has this revision; [`Encoding::written`]
+    /// decodes the response. Returns `None` if the API has no status.
+    fn put_status(&self, key: &Key, status: &Bytes, revision: Revision) -> Option<Request>;
+
     /// Encodes the deletion of an object.
     fn delete(&self, key: &Key) -> Request;
 
--- a/crates/cicadagw-platform/src/encoding/native.rs
+++ b/crates/cicadagw-platform/src/encoding/native.rs
@@ -7,7 +7,7 @@
 use super::interface::Encoding;
 use super::message::{Effect, Listing, Method, Request, Response};
 use super::{path, tag};
-use crate::{Condition, Error, Freshness, Key, Object, Position, Revision};
+use crate::{Changes, Condition, Error, Freshness, Key, Object, Position, Revision};
 
 /// The encoding of the native object API.
 #[derive(Clone, Copy, Debug, Default)]
@@ -97,6 +97,18 @@
         })
     }
 
+    fn tracked(&self, _: &str, _: Option<(Revision, Span)>) -> Option<Request> {
+        None
+    }
+
+    fn changes(&self, _: &str, response: &Response) -> Result<Changes, Error> {
+        Err(response.error(Effect::Read))
+    }
+
+    fn put_status(&self, _: &Key, _: &Bytes, _: Revision) -> Option<Request> {
+        None
+    }
+
     fn delete(&self, key: &Key) -> Request {
         Request {
             method: Method::Delete,
--- a/crates/cicadagw-platform/src/http/client.rs
+++ b/crates/cicadagw-platform/src/http/client.rs
@@ -16,7 +16,9 @@
 use super::connector::new_http_client;
 use super::failure::Failure;
 use crate::encoding::{Effect, Encoding, Method, Native, Request, Response};
-use crate::{Condition, Error, Freshness, Key, Object, Position, Revision, Store, Traffic};
+use crate::{
+    Changes, Condition, Error, Freshness, Key, Object, Position, Revision, Store, Traffic,
+};
 
 /// The maximum size of a response body, in bytes. An object has at most one megabyte; the response
 /// to a list may hold several objects.
@@ -125,6 +127,41 @@
         Ok(self.encoding.position(key, after, &response)?.object)
     }
 
+    /// Returns the objects whose keys start with `prefix`, with their status; with `since`, waits for
+    /// changes after a revision instead.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no valid response in time, or the API has no status.
+    pub async fn tracked(
+        &self,
+        prefix: &str,
+        since: Option<(Revision, Span)>,
+    ) -> Result<Changes, Error> {
+        let request = self.encoding.tracked(prefix, since).ok_or_else(no_status)?;
+        let wait = since.map_or(0, |(_, wait)| wait.get());
+        let timeout = Span::new(wait.saturating_add(self.timeout.get()));
+        let response = self.call(&request, Effect::Read, timeout).await?;
+        self.encoding.changes(prefix, &response)
+    }
+
+    /// Writes the status of an object if it has this revision, and returns its new revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Store::put`], or if the API has no status.
+    pub async fn put_status(
+        &self,
+        key: &Key,
+        status: &Bytes,
+        revision: Revision,
+    ) -> Result<Revision, Error> {
+        let request = self.encoding.put_status(key, status, revision);
+        let request = request.ok_or_else(no_status)?;
+        let response = self.call(&request, Effect::Write, self.timeout).await?;
+        self.encoding.written(&response)
+    }
+
     /// Sends `request`, which has `effect`, to the first address that accepts a connection.
     ///
     /// Only a failure to connect moves on to the next address: after it, the platform has not
@@ -219,6 +256,10 @@
     }
 }
 
+fn no_status() -> Error {
+    Error::Refused("objects of this platform have no status".to_owned())
+}
+
 const fn method(method: Method) -> http::Method {
     match method {
         Method::Delete => http::Method::DELETE,
--- a/crates/cicadagw-platform/src/key.rs
+++ b/crates/cicadagw-platform/src/key.rs
@@ -54,6 +54,14 @@
         Self(format_compact!("{}{node}", Self::NODE_PREFIX))
     }
 
+    /// Returns the key of the order of a rollout of a service.
+    pub fn rollout(service: &id::Service) -> Self {
+        Self(format_compact!("{}{service}", Self::ROLLOUT_PREFIX))
+    }
+
+    /// The prefix of the keys of all orders of rollouts.
+    pub const ROLLOUT_PREFIX: &str = "rollout/";
+
     /// The prefix of the keys of all node registrations.
     pub const NODE_PREFIX: &str = "node/";
 
--- a/crates/cicadagw-platform/src/lib.rs
+++ b/crates/cicadagw-platform/src/lib.rs
@@ -12,6 +12,6 @@
 
 pub use error::Error;
 pub use key::Key;
-pub use object::{Condition, Freshness, Object, Position, Revision};
+pub use object::{Changes, Condition, Freshness, Object, Position, Revision, Tracked};
 pub use store::Store;
 pub use traffic::{Traffic, Volume};
--- a/crates/cicadagw-platform/src/object.rs
+++ b/crates/cicadagw-platform/src/object.rs
@@ -46,6 +46,31 @@
     }
 }
 
+/// An object whose value an operator writes, and whose status the system writes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Tracked {
+    /// Whether the object has been deleted; the other fields are then those of before, but for the
+    /// revision.
+    pub is_deleted: bool,
+    /// The key of the object.
+    pub key: Key,
+    /// The revision of the last change of the object, its status or its deletion.
+    pub revision: Revision,
+    /// The status, if one has been written.
+    pub status: Option<Bytes>,
+    /// The value.
+    pub value: Bytes,
+}
+
+/// The tracked objects of a kind, or those that have changed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Changes {
+    /// The revision after which to continue.
+    pub at: Revision,
+    /// The objects, each at most once.
+    pub objects: Vec<Tracked>,
+}
+
 /// The precondition of a write.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Condition {
--- a/crates/cicadagw-proxy/src/backend.rs
+++ b/crates/cicadagw-proxy/src/backend.rs
@@ -41,6 +41,8 @@
     clock: Clock,
     pub(crate) endpoint: id::Endpoint,
     pub(crate) pool: Rc<Pool>,
+    /// The exchanges whose response has not arrived as a whole.
+    exchanges: Cell<u32>,
     address: SocketAddr,
     /// The pace that the last response stated, and when it arrived.
     pace: Cell<Option<(Timestamp, Permille)>>,
@@ -70,6 +72,7 @@
             clock,
             endpoint: announcement.endpoint.clone(),
             pool: Pool::new(announcement.address, CONNECTIONS),
+            exchanges: Cell::new(0),
             address: announcement.address,
             pace: Cell::new(None),
         })
@@ -100,6 +103,17 @@
         self.pace.set(Some((self.clock.now(), pace)));
     }
 
+    /// Counts an exchange with the backend server until the guard is dropped.
+    pub(crate) fn start_exchange(self: &Rc<Self>) -> ExchangeGuard {
+        self.exchanges.set(self.exchanges.get() + 1);
+        ExchangeGuard(self.clone())
+    }
+
+    /// Returns how many calls are queued for the backend server, run there, or are being answered.
+    pub(crate) fn unfinished(&self) -> u32 {
+        self.load().in_flight.get().max(self.exchanges.get())
+    }
+
     /// Records the size of a response to a call under `policy`.
     pub(crate) fn record_size(&self, policy: &id::Policy, size: Bytes) {
         self.admission.borrow_mut().record_size(policy, size);
@@ -246,6 +260,21 @@
     }
 }
 
+/// An exchange with a backend server, which lasts until its response has arrived as a whole.
+pub(crate) struct ExchangeGuard(Rc<Backend>);
+
+impl std::fmt::Debug for ExchangeGuard {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("ExchangeGuard").finish_non_exhaustive()
+    }
+}
+
+impl Drop for ExchangeGuard {
+    fn drop(&mut self) {
+        self.0.exchanges.set(self.0.exchanges.get() - 1);
+    }
+}
+
 /// A slot at a backend server, released on drop.
 pub(crate) struct Slot {
     backend: Rc<Backend>,
--- a/crates/cicadagw-proxy/src/delivery.rs
+++ b/crates/cicadagw-proxy/src/delivery.rs
@@ -105,6 +105,9 @@
         Ok((backend, _)) => backend,
         Err(reason) => return Outcome::not_run(reason),
     };
+    if node.is_closed_by_rollout(endpoint) {
+        return Outcome::not_run(Reason::Draining);
+    }
     let policy = &call.target.policy;
     let constraints = Constraints {
         account: call.account.cloned(),
@@ -157,6 +160,9 @@
     };
     let begin = node.clock.now();
     let fields = fields(node, backend, call);
+    let policy = &call.target.policy_name;
+    let observation = node.observe_call(&backend.endpoint, policy);
+    let exchange_guard = backend.start_exchange();
     let outcome = exchange(&destination, call.request, &fields, call.upload).await;
     let work = node.clock.now().since(begin);
     if let Ok(response) = &outcome {
@@ -180,6 +186,7 @@
                 } else {
                     response.hold_slot(slot);
                 }
+                response.hold_exchange(exchange_guard);
                 End::Answered(Box::new(response))
             }
             Classification::NotRun(reason) => {
@@ -205,6 +212,13 @@
             End::Unknown(reason)
         }
     };
+    if let Some(observation) = observation {
+        match &end {
+            End::Answered(response) if response.status < 500 => observation.answer(work),
+            End::Answered(_) | End::Unknown(_) => observation.fail(),
+            End::NotRun(_) => {}
+        }
+    }
     Outcome {
         work: matches!(end, End::Answered(_)).then_some(work),
         end,
--- a/crates/cicadagw-proxy/src/lib.rs
+++ b/crates/cicadagw-proxy/src/lib.rs
@@ -27,6 +27,7 @@
 mod quotas;
 mod relay;
 mod reply;
+mod reporter;
 mod request;
 mod response;
 mod routing;
--- a/crates/cicadagw-proxy/src/maintenance.rs
+++ b/crates/cicadagw-proxy/src/maintenance.rs
@@ -47,6 +47,7 @@
     node.peers.prune_idle();
     node.publish_limits();
     node.stats.set_quotas(node.quotas.maintain());
+    node.report_rollouts();
     node.flush();
     node.publish();
 }
--- a/crates/cicadagw-proxy/src/node.rs
+++ b/crates/cicadagw-proxy/src/node.rs
@@ -1,6 +1,7 @@
 //! The shared state of the proxy, used on a single thread.
 
 mod local;
+mod rollout;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -27,6 +28,7 @@
 use crate::parts::Parts;
 use crate::peers::Peers;
 use crate::quotas::Quotas;
+use crate::reporter::Reporter;
 use crate::request::Request;
 use crate::routing::Routing;
 use crate::{Limits, Stats, stats};
@@ -56,6 +58,7 @@
     aborts_at: Cell<Option<Timestamp>>,
     limits: Limits,
     outbox: RefCell<Outbox>,
+    reporter: Reporter,
     routing: RefCell<Routing>,
     registry: RefCell<Registry>,
     view: Shared,
@@ -84,6 +87,7 @@
             aborts_at: Cell::new(None),
             limits: parts.limits,
             outbox: RefCell::new(Outbox::new(parts.control)),
+            reporter: Reporter::new(parts.reports),
             routing: RefCell::default(),
             registry: RefCell::default(),
             view: parts.view,
@@ -117,6 +121,7 @@
             routing.epoch += 1;
             self.peers.prune(&routing.endpoints);
         }
+        routing.rollouts = view.rollouts.clone();
         self.peers.set_members(view.members);
         if has_new_departures {
             self.restore_departures(&view.departures);
--- a/crates/cicadagw-proxy/src/parts.rs
+++ b/crates/cicadagw-proxy/src/parts.rs
@@ -7,6 +7,7 @@
 use cicadagw_dialect::Dialect;
 use cicadagw_endpoint::LocalUpdate;
 use cicadagw_ring::Sender;
+use cicadagw_rollout::Report;
 use cicadagw_settings::{Budget, Timing};
 use cicadagw_unit::id;
 use cicadagw_unit::rate::Throughput;
@@ -25,6 +26,7 @@
     pub(crate) link_rate: Option<Throughput>,
     pub(crate) locality: Locality,
     pub(crate) quota_requests: Option<Sender<Request>>,
+    pub(crate) reports: Option<Sender<Report>>,
     pub(crate) retry_slack: Option<u64>,
     pub(crate) seed: u64,
     pub(crate) service: Option<id::Service>,
--- a/crates/cicadagw-proxy/src/peers.rs
+++ b/crates/cicadagw-proxy/src/peers.rs
@@ -4,6 +4,7 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use cicadagw_call::balancer::{Balancer, Demand, Locality, Signal, Summary};
@@ -12,6 +13,7 @@
 use cicadagw_endpoint::Record;
 use cicadagw_http::Pool;
 use cicadagw_http::pool::Options;
+use cicadagw_rollout::Directive;
 use cicadagw_unit::id;
 use cicadagw_unit::rate::{CallRate, Permille, Priority};
 use cicadagw_unit::size::Bytes;
@@ -21,6 +23,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::leaving::Leaving;
+use crate::routing::Routing;
 
 /// The share of the retry slack of all nodes that the retry budgets may accumulate.
 const RESERVE_SHARE: Permille = Permille::new(600);
@@ -55,6 +58,8 @@
     /// The epoch of the endpoints from which `balancer` was updated; see `Routing::epoch`.
     epoch: Option<u64>,
     balancer: Balancer,
+    /// What the rollout of the service asks for, as set in `balancer`.
+    rollout: Option<Arc<Directive>>,
     budget: Budget,
     /// When callers that a rate limit refused are asked to come back.
     returns: Returns,
@@ -125,25 +130,35 @@
         self.rng.borrow_mut().random()
     }
 
-    /// Selects an endpoint of `cluster` for the call of `demand` among `endpoints` of the given epoch.
+    /// Selects an endpoint of `cluster` for the call of `demand`.
     pub(crate) fn choose(
         &self,
         now: Timestamp,
         cluster: &Cluster,
-        (epoch, endpoints): (u64, &Endpoints),
+        routing: &Routing,
         tried: &[id::Endpoint],
         demand: Demand<'_>,
     ) -> Option<Record> {
         let service = &cluster.service;
         let mut services = self.services.borrow_mut();
         let state = services.get_mut(service)?;
-        if state.epoch != Some(epoch) {
-            let records = endpoints.get(service).map_or(&[][..], Vec::as_slice);
+        let rollout = routing.rollouts.get(service);
+        let has_new_rollout = state.rollout.as_ref() != rollout;
+        let has_new_endpoints = state.epoch != Some(routing.epoch);
+        if has_new_endpoints {
+            let records = routing
+                .endpoints
+                .get(service)
+                .map_or(&[][..], Vec::as_slice);
             let leaving = self.leaving.borrow();
             let stays = |record: &&Record| !leaving.contains(&record.endpoint, record.started_ms);
             let records: Vec<Record> = records.iter().filter(stays).cloned().collect();
             state.balancer.update(now, &self.locality, &records);
-            state.epoch = Some(epoch);
+            state.epoch = Some(routing.epoch);
+        }
+        if has_new_rollout || (has_new_endpoints && rollout.is_some()) {
+            state.rollout = rollout.cloned();
+            state.balancer.set_rollout(rollout.cloned());
         }
         let rng = &mut *self.rng.borrow_mut();
         let threshold = cluster.panic_threshold;
--- a/crates/cicadagw-proxy/src/relay.rs
+++ b/crates/cicadagw-proxy/src/relay.rs
@@ -222,14 +222,13 @@
         tried: &[id::Endpoint],
     ) -> Option<Record> {
         let target = self.call.target;
-        let endpoints = (routing.epoch, &*routing.endpoints);
         let demand = Demand {
             policy: &target.policy_name,
             priority: self.call.priority,
             target: self.call.soft_deadline().map(|target| target.since(now)),
         };
         let peers = &self.node.peers;
-        peers.choose(now, &target.cluster, endpoints, tried, demand)
+        peers.choose(now, &target.cluster, routing, tried, demand)
     }
 
     /// Makes an attempt at the selected endpoint. If it takes unusually long and the call may be
--- a/crates/cicadagw-proxy/src/response.rs
+++ b/crates/cicadagw-proxy/src/response.rs
@@ -10,7 +10,7 @@
 use cicadagw_http::{Body, Fields, Framing, body};
 use tokio::time::{Instant, timeout_at};
 
-use crate::backend::Slot;
+use crate::backend::{ExchangeGuard, Slot};
 use crate::buffer::Buffer;
 use crate::call_guard::CallGuard;
 use crate::header;
@@ -47,6 +47,8 @@
 struct Guards {
     /// The slot at the backend server.
     slot: Option<Slot>,
+    /// The exchange with the backend server.
+    exchange: Option<ExchangeGuard>,
     /// The call as counted by the caller's node for load balancing.
     endpoint_call: Option<EndpointCall>,
     /// The call as counted by this node, which waits for its calls in flight when it shuts down.
@@ -86,6 +88,10 @@
         self.guards.slot = Some(slot);
     }
 
+    pub(crate) fn hold_exchange(&mut self, exchange: ExchangeGuard) {
+        self.guards.exchange = Some(exchange);
+    }
+
     pub(crate) fn hold_endpoint_call(&mut self, endpoint_call: EndpointCall) {
         self.guards.endpoint_call = Some(endpoint_call);
     }
@@ -217,6 +223,7 @@
     /// Releases the slot at the backend server once the body is complete.
     fn finish(&mut self) {
         self.incoming = None;
+        self.guards.exchange = None;
         if let Some(slot) = self.guards.slot.take() {
             slot.finish();
         }
--- a/crates/cicadagw-proxy/src/routing.rs
+++ b/crates/cicadagw-proxy/src/routing.rs
@@ -6,7 +6,7 @@
 use cicadagw_call::route::Index;
 use cicadagw_config::Edge;
 use cicadagw_unit::id;
-use cicadagw_view::{Endpoints, View};
+use cicadagw_view::{Endpoints, Rollouts, View};
 
 /// The state by which calls are routed, derived from the view.
 #[derive(Clone, Default)]
@@ -17,6 +17,8 @@
     /// outdated.
     pub(crate) epoch: u64,
     pub(crate) endpoints: Arc<Endpoints>,
+    /// The rollouts that are ordered.
+    pub(crate) rollouts: Arc<Rollouts>,
     /// The limits on callers' requests.
     pub(crate) caller_limits: Edge,
     pub(crate) view: Option<Arc<View>>,
--- a/crates/cicadagw-proxy/src/run.rs
+++ b/crates/cicadagw-proxy/src/run.rs
@@ -53,6 +53,7 @@
         link_rate: setup.link_rate,
         locality: setup.locality,
         quota_requests,
+        reports: setup.reports,
         retry_slack: setup.retry_slack,
         seed: setup.seed,
         service: setup.service,
--- a/crates/cicadagw-proxy/src/setup.rs
+++ b/crates/cicadagw-proxy/src/setup.rs
@@ -8,6 +8,7 @@
 use cicadagw_dialect::{Dialect, Native};
 use cicadagw_endpoint::LocalUpdate;
 use cicadagw_ring::Sender;
+use cicadagw_rollout::Report;
 use cicadagw_settings::Timing;
 use cicadagw_unit::id;
 use cicadagw_unit::rate::Throughput;
@@ -52,6 +53,8 @@
     pub ready: Option<TcpListener>,
     /// The rings for the tokens of quotas. Without them, quotas are not enforced.
     pub quota: Option<Quota>,
+    /// The channel for reports on the backend servers of this host while a rollout goes on.
+    pub reports: Option<Sender<Report>>,
     /// The number of unspent retries that the retry budgets of a service may accumulate on all
     /// nodes together. Without it, each node uses a fixed number.
     pub retry_slack: Option<u64>,
--- a/crates/cicadagw-proxy/tests/support/mesh.rs
+++ b/crates/cicadagw-proxy/tests/support/mesh.rs
@@ -247,6 +247,7 @@
             snapshot: Some(self.snapshot.clone()),
             endpoints: Arc::new(endpoints),
             members: 0,
+            rollouts: Arc::default(),
         });
     }
 }
--- a/crates/cicadagw-rollout/src/chart.rs
+++ b/crates/cicadagw-rollout/src/chart.rs
@@ -25,6 +25,8 @@
 names! {
     /// What the leader of a rollout notices.
     pub enum Event {
+        /// No backend server of the target release accepts calls.
+        Absent = "absent",
         /// A backend server of the target release accepts calls.
         Present = "present",
         /// No backend server of another release accepts calls.
--- a/crates/cicadagw-rollout/src/judge.rs
+++ b/crates/cicadagw-rollout/src/judge.rs
@@ -79,6 +79,21 @@
     Bad(Fault),
 }
 
+/// Returns which of the backend servers of the target release has nearly all of its failures, if
+/// another one has been tested as well. Those are no fault of the release.
+pub fn faulty(target: &[Sample]) -> Option<usize> {
+    let is_tested = |sample: &&Sample| sample.total.ended >= TESTED_MIN;
+    if target.iter().filter(is_tested).count() < 2 {
+        return None;
+    }
+    let all: u64 = target.iter().map(|sample| sample.total.failed).sum();
+    let is_alone = |sample: &Sample| {
+        let failed = sample.total.failed;
+        failed >= ALONE_MIN && failed as f64 > all as f64 * ALONE_SHARE
+    };
+    target.iter().position(is_alone)
+}
+
 /// Compares the backend servers of the target release with those of the others.
 ///
 /// Each policy is compared on its own, since a release may be bad on one route only.
@@ -108,12 +123,7 @@
 
 fn judge_policy(policy: Option<&id::Policy>, target: &[Sample], base: &[Sample]) -> Verdict {
     let others = sum(base.iter().map(|sample| sample.of(policy)));
-    let all = sum(target.iter().map(|sample| sample.of(policy)));
-    let mut failing = without_worst(target, policy, |tally| tally.failed as f64);
-    let worst = all.failed - failing.failed;
-    if worst < ALONE_MIN || worst as f64 <= all.failed as f64 * ALONE_SHARE {
-        failing = all;
-    }
+    let failing = sum(target.iter().map(|sample| sample.of(policy)));
     let expected = failing.ended as f64 * failure_share(others) * FAILURE_FACTOR;
     let failed = failing.failed as f64;
     if failing.failed >= FAILURES_MIN && failed > expected + FAILURE_CHANCE {
--- a/crates/cicadagw-rollout/src/leader.rs
+++ b/crates/cicadagw-rollout/src/leader.rs
@@ -4,13 +4,12 @@
 use cicadagw_unit::id;
 use cicadagw_unit::rate::Permille;
 use cicadagw_unit::time::{Span, Timestamp};
-
 use smallvec::SmallVec;
 
 use crate::reports::{Host, Reports};
 use crate::{
     Action, Event, Fault, Group, Guard, Order, Phase, Report, Schedule, Status, Verdict, chart,
-    judge,
+    faulty, judge,
 };
 
 /// How often a leader without news writes the status, so that others see that it is alive.
@@ -28,6 +27,12 @@
 /// The age from which on a report is not the last state of a backend server.
 const REPORT_AGE_MAX: Span = Span::seconds(1);
 
+/// How much longer a rollout may take whose release has been proven.
+const OVERDUE_MAX: Span = Span::seconds(10);
+
+/// The age up to which reports tell how a release does at the moment.
+const INFORMED_MAX: Span = Span::seconds(2);
+
 /// How long a node beside a backend server may be silent until it counts as cut off or ended. Calls
 /// reach the backend server only through it.
 const SILENCE_MAX: Span = Span::seconds(4);
@@ -52,8 +57,9 @@
     reports: Reports,
     /// When the current share came into force.
     stepped: Timestamp,
-    /// When the last decision was taken.
-    decided: Timestamp,
+    /// When the last decision was taken; `None` before the first one, by which this node takes up the
+    /// order.
+    decided: Option<Timestamp>,
     /// The number of calls that the shares so far have given to the target release, in thousandths.
     due_milli: u64,
     /// The calls that had reached the service when `due_milli` was updated.
@@ -88,7 +94,7 @@
             },
             reports: Reports::default(),
             stepped: now,
-            decided: now.before(RENEWAL),
+            decided: None,
             due_milli: 0,
             reached: 0,
         }
@@ -148,7 +154,9 @@
             self.status.share = self.schedule.test_share(age, reached, exposed);
         }
         let has_changed = before != (self.status.phase, self.status.share);
-        let is_renewal = self.status.is_running() && now.since(self.decided) >= RENEWAL;
+        let is_renewal = self
+            .decided
+            .is_none_or(|decided| self.status.is_running() && now.since(decided) >= RENEWAL);
         if !has_changed && !is_renewal {
             return None;
         }
@@ -161,7 +169,7 @@
     }
 
     fn decision(&mut self, now: Timestamp, fault: Option<Fault>) -> Decision {
-        self.decided = now;
+        self.decided = Some(now);
         self.status.beat = self.status.beat.wrapping_add(1);
         Decision {
             fault,
@@ -181,24 +189,26 @@
         let has_base = records.iter().any(|record| group(record) == Group::Base);
         let age = now.since(self.began);
         let mut events = SmallVec::new();
-        if has_target {
-            events.push(if has_base {
-                Event::Present
-            } else {
-                Event::Alone
-            });
-        }
+        events.push(match (has_target, has_base) {
+            (false, _) => Event::Absent,
+            (true, true) => Event::Present,
+            (true, false) => Event::Alone,
+        });
         let is_clear = *verdict == Verdict::Clear;
-        if is_clear && has_target && age >= self.schedule.raise_at() && self.is_proven() {
+        let is_clear = is_clear && self.is_informed(now, records);
+        if is_clear && age >= self.schedule.raise_at() && self.is_proven() {
             events.push(Event::Proven);
         }
-        if is_clear && has_target && now.since(self.stepped) >= self.schedule.step() {
+        if is_clear && now.since(self.stepped) >= self.schedule.step() {
             events.push(Event::Settled);
         }
         if self.is_quiet(now, records) {
             events.push(Event::Quiet);
         }
-        if age >= self.order.duration {
+        // A release that has been proven is given some more time, such as for another leader to take over.
+        let is_proven = *verdict == Verdict::Clear && self.status.phase == Phase::Raising;
+        let more = if is_proven { OVERDUE_MAX } else { Span::new(0) };
+        if age >= self.order.duration.plus(more) {
             events.push(Event::Overdue);
         }
         events
@@ -233,9 +243,12 @@
     /// Compares the target release with the others, over the whole time and recently.
     fn verdict(&self) -> Verdict {
         let group = |report: &Report| self.group(report.release.as_ref());
-        let (target, recent) = self
-            .reports
-            .samples(|report| group(report) == Group::Target);
+        let is_target = |report: &Report| group(report) == Group::Target;
+        let (mut target, mut recent) = self.reports.samples(is_target);
+        if let Some(faulty) = faulty(&target) {
+            target.remove(faulty);
+            recent.remove(faulty);
+        }
         let (base, _) = self.reports.samples(|report| group(report) == Group::Base);
         match judge(&target, &base) {
             Verdict::Bad(fault) => Verdict::Bad(fault),
@@ -247,6 +260,21 @@
         }
     }
 
+    /// Returns whether the last reports tell of most backend servers of the target release. A leader that
+    /// has just taken the place of another one knows nothing yet.
+    fn is_informed(&self, now: Timestamp, records: &[Record]) -> bool {
+        let targets = || {
+            let records = records.iter();
+            records.filter(|record| self.group(record.release.as_ref()) == Group::Target)
+        };
+        let is_reported = |record: &&Record| {
+            let host = self.reports.get(&record.endpoint);
+            host.is_some_and(|host| now.since(host.last.0) < INFORMED_MAX)
+        };
+        let reported = targets().filter(is_reported).count();
+        reported > 0 && reported * 2 >= targets().count()
+    }
+
     /// Returns whether the target release has answered enough calls to be proven: of a service with
     /// few calls, most of those that its share gave it.
     fn is_proven(&self) -> bool {
--- a/crates/cicadagw-rollout/src/lib.rs
+++ b/crates/cicadagw-rollout/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use chart::{Action, Chart, Event, Guard, Phase, chart};
 pub use directive::{Directive, Group};
-pub use judge::{Fault, Verdict, judge};
+pub use judge::{Fault, Verdict, faulty, judge};
 pub use leader::{Decision, Leader};
 pub use order::{Entry, Order};
 pub use report::{Report, Tally};
--- a/crates/cicadagw-rollout/src/split.rs
+++ b/crates/cicadagw-rollout/src/split.rs
@@ -41,13 +41,16 @@
 
 impl Split {
     /// Creates the split of the calls to the backend servers of `records`.
-    pub fn new(directive: Option<Arc<Directive>>, records: &[Record]) -> Self {
+    pub fn new<'r>(
+        directive: Option<Arc<Directive>>,
+        mut records: impl Clone + Iterator<Item = &'r Record>,
+    ) -> Self {
         let Some(current) = directive.as_deref() else {
             return Self::default();
         };
         let group = |record: &Record| current.group(record);
         let mut targets: Vec<&Record> = records
-            .iter()
+            .clone()
             .filter(|record| group(record) == Group::Target)
             .collect();
         let share = current
@@ -60,7 +63,7 @@
         let tested = targets.iter().take(count.max(TESTED_MIN));
         Self {
             tested: tested.map(|record| record.endpoint.clone()).collect(),
-            has_base: records.iter().any(|record| group(record) == Group::Base),
+            has_base: records.any(|record| group(record) == Group::Base),
             has_target: !targets.is_empty(),
             directive,
         }
@@ -92,6 +95,27 @@
         }
     }
 
+    /// Returns the part that takes the place of the drawn one if none of its backend servers accepts
+    /// the call.
+    pub fn instead_of(&self, draw: Draw) -> Option<Draw> {
+        match draw {
+            Draw::Tested => Some(Draw::Of(Group::Base)),
+            Draw::Of(Group::Target) if self.has_base && !self.is_whole() => {
+                Some(Draw::Of(Group::Base))
+            }
+            Draw::Of(_) | Draw::Any => None,
+        }
+    }
+
+    /// Returns whether the target gets all calls.
+    fn is_whole(&self) -> bool {
+        let status = self
+            .directive
+            .as_ref()
+            .and_then(|current| current.status.as_ref());
+        status.is_some_and(|status| status.share >= Permille::WHOLE)
+    }
+
     /// Returns whether the backend server of `record` belongs to the part that was drawn.
     pub fn admits(&self, draw: Draw, record: &Record) -> bool {
         let Some(directive) = &self.directive else {
--- a/crates/cicadagw-rollout/tests/split.rs
+++ b/crates/cicadagw-rollout/tests/split.rs
@@ -36,7 +36,7 @@
 
 /// Returns how many of a thousand attempts may go to each record.
 fn draws(directive: Option<Directive>, records: &[Record], is_retry: bool) -> Vec<usize> {
-    let split = Split::new(directive.map(Arc::new), records);
+    let split = Split::new(directive.map(Arc::new), records.iter());
     let mut rng = StdRng::seed_from_u64(7);
     let mut counts = vec![0; records.len()];
     for _ in 0..1_000 {
--- a/crates/cicadagw-rollout/tests/support/mod.rs
+++ b/crates/cicadagw-rollout/tests/support/mod.rs
@@ -24,7 +24,7 @@
 const PROPAGATION: Span = Span::new(300);
 
 /// The time between two reports of a node.
-const REPORT_INTERVAL: Span = Span::new(300);
+const REPORT_INTERVAL: Span = Span::new(500);
 
 /// The policies and their share of the calls, in thousandths.
 const POLICIES: [(&str, u64); 2] = [("read", 880), ("download", 120)];
--- a/crates/cicadagw-settings/src/key.rs
+++ b/crates/cicadagw-settings/src/key.rs
@@ -53,6 +53,8 @@
     Ready,
     /// [`crate::Peering::retry_slack`].
     RetrySlack,
+    /// [`crate::Peering::rollouts`].
+    Rollouts,
     /// [`crate::Peering::service`].
     Service,
     /// [`Timing::drain`].
@@ -105,7 +107,7 @@
 
 impl Key {
     /// All keys, in the order in which they are rendered.
-    pub const ALL: [Self; 28] = [
+    pub const ALL: [Self; 29] = [
         Self::Node,
         Self::Region,
         Self::Domain,
@@ -128,6 +130,7 @@
         Self::Nodes,
         Self::Ready,
         Self::RetrySlack,
+        Self::Rollouts,
         Self::Service,
         Self::Drain,
         Self::Heartbeat,
@@ -161,6 +164,7 @@
             Self::Nodes => "nodes",
             Self::Ready => "ready",
             Self::RetrySlack => "retry_slack",
+            Self::Rollouts => "rollouts",
             Self::Service => "service",
             Self::Drain => "drain",
             Self::Heartbeat => "heartbeat",
@@ -181,6 +185,7 @@
             | Self::Nodes
             | Self::Ready
             | Self::RetrySlack
+            | Self::Rollouts
             | Self::Service => Some(Section::Peering),
             Self::Drain | Self::Heartbeat | Self::Lease | Self::Renewal | Self::Status => {
                 Some(Section::Timing)
@@ -201,7 +206,7 @@
             | Self::Nodes
             | Self::Ready => Format::Address,
             Self::Dialect => Format::Dialect,
-            Self::FirstStart => Format::Flag,
+            Self::FirstStart | Self::Rollouts => Format::Flag,
             Self::LinkRate => Format::Rate,
             Self::RetrySlack => Format::Count(1, 1_000_000),
             Self::AdminToken => Format::Token,
@@ -254,6 +259,9 @@
             Self::RetrySlack => {
                 "Number of retries that all nodes together may make for a service in its retry window, in addition to a share of its calls."
             }
+            Self::Rollouts => {
+                "Whether operators order rollouts of releases, which some nodes then watch the platform for."
+            }
             Self::Service => "Service of the host's backend server.",
             Self::Drain => "Time for calls in flight to finish when the node stops.",
             Self::Heartbeat => "Interval of the heartbeats between parent and child.",
@@ -269,6 +277,7 @@
         let timing = Timing::default();
         match self {
             Self::AdminToken => Some("none".to_owned()),
+            Self::Rollouts => Some("false".to_owned()),
             key if key.section() == Some(Section::Peering) => {
                 Some("none; the section is complete or absent".to_owned())
             }
--- a/crates/cicadagw-settings/src/load.rs
+++ b/crates/cicadagw-settings/src/load.rs
@@ -181,6 +181,8 @@
     let ready = required_address(object, Key::Ready);
     let retry_slack = object.required(Key::RetrySlack.name());
     let retry_slack = retry_slack.and_then(|_| count(object, Key::RetrySlack));
+    let rollouts = object.get(Key::Rollouts.name());
+    let rollouts = rollouts.map_or(Some(false), |value| value.boolean());
     let service = required(object, Key::Service);
     object.report_unknown();
     Some(Peering {
@@ -191,6 +193,7 @@
         nodes: nodes?,
         ready: ready?,
         retry_slack: u32::try_from(retry_slack?).ok()?,
+        rollouts: rollouts?,
         service: service?,
     })
 }
--- a/crates/cicadagw-settings/src/render.rs
+++ b/crates/cicadagw-settings/src/render.rs
@@ -95,6 +95,7 @@
         Key::Nodes => quoted(peering.nodes),
         Key::Ready => quoted(peering.ready),
         Key::RetrySlack => peering.retry_slack.to_string(),
+        Key::Rollouts => peering.rollouts.to_string(),
         Key::Service => quoted(&peering.service),
         _ => return None,
     })
--- a/crates/cicadagw-settings/src/settings.rs
+++ b/crates/cicadagw-settings/src/settings.rs
@@ -79,6 +79,10 @@
     /// The number of retries that all nodes together may make for a service in addition to a share
     /// of its calls.
     pub retry_slack: u32,
+    /// Whether operators order rollouts of releases.
+    #[builder(default)]
+    #[serde(default)]
+    pub rollouts: bool,
     /// The service of the host's backend server.
     pub service: id::Service,
 }
--- a/crates/cicadagw-settings/tests/render.rs
+++ b/crates/cicadagw-settings/tests/render.rs
@@ -72,6 +72,7 @@
                 nodes: address(source, 8_106),
                 ready: address(source, 8_107),
                 retry_slack: u32::from(u16::arbitrary(source)) + 1,
+                rollouts: bool::arbitrary(source),
                 service: name(source),
             }),
             platform: addresses(source, 1).into(),
--- a/crates/cicadagw-view/src/lib.rs
+++ b/crates/cicadagw-view/src/lib.rs
@@ -7,4 +7,4 @@
 mod view;
 
 pub use shared::Shared;
-pub use view::{Endpoints, View};
+pub use view::{Endpoints, Rollouts, View};
--- a/crates/cicadagw-view/src/view.rs
+++ b/crates/cicadagw-view/src/view.rs
@@ -5,11 +5,15 @@
 
 use cicadagw_config::Snapshot;
 use cicadagw_endpoint::{Departures, Record};
+use cicadagw_rollout::Directive;
 use cicadagw_unit::id;
 
 /// The records of the endpoints that accept new requests, by service.
 pub type Endpoints = BTreeMap<id::Service, Vec<Record>>;
 
+/// The rollouts, by service.
+pub type Rollouts = BTreeMap<id::Service, Arc<Directive>>;
+
 /// The state by which calls are routed.
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -25,4 +29,6 @@
     /// The number of parts that each quota is divided into, or zero if quotas are not enforced: without
     /// any, and where no other duty exchanges tokens with other nodes.
     pub quota_parts: u16,
+    /// The rollouts that are ordered, withdrawn ones included.
+    pub rollouts: Arc<Rollouts>,
 }
--- a/crates/cicadagw/src/commands/run.rs
+++ b/crates/cicadagw/src/commands/run.rs
@@ -43,6 +43,8 @@
             dialect: Arc::new(Crockworks),
             encoding: Arc::new(Objects),
             parse_snapshot: cicadagw_crockworks::parse_snapshot,
+            parse_rollout: cicadagw_crockworks::parse_rollout,
+            render_rollout: cicadagw_crockworks::render_rollout,
         },
     }
 }
