--- a/crates/cicadagw-admin/src/metrics.rs
+++ b/crates/cicadagw-admin/src/metrics.rs
@@ -49,6 +49,7 @@
         instruments.add_platform();
         instruments.add_rings();
         instruments.add_endpoints();
+        instruments.add_rollouts();
         instruments.add_calls();
         instruments.add_quotas();
         Ok(Self {
@@ -229,6 +230,24 @@
         );
     }
 
+    fn add_rollouts(&self) {
+        self.gauge(
+            "rollouts",
+            "Ordered rollouts known, by state",
+            |sources, instrument| {
+                let states = ["running", "done", "rolled-back"];
+                for (state, number) in states.into_iter().zip(sources.meter.rollouts()) {
+                    instrument.observe(number, &[KeyValue::new("state", state)]);
+                }
+            },
+        );
+        self.gauge(
+            "rollouts_led",
+            "Rollouts that this node leads",
+            |sources, instrument| instrument.observe(sources.meter.rollouts_led(), &[]),
+        );
+    }
+
     fn add_quotas(&self) {
         self.counter(
             "calls_over_quota",
--- a/crates/cicadagw-gossip/src/core/step.rs
+++ b/crates/cicadagw-gossip/src/core/step.rs
@@ -152,6 +152,11 @@
         self.rollouts.iter()
     }
 
+    /// Returns the number of rollouts that this node leads.
+    pub fn rollouts_led(&self) -> usize {
+        self.rollouts.led.len()
+    }
+
     /// Processes `event` and returns the effects to carry out, in order.
     pub fn step(&mut self, now: Timestamp, event: Event) -> Vec<Effect> {
         match event {
--- a/crates/cicadagw-meter/src/meter.rs
+++ b/crates/cicadagw-meter/src/meter.rs
@@ -17,6 +17,9 @@
 /// The number of endpoint states.
 const STATES: usize = 3;
 
+/// The number of states of a rollout.
+const ROLLOUT_STATES: usize = 3;
+
 /// The counters of the control and platform duties, and the gauges of all ring buffers; clones share
 /// them.
 #[derive(Clone, Debug, Default)]
@@ -32,6 +35,9 @@
     platform: Counts<OPERATIONS>,
     /// The number of accounts of whose quotas this node owns a part that is in use.
     quotas_owned: AtomicU64,
+    rollouts: Counts<ROLLOUT_STATES>,
+    /// The number of rollouts that this node leads.
+    rollouts_led: AtomicU64,
     rings: Mutex<Vec<Gauge>>,
     /// The highest version known to exist.
     seen: AtomicU64,
@@ -65,6 +71,18 @@
         self.0.quotas_owned.store(number, Ordering::Relaxed);
     }
 
+    /// Sets the numbers of known rollouts that are running, done and rolled back.
+    pub fn set_rollouts(&self, numbers: [u64; ROLLOUT_STATES]) {
+        for (index, number) in numbers.into_iter().enumerate() {
+            self.0.rollouts.set(index, number);
+        }
+    }
+
+    /// Sets the number of rollouts that this node leads.
+    pub fn set_rollouts_led(&self, number: u64) {
+        self.0.rollouts_led.store(number, Ordering::Relaxed);
+    }
+
     /// Adds the gauge of a ring buffer to those in dumps and metrics.
     pub fn add_ring(&self, gauge: Gauge) {
         self.with_rings(|rings| rings.push(gauge));
@@ -108,6 +126,16 @@
         self.0.quotas_owned.load(Ordering::Relaxed)
     }
 
+    /// Returns the numbers of known rollouts that are running, done and rolled back.
+    pub fn rollouts(&self) -> [u64; ROLLOUT_STATES] {
+        std::array::from_fn(|index| self.0.rollouts.get(index))
+    }
+
+    /// Returns the number of rollouts that this node leads.
+    pub fn rollouts_led(&self) -> u64 {
+        self.0.rollouts_led.load(Ordering::Relaxed)
+    }
+
     /// Returns the gauges of the ring buffers.
     pub fn rings(&self) -> Vec<Gauge> {
         self.with_rings(|rings| rings.clone())
--- a/crates/cicadagw-node/src/peering/gossip.rs
+++ b/crates/cicadagw-node/src/peering/gossip.rs
@@ -10,7 +10,7 @@
 use cicadagw_meter::Meter;
 use cicadagw_platform::Error;
 use cicadagw_ring::{Receiver, TrySendError};
-use cicadagw_rollout::Decision;
+use cicadagw_rollout::{Decision, Directive, Phase};
 use cicadagw_unit::id;
 use cicadagw_view::Shared;
 use serde_json::json;
@@ -202,6 +202,13 @@
         self.meter.set_endpoints(State::Ready, ready as u64);
         self.meter.set_endpoints(State::Draining, draining as u64);
         self.meter.set_quotas_owned(self.core.quotas_owned() as u64);
+        let phases = || self.core.rollouts().filter_map(Directive::phase);
+        let done = phases().filter(|phase| *phase == Phase::Done).count();
+        let rolled_back = phases().filter(|phase| *phase == Phase::RolledBack).count();
+        let running = phases().count() - done - rolled_back;
+        self.meter
+            .set_rollouts([running, done, rolled_back].map(|number| number as u64));
+        self.meter.set_rollouts_led(self.core.rollouts_led() as u64);
     }
 }
 
