Stop a bad release while a write of its status is pending

Cause: the leader decided nothing while the platform had not responded to its last write, so a release that turned bad then was left only after the timeout of 2 s. Now the leader passes a stop on at once, and again when a status that was being written comes into force after it. A peer that lacks rollouts is sent the two newest and two others at random, instead of all, which at 150 services would be 45 kB for each digest; a read that confirms an order counts as a sign of life of its leader, so that after an outage the leader goes on.

--- a/crates/cicadagw-gossip/src/core/rollouts.rs
+++ b/crates/cicadagw-gossip/src/core/rollouts.rs
@@ -4,10 +4,11 @@
 
 use cicadagw_endpoint::Record;
 use cicadagw_platform::Error;
-use cicadagw_rollout::{Directive, Entry, Leader, Phase, Report, Status};
+use cicadagw_rollout::{Decision, Directive, Entry, Leader, Phase, Report, Status};
 use cicadagw_unit::rate::Permille;
 use cicadagw_unit::time::{Span, Timestamp};
 use cicadagw_unit::{Term, id};
+use rand::seq::IteratorRandom;
 
 use super::Core;
 use crate::rollouts::Lead;
@@ -25,6 +26,13 @@
 /// How many random nodes are told of a change, besides the children in the distribution tree.
 const RANDOM_PEERS: usize = 2;
 
+/// How many of the newest rollouts are sent to a peer that may lack some; those that go on are the
+/// newest.
+const NEWEST_SENT: usize = 2;
+
+/// How many of the other rollouts are sent as well, at random.
+const OLDER_SENT: usize = 2;
+
 impl Core {
     /// Follows the orders, takes up those that have no leader, and decides about those that this
     /// node leads.
@@ -81,10 +89,17 @@
 
     /// Processes an order as the platform holds it, with its status.
     fn learn_order(&mut self, now: Timestamp, entry: Entry) {
-        let known = self.rollouts.entries.get(&entry.service);
-        if known.is_some_and(|(_, known)| known.term >= entry.term) {
+        let known = self.rollouts.entries.get_mut(&entry.service);
+        if let Some((seen, known)) = known
+            && known.term >= entry.term
+        {
+            if known.term == entry.term {
+                // Read again after a failure of the platform, which the leader may have had as well.
+                *seen = now;
+            }
             return;
         }
+        let known = self.rollouts.entries.get(&entry.service);
         let known = known.and_then(|(_, known)| known.order.as_ref());
         let directive = Directive::of(&entry);
         if known != entry.order.as_ref() {
@@ -141,9 +156,12 @@
         if !self.rollouts.is_enabled || digest == self.rollouts.digest() {
             return;
         }
-        let all: Vec<Directive> = self.rollouts.iter().cloned().collect();
+        let mut all: Vec<Directive> = self.rollouts.iter().cloned().collect();
+        all.sort_by_key(|directive| std::cmp::Reverse(directive.term));
+        let older = all.split_off(all.len().min(NEWEST_SENT));
+        let older = older.into_iter().sample(&mut self.rng, OLDER_SENT);
         let is_empty = all.is_empty();
-        for directive in all {
+        for directive in all.into_iter().chain(older) {
             self.send_rollout(peer, directive);
         }
         if is_empty {
@@ -242,6 +260,13 @@
             return;
         };
         if lead.writing.is_some() {
+            // A bad release is left without waiting for the platform.
+            let decision = lead.leader.decide_stop(now, unix_ms);
+            if let Some(decision) = decision {
+                lead.retry_at = Some(now);
+                self.log_decision(service, decision);
+                self.stop(service);
+            }
             return;
         }
         let mut decision = lead.leader.decide(now, unix_ms, &records);
@@ -263,21 +288,34 @@
             status: Box::new(decision.status.clone()),
             term: lead.term,
         };
-        let stop = Directive {
-            service: service.clone(),
-            status: Some(decision.status.clone()),
-            stopped: true,
-            term: lead.term,
-        };
-        let exposure = lead.leader.exposure();
-        let is_stop = decision.status.phase == Phase::RolledBack;
         self.effects.push(Effect::Call(call));
+        self.log_decision(service, decision);
+        self.stop(service);
+    }
+
+    fn log_decision(&mut self, service: &id::Service, decision: Decision) {
+        let lead = self.rollouts.led.get(service);
+        let exposure = lead.map_or((0, 0), |lead| lead.leader.exposure());
         self.effects.push(Effect::Log(Notice::RolloutDecided {
             service: service.clone(),
             decision: Box::new(decision),
             exposure,
         }));
-        if is_stop {
+    }
+
+    /// Tells the nodes that a rollout which this node leads has been stopped, if it has.
+    fn stop(&mut self, service: &id::Service) {
+        let Some(lead) = self.rollouts.led.get(service) else {
+            return;
+        };
+        let status = lead.leader.status();
+        if status.phase == Phase::RolledBack {
+            let stop = Directive {
+                service: service.clone(),
+                status: Some(status.clone()),
+                stopped: true,
+                term: lead.term,
+            };
             self.learn_rollout(&stop);
         }
     }
@@ -308,7 +346,10 @@
                     term,
                 };
                 self.learn_order(now, entry);
-                if !is_running {
+                if is_running {
+                    // It may have been stopped since, which the status just written precedes.
+                    self.stop(service);
+                } else {
                     self.cease_to_lead(service);
                 }
             }
--- a/crates/cicadagw-gossip/tests/rollout.rs
+++ b/crates/cicadagw-gossip/tests/rollout.rs
@@ -147,6 +147,24 @@
     assert_eq!(state(&fleet), Some(State::RolledBack));
 }
 
+#[test]
+fn a_bad_release_is_left_at_once_while_the_platform_does_not_respond() {
+    let (mut fleet, mut load) = ordered(Behaviour::BadAfter(Span::seconds(4)));
+    load.run(&mut fleet, Span::new(3_400), has_ended);
+
+    fleet.platform.silent_to = (0..16).collect();
+    load.run(&mut fleet, Span::new(1_700), |_| false);
+    let during = load.last.clone();
+    fleet.platform.silent_to.clear();
+    load.run(&mut fleet, Span::seconds(6), has_ended);
+    let exposed = load.exposed("v2");
+    load.run(&mut fleet, Span::seconds(2), |_| false);
+
+    assert_eq!(during.get("v2"), None, "{during:?}");
+    assert_eq!(state(&fleet), Some(State::RolledBack));
+    assert_eq!(load.exposed("v2"), exposed);
+}
+
 #[test]
 fn a_bad_release_is_left_within_the_allowance_although_a_fifth_of_the_messages_is_lost() {
     let (mut fleet, mut load) = ordered(Behaviour::BadAfter(Span::seconds(5)));
--- a/crates/cicadagw-rollout/src/leader.rs
+++ b/crates/cicadagw-rollout/src/leader.rs
@@ -163,6 +163,16 @@
         Some(self.decision(now, fault))
     }
 
+    /// Stops the rollout if the target release is worse than the others, and decides nothing else.
+    pub fn decide_stop(&mut self, now: Timestamp, unix_ms: u64) -> Option<Decision> {
+        match self.verdict() {
+            Verdict::Bad(fault) if self.step(now, unix_ms, Event::Bad) => {
+                Some(self.decision(now, Some(fault)))
+            }
+            _ => None,
+        }
+    }
+
     /// Returns the last decision again, for a write whose outcome is a failure or unknown.
     pub fn repeat(&mut self, now: Timestamp) -> Decision {
         self.decision(now, None)
