--- a/crates/cicadagw-gossip/tests/rollout.rs
+++ b/crates/cicadagw-gossip/tests/rollout.rs
@@ -189,6 +189,22 @@
     assert!(new > 4, "{new} of 20 calls");
 }
 
+#[test]
+fn a_withdrawal_is_noticed_although_the_history_of_the_platform_is_gone() {
+    let (mut fleet, mut load) = ordered(Behaviour::Good);
+    load.run(&mut fleet, Span::seconds(5), has_ended);
+
+    fleet.platform.has_compacted = true;
+    fleet.withdraw();
+    load.run(&mut fleet, Span::seconds(2), |_| false);
+
+    let is_withdrawn = |node: &support::Node| {
+        let mut rollouts = node.view.rollouts.values();
+        rollouts.all(|rollout| rollout.status.is_none())
+    };
+    assert!(fleet.nodes.iter().all(is_withdrawn));
+}
+
 #[test]
 fn a_newer_order_replaces_the_one_before_whose_target_gets_no_more_calls() {
     let (mut fleet, mut load) = ordered(Behaviour::Good);
--- a/crates/cicadagw-gossip/tests/support/rollout.rs
+++ b/crates/cicadagw-gossip/tests/support/rollout.rs
@@ -146,6 +146,8 @@
             .collect();
         let reply = if self.platform.unavailable_to.contains(&index) {
             Err(Error::Unavailable("unavailable".to_owned()))
+        } else if self.platform.has_compacted {
+            Err(Error::Compacted)
         } else if !entries.is_empty() || self.now >= until {
             Ok(Orders {
                 at: Revision(self.platform.revision),
--- a/crates/cicadagw-rollout/tests/leader.rs
+++ b/crates/cicadagw-rollout/tests/leader.rs
@@ -56,7 +56,7 @@
                 Behaviour::FailsFrom(Span::seconds(6), 500),
                 Behaviour::FailsAbove(rate / 40),
                 Behaviour::FailsOneRoute,
-                Behaviour::Slow(4),
+                Behaviour::SlowFrom(Span::new(0), 4),
             ] {
                 let mut service = Service::new(duration, (15, 15), behaviour);
                 service.rate = rate;
@@ -80,6 +80,27 @@
     }
 }
 
+#[test]
+fn a_release_that_turns_bad_after_many_good_answers_is_left() {
+    let duration = Span::seconds(60);
+    for behaviour in [
+        Behaviour::SlowFrom(Span::seconds(45), 4),
+        Behaviour::FailsFrom(Span::seconds(45), 150),
+    ] {
+        let mut service = Service::new(duration, (15, 15), behaviour);
+
+        let phase = service.run_until(duration);
+        service.run_on(duration);
+
+        assert_eq!(phase, Phase::RolledBack, "{behaviour:?}");
+        let at = service.fiftieth_bad_at.unwrap_or(service.now);
+        assert!(
+            service.last_exposed_at.since(at) <= ROLLBACK_MAX,
+            "{behaviour:?}"
+        );
+    }
+}
+
 #[test]
 fn a_target_without_backend_servers_is_rolled_back_at_the_end() {
     let mut service = Service::new(DURATION, (15, 0), Behaviour::Good);
--- a/crates/cicadagw-rollout/tests/support/mod.rs
+++ b/crates/cicadagw-rollout/tests/support/mod.rs
@@ -39,8 +39,8 @@
     FailsAbove(u64),
     /// It fails half of the calls of the second policy.
     FailsOneRoute,
-    /// It takes several times as long.
-    Slow(u64),
+    /// It takes several times as long from an age on.
+    SlowFrom(Span, u64),
 }
 
 /// A service under load.
@@ -236,7 +236,8 @@
             Behaviour::FailsFrom(age, permille) => (usual, self.age() >= age && is_turn(permille)),
             Behaviour::FailsAbove(rate) => (usual, load > rate && is_turn(333)),
             Behaviour::FailsOneRoute => (usual, policy == 1 && is_turn(500)),
-            Behaviour::Slow(factor) => (usual.times(factor), true),
+            Behaviour::SlowFrom(age, factor) if self.age() >= age => (usual.times(factor), true),
+            Behaviour::SlowFrom(..) => (usual, false),
         }
     }
 
