--- a/crates/cicadagw-gossip/src/core/mod.rs
+++ b/crates/cicadagw-gossip/src/core/mod.rs
@@ -2,8 +2,10 @@
 
 mod anti_entropy;
 mod configuration;
+mod confirmation;
 mod dissemination;
 mod quota;
+mod reply;
 mod rollouts;
 mod step;
 
--- /dev/null
+++ b/crates/cicadagw-gossip/src/core/reply.rs
@@ -0,0 +1,62 @@
+//! Responses to requests to the platform and to other nodes.
+
+use cicadagw_unit::time::Timestamp;
+
+use super::Core;
+use crate::{Effect, Member, Notice, Reply};
+
+impl Core {
+    /// Processes the response to a request to the platform or to another node.
+    pub(super) fn handle_reply(&mut self, now: Timestamp, reply: Reply) {
+        match reply {
+            Reply::Registered(outcome) => {
+                self.registration.written(now, &outcome, &mut self.rng);
+                self.track_platform(now, &outcome);
+            }
+            Reply::Members(outcome) => {
+                let is_answered = outcome.is_ok();
+                self.track_platform(now, &outcome);
+                self.merge_listed(now, outcome.unwrap_or_else(|_| Vec::new()));
+                let others = self.table.iter().count() - 1;
+                self.registration
+                    .listed(now, is_answered, others, &mut self.rng);
+            }
+            Reply::Configuration(outcome) => self.handle_configuration(now, outcome),
+            Reply::Checked(outcome) => self.handle_check(now, outcome),
+            Reply::Confirmed(inquiry, outcome) => self.handle_inquiry(now, inquiry, outcome),
+            Reply::Rollouts(outcome) => self.handle_orders(now, outcome),
+            Reply::RolloutWritten(service, outcome) => {
+                self.handle_rollout_written(now, &service, outcome);
+            }
+            Reply::Fetched(outcome) => {
+                self.fetch_deadline = None;
+                match outcome {
+                    Ok(snapshot) => self.adopt(snapshot, true),
+                    Err(error) => {
+                        let notice = Notice::Refused(error.to_string());
+                        self.effects.push(Effect::Log(notice));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Merges the nodes listed by the platform. The list may be older than the records that nodes
+    /// send themselves, so only nodes that are not in the table yet are added.
+    fn merge_listed(&mut self, now: Timestamp, members: Vec<Member>) {
+        let mut has_changed = false;
+        for member in members {
+            let is_known = self.table.get(&member.node).is_some();
+            if member.node == self.own.node {
+                self.refute(now, &member);
+            } else if !is_known {
+                has_changed |= self.merge(now, &member);
+            }
+        }
+        if has_changed {
+            self.queue_relays(now);
+            self.push(now);
+            self.publish();
+        }
+    }
+}
--- a/crates/cicadagw-gossip/src/core/step.rs
+++ b/crates/cicadagw-gossip/src/core/step.rs
@@ -16,12 +16,13 @@
 
 use super::anti_entropy::Range;
 use super::quota::Quotas;
+use crate::freshness::Freshness;
 use crate::outbound::Outbound;
 use crate::registration::{Registration, Request};
 use crate::rollouts::Rollouts;
 use crate::source::Source;
 use crate::watchers::Watchers;
-use crate::{Backend, Call, Effect, Event, Member, Message, Notice, Reply, Stamp, Table};
+use crate::{Backend, Call, Effect, Event, Member, Message, Stamp, Table};
 
 /// Interval between two digests sent to a random peer.
 const DIGEST_INTERVAL: Span = Span::new(500);
@@ -47,8 +48,14 @@
     pub gossip: SocketAddr,
     /// Name of the node.
     pub node: id::Node,
+    /// When the clock of the events started, on the clock of views.
+    #[builder(default)]
+    pub origin: Timestamp,
     /// Region of the node.
     pub region: id::Region,
+    /// Age of the configuration from which calls with keys are refused; without one, the node does
+    /// not ask for confirmations.
+    pub revocation: Option<Span>,
     /// Whether operators order rollouts of releases.
     #[builder(default)]
     pub rollouts: bool,
@@ -78,10 +85,18 @@
     /// Whether this node watches the platform, as of the last tick.
     pub(super) is_watcher: bool,
     pub(super) is_platform_unavailable: bool,
+    /// The age of the configuration, where keys must not outlive their revocation.
+    pub(super) freshness: Option<Freshness>,
+    /// Whether the configuration was too old for calls with keys at the last tick.
+    pub(super) is_stale: bool,
+    /// When the clock of the events started, on the clock of views.
+    pub(super) origin: Timestamp,
     pub(super) outbound: Outbound,
     /// The record that this node publishes about itself.
     pub(super) own: Member,
     pub(super) quotas: Quotas,
+    /// When the last read of the configuration was sent.
+    pub(super) read_at: Timestamp,
     pub(super) registration: Registration,
     pub(super) rng: StdRng,
     pub(super) rollouts: Rollouts,
@@ -117,9 +132,15 @@
             watchers: Watchers::new(Timestamp::default(), setup.first_start),
             is_watcher: false,
             is_platform_unavailable: false,
+            freshness: setup
+                .revocation
+                .map(|limit| Freshness::new(setup.origin, limit)),
+            is_stale: false,
+            origin: setup.origin,
             outbound: Outbound::default(),
             own,
             quotas: Quotas::default(),
+            read_at: Timestamp::default(),
             registration: Registration::new(setup.first_start),
             rng: StdRng::seed_from_u64(setup.seed),
             rollouts: Rollouts::new(setup.rollouts, setup.start_ms),
@@ -139,6 +160,9 @@
     /// Returns how long ago the platform last confirmed the configuration, to this node or to a
     /// watcher of its region.
     pub fn confirmed_age(&self, now: Timestamp) -> Span {
+        if let Some(freshness) = &self.freshness {
+            return freshness.age(self.host_time(now));
+        }
         now.since(self.confirmed_at)
     }
 
@@ -179,9 +203,11 @@
     fn tick(&mut self, now: Timestamp) {
         self.update_watching(now);
         if self.is_watcher {
-            let calls = self.source.tick(now, &mut self.rng);
-            self.effects.extend(calls.into_iter().map(Effect::Call));
+            for call in self.source.tick(now, &mut self.rng) {
+                self.watch(now, call);
+            }
         }
+        self.seek_confirmation(now);
         self.send_beacon(now);
         self.tick_rollouts(now);
         match self.registration.tick(now) {
@@ -289,6 +315,14 @@
                     self.introduce(sender);
                 }
             }
+            Message::Question { number, .. } => self.handle_question(now, sender, number),
+            Message::Answer {
+                age,
+                from,
+                number,
+                revision,
+                version,
+            } => self.handle_answer(now, &from, number, age, (revision, version)),
             Message::Rollout { directive } => self.learn_rollout(&directive),
             Message::Report { report } => self.handle_report(now, *report),
             Message::Parts { from, digests } => self.compare_partitions(&from, &digests),
@@ -321,57 +355,4 @@
             Message::Grant(grant) => self.effects.push(Effect::Grant(grant)),
         }
     }
-
-    /// Processes the response to a request to the platform or to another node.
-    fn handle_reply(&mut self, now: Timestamp, reply: Reply) {
-        match reply {
-            Reply::Registered(outcome) => {
-                self.registration.written(now, &outcome, &mut self.rng);
-                self.track_platform(now, &outcome);
-            }
-            Reply::Members(outcome) => {
-                let is_answered = outcome.is_ok();
-                self.track_platform(now, &outcome);
-                self.merge_listed(now, outcome.unwrap_or_else(|_| Vec::new()));
-                let others = self.table.iter().count() - 1;
-                self.registration
-                    .listed(now, is_answered, others, &mut self.rng);
-            }
-            Reply::Configuration(outcome) => self.handle_configuration(now, outcome),
-            Reply::Checked(outcome) => self.handle_check(now, outcome),
-            Reply::Rollouts(outcome) => self.handle_orders(now, outcome),
-            Reply::RolloutWritten(service, outcome) => {
-                self.handle_rollout_written(now, &service, outcome);
-            }
-            Reply::Fetched(outcome) => {
-                self.fetch_deadline = None;
-                match outcome {
-                    Ok(snapshot) => self.adopt(snapshot, true),
-                    Err(error) => {
-                        let notice = Notice::Refused(error.to_string());
-                        self.effects.push(Effect::Log(notice));
-                    }
-                }
-            }
-        }
-    }
-
-    /// Merges the nodes listed by the platform. The list may be older than the records that nodes
-    /// send themselves, so only nodes that are not in the table yet are added.
-    fn merge_listed(&mut self, now: Timestamp, members: Vec<Member>) {
-        let mut has_changed = false;
-        for member in members {
-            let is_known = self.table.get(&member.node).is_some();
-            if member.node == self.own.node {
-                self.refute(now, &member);
-            } else if !is_known {
-                has_changed |= self.merge(now, &member);
-            }
-        }
-        if has_changed {
-            self.queue_relays(now);
-            self.push(now);
-            self.publish();
-        }
-    }
 }
--- a/crates/cicadagw-gossip/tests/support/record.rs
+++ b/crates/cicadagw-gossip/tests/support/record.rs
@@ -10,10 +10,14 @@
 use cicadagw_unit::Version;
 use cicadagw_unit::rate::{Burst, CallRate};
 use cicadagw_unit::size::Slots;
+use cicadagw_unit::time::{Span, Timestamp};
 
 /// The regions; nodes are assigned to them in turn.
 pub const REGIONS: [&str; 2] = ["kochi", "kozhikode"];
 
+/// The time after which a revoked key is not accepted anywhere.
+pub const REVOCATION: Span = Span::seconds(5);
+
 /// Returns a snapshot of this version with an otherwise empty configuration.
 pub fn snapshot(version: u64) -> Arc<Snapshot> {
     let preset: cicadagw_unit::id::Preset = "operator".parse().unwrap();
@@ -77,26 +81,41 @@
 /// Creates the state machine of node `index`, in one of two regions. The process started at
 /// `start_ms`; 1 stands for a node that was never registered.
 pub fn new_core(index: usize, start_ms: u64) -> Core {
-    core(index, start_ms, false)
+    Core::new(setup(index, start_ms))
+}
+
+/// Creates the state machine of node `index` where keys must not outlive their revocation.
+pub fn new_strict_core(index: usize, start_ms: u64) -> Core {
+    Core::new(Setup {
+        origin: origin(index),
+        revocation: Some(REVOCATION),
+        ..setup(index, start_ms)
+    })
+}
+
+/// Returns the host's time at which the clock of node `index` started; each host has its own.
+pub fn origin(index: usize) -> Timestamp {
+    Timestamp::new(10_000_000 * (index as u64 + 1))
 }
 
 /// Creates the state machine of node `index` where operators order rollouts.
 pub fn new_core_with_rollouts(index: usize, start_ms: u64) -> Core {
-    core(index, start_ms, true)
+    Core::new(Setup {
+        rollouts: true,
+        ..setup(index, start_ms)
+    })
 }
 
-fn core(index: usize, start_ms: u64, has_rollouts: bool) -> Core {
+fn setup(index: usize, start_ms: u64) -> Setup {
     let region = REGIONS[index % REGIONS.len()];
-    let setup = Setup::builder()
+    Setup::builder()
         .calls(address(index))
         .domain(format!("{region}-a").parse().unwrap())
         .first_start(start_ms == 1)
         .gossip(address(index))
         .node(format!("node-{index:04}").parse().unwrap())
         .region(region.parse().unwrap())
-        .rollouts(has_rollouts)
         .seed(index as u64)
         .start_ms(start_ms)
-        .build();
-    Core::new(setup)
+        .build()
 }
--- a/crates/cicadagw-node/src/peering/gossip.rs
+++ b/crates/cicadagw-node/src/peering/gossip.rs
@@ -33,6 +33,7 @@
     pub(crate) cancel: CancellationToken,
     /// Cancelled when the node starts to shut down; the node then announces that it leaves.
     pub(crate) stop: CancellationToken,
+    pub(crate) clock: Clock,
     pub(crate) core: Core,
     pub(crate) meter: Meter,
     pub(crate) requests: Receiver<Request>,
@@ -50,7 +51,7 @@
     // Whether the ring of the admin duty is open.
     let mut has_admin = true;
     let mut event_loop = EventLoop {
-        clock: Clock::start(),
+        clock: setup.clock,
         core: setup.core,
         meter: setup.meter,
         rings: setup.rings,
@@ -159,6 +160,7 @@
                 Reply::Configuration(Err(error()))
             }
             Call::CheckConfiguration { .. } => Reply::Checked(Err(error())),
+            Call::ConfirmConfiguration(inquiry) => Reply::Confirmed(inquiry, Err(error())),
             Call::ListRollouts | Call::WatchRollouts { .. } => Reply::Rollouts(Err(error())),
             Call::WriteRollout { service, .. } => Reply::RolloutWritten(service, Err(error())),
             Call::FetchConfiguration(_) => Reply::Fetched(Err(error())),
@@ -256,6 +258,10 @@
         Notice::RolloutNotWritten(service, reason) => {
             log::warn!(service:%, reason:%, next = "the write is repeated"; "{notice}");
         }
+        Notice::Fresh(age) => log::info!(age_ms = age.get(); "{notice}"),
+        Notice::Stale(age) => {
+            log::warn!(age_ms = age.get(), next = "the node refuses calls with keys until the platform or another node confirms the configuration"; "{notice}");
+        }
         Notice::PlatformAvailable | Notice::Watching(_) => log::info!("{notice}"),
         Notice::PlatformUnavailable {
             reason,
--- a/crates/cicadagw-proxy/src/ingress.rs
+++ b/crates/cicadagw-proxy/src/ingress.rs
@@ -60,7 +60,7 @@
         Err(reason) => Outcome::not_run(reason),
     };
     if !is_from_node {
-        node.stats.count_outcome(end.outcome());
+        node.stats.count_end(&end);
     }
     if let End::Answered(response) = &mut end {
         response.hold_call_guard(guard);
@@ -127,7 +127,8 @@
             priority,
             target,
         }) => {
-            let token = match take_token(node, &routing, request, account.as_ref()).await {
+            let latency = target.policy.target_latency;
+            let token = match take_token(node, &routing, request, account.as_ref(), latency).await {
                 Ok(token) => token,
                 Err(refused) => return refused,
             };
@@ -165,6 +166,7 @@
     routing: &Routing,
     request: &Request,
     account: Option<&id::Account>,
+    target_latency: Option<Span>,
 ) -> Result<Option<Token>, Outcome> {
     let Some((account, parts)) =
         account.and_then(|account| Some((account, routing.quota(account)?)))
@@ -174,7 +176,10 @@
     if request.selection.is_some() {
         return Ok(None);
     }
-    let taken = request.track_wait(node.quotas.take(account, parts)).await;
+    let due = target_latency.map(|latency| request.first_arrival.after(latency));
+    let is_late = due.is_some_and(|due| due < request.arrival);
+    let taking = node.quotas.take(account, parts, is_late);
+    let taken = request.track_wait(taking).await;
     taken.map(Some).map_err(|refused| {
         node.stats.count_quota_refusal(refused.reason);
         Outcome {
@@ -211,7 +216,8 @@
             node.peers.random(),
         );
         let found = found.ok_or(Reason::NoRoute)?;
-        let account = access.account(found.is_public, request.key.as_ref())?;
+        let is_stale = node.is_stale(routing);
+        let account = access.account(found.is_public, request.key.as_ref(), is_stale)?;
         (found.target.clone(), account.cloned())
     };
     Ok(Routed {
--- a/crates/cicadagw-proxy/src/parts.rs
+++ b/crates/cicadagw-proxy/src/parts.rs
@@ -28,6 +28,7 @@
     pub(crate) quota_requests: Option<Sender<Request>>,
     pub(crate) reports: Option<Sender<Report>>,
     pub(crate) retry_slack: Option<u64>,
+    pub(crate) revocation: Option<Span>,
     pub(crate) seed: u64,
     pub(crate) service: Option<id::Service>,
     pub(crate) stats: Arc<Stats>,
--- a/crates/cicadagw-proxy/src/run.rs
+++ b/crates/cicadagw-proxy/src/run.rs
@@ -55,6 +55,7 @@
         quota_requests,
         reports: setup.reports,
         retry_slack: setup.retry_slack,
+        revocation: setup.revocation,
         seed: setup.seed,
         service: setup.service,
         stats: setup.stats,
--- a/crates/cicadagw-proxy/src/stats.rs
+++ b/crates/cicadagw-proxy/src/stats.rs
@@ -6,11 +6,17 @@
 
 use cicadagw_call::balancer::Summary;
 use cicadagw_call::{Load, Outcome, Reason, lifecycle, quota};
+use cicadagw_chart::Name;
 use cicadagw_meter::{Histogram, Latency};
 use cicadagw_unit::id;
-use cicadagw_unit::rate::CallRate;
+use cicadagw_unit::rate::{CallRate, Priority};
 use cicadagw_unit::size::Slots;
 
+use crate::reply::End;
+
+/// How many priorities are counted apart; the last count includes all less urgent calls.
+pub const PRIORITIES: usize = 4;
+
 /// The counters, the latency histogram and the state that the proxy publishes; other duties may
 /// read them at any time.
 #[derive(Debug, Default)]
@@ -24,8 +30,10 @@
     over_quota: AtomicU64,
     quota_unknown: AtomicU64,
     quotas: Mutex<quota::Counts>,
+    /// Calls of local callers that were not run, by the position of the reason in [`Reason::ALL`].
+    refused: [AtomicU64; Reason::ALL.len()],
     retries: AtomicU64,
-    shed: AtomicU64,
+    shed: [AtomicU64; PRIORITIES],
     unknown: AtomicU64,
     state: Mutex<State>,
 }
@@ -55,6 +63,8 @@
     pub retries: u64,
     /// Calls shed by the admission control of a local backend server.
     pub shed: u64,
+    /// These calls by priority, the most urgent first.
+    pub shed_by_priority: [u64; PRIORITIES],
     /// Calls of local callers of which it is not known whether they were executed.
     pub unknown: u64,
 }
@@ -93,6 +103,7 @@
     /// Returns the values of the counters.
     pub fn counts(&self) -> Counts {
         let read = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        let shed_by_priority = self.shed.each_ref().map(read);
         Counts {
             answered: read(&self.answered),
             in_flight: read(&self.in_flight),
@@ -103,11 +114,18 @@
             quota_unknown: read(&self.quota_unknown),
             quotas: self.quotas(),
             retries: read(&self.retries),
-            shed: read(&self.shed),
+            shed: shed_by_priority.iter().sum(),
+            shed_by_priority,
             unknown: read(&self.unknown),
         }
     }
 
+    /// Returns how many calls of local callers were not run, for each reason.
+    pub fn refused(&self) -> impl Iterator<Item = (Reason, u64)> + '_ {
+        let counts = Reason::ALL.iter().copied().zip(&self.refused);
+        counts.map(|(reason, count)| (reason, count.load(Ordering::Relaxed)))
+    }
+
     /// Returns the state that was last published.
     pub fn state(&self) -> State {
         self.state.lock().map_or_else(
@@ -126,9 +144,14 @@
         self.added_latency.record(time);
     }
 
-    /// Counts a call of a local caller by its outcome.
-    pub(crate) fn count_outcome(&self, outcome: Outcome) {
-        let count = match outcome {
+    /// Counts a call of a local caller by its outcome, and by the reason if it was not run.
+    pub(crate) fn count_end(&self, end: &End) {
+        if let End::NotRun(reason) = end
+            && let Some(index) = Reason::ALL.iter().position(|other| other == reason)
+        {
+            self.refused[index].fetch_add(1, Ordering::Relaxed);
+        }
+        let count = match end.outcome() {
             Outcome::Answered => &self.answered,
             Outcome::NotRun => &self.not_run,
             Outcome::Unknown => &self.unknown,
@@ -167,8 +190,9 @@
         *self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(crate) fn count_shed(&self) {
-        self.shed.fetch_add(1, Ordering::Relaxed);
+    pub(crate) fn count_shed(&self, priority: Priority) {
+        let index = usize::from(priority.get()).min(PRIORITIES - 1);
+        self.shed[index].fetch_add(1, Ordering::Relaxed);
     }
 
     pub(crate) fn start_call(&self) {
--- a/crates/cicadagw-rollout/tests/support/mod.rs
+++ b/crates/cicadagw-rollout/tests/support/mod.rs
@@ -232,12 +232,11 @@
         let draw = self.exposed.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
         let is_turn = |permille: u64| draw % 1_000 < permille;
         match self.behaviour {
-            Behaviour::Good => (usual, false),
             Behaviour::FailsFrom(age, permille) => (usual, self.age() >= age && is_turn(permille)),
             Behaviour::FailsAbove(rate) => (usual, load > rate && is_turn(333)),
             Behaviour::FailsOneRoute => (usual, policy == 1 && is_turn(500)),
             Behaviour::SlowFrom(age, factor) if self.age() >= age => (usual.times(factor), true),
-            Behaviour::SlowFrom(..) => (usual, false),
+            Behaviour::Good | Behaviour::SlowFrom(..) => (usual, false),
         }
     }
 
--- a/crates/cicadagw-settings/src/key.rs
+++ b/crates/cicadagw-settings/src/key.rs
@@ -53,6 +53,8 @@
     Ready,
     /// [`crate::Peering::retry_slack`].
     RetrySlack,
+    /// [`crate::Peering::revocation`].
+    Revocation,
     /// [`crate::Peering::rollouts`].
     Rollouts,
     /// [`crate::Peering::service`].
@@ -107,7 +109,7 @@
 
 impl Key {
     /// All keys, in the order in which they are rendered.
-    pub const ALL: [Self; 29] = [
+    pub const ALL: [Self; 30] = [
         Self::Node,
         Self::Region,
         Self::Domain,
@@ -130,6 +132,7 @@
         Self::Nodes,
         Self::Ready,
         Self::RetrySlack,
+        Self::Revocation,
         Self::Rollouts,
         Self::Service,
         Self::Drain,
@@ -164,6 +167,7 @@
             Self::Nodes => "nodes",
             Self::Ready => "ready",
             Self::RetrySlack => "retry_slack",
+            Self::Revocation => "revocation",
             Self::Rollouts => "rollouts",
             Self::Service => "service",
             Self::Drain => "drain",
@@ -185,6 +189,7 @@
             | Self::Nodes
             | Self::Ready
             | Self::RetrySlack
+            | Self::Revocation
             | Self::Rollouts
             | Self::Service => Some(Section::Peering),
             Self::Drain | Self::Heartbeat | Self::Lease | Self::Renewal | Self::Status => {
@@ -219,6 +224,7 @@
             Self::Drain => Format::Span(0, 600_000),
             Self::Heartbeat | Self::Status => Format::Span(100, 60_000),
             Self::Lease | Self::Renewal => Format::Span(100, 300_000),
+            Self::Revocation => Format::Span(1_000, 300_000),
         }
     }
 
@@ -259,6 +265,9 @@
             Self::RetrySlack => {
                 "Number of retries that all nodes together may make for a service in its retry window, in addition to a share of its calls."
             }
+            Self::Revocation => {
+                "Time after which a key that was removed from the configuration is not accepted anywhere; a node that has not confirmed its configuration for that long refuses calls with keys."
+            }
             Self::Rollouts => {
                 "Whether operators order rollouts of releases, which some nodes then watch the platform for."
             }
@@ -276,7 +285,7 @@
         let budget = Budget::default();
         let timing = Timing::default();
         match self {
-            Self::AdminToken => Some("none".to_owned()),
+            Self::AdminToken | Self::Revocation => Some("none".to_owned()),
             Self::Rollouts => Some("false".to_owned()),
             key if key.section() == Some(Section::Peering) => {
                 Some("none; the section is complete or absent".to_owned())
