--- a/crates/cicadagw-gossip/src/core/mod.rs
+++ b/crates/cicadagw-gossip/src/core/mod.rs
@@ -5,6 +5,8 @@
 mod confirmation;
 mod dissemination;
 mod quota;
+mod reply;
+mod rollouts;
 mod step;
 
 pub use step::{Core, Setup};
--- a/crates/cicadagw-gossip/src/core/step.rs
+++ b/crates/cicadagw-gossip/src/core/step.rs
@@ -7,6 +7,7 @@
 use cicadagw_call::quota::Asker;
 use cicadagw_config::Snapshot;
 use cicadagw_endpoint::{Departure, Departures, LocalUpdate, State};
+use cicadagw_rollout::Directive;
 use cicadagw_unit::time::{Span, Timestamp};
 use cicadagw_unit::{Version, id};
 use cicadagw_view::Endpoints;
@@ -18,9 +19,10 @@
 use crate::freshness::Freshness;
 use crate::outbound::Outbound;
 use crate::registration::{Registration, Request};
+use crate::rollouts::Rollouts;
 use crate::source::Source;
 use crate::watchers::Watchers;
-use crate::{Backend, Call, Effect, Event, Member, Message, Notice, Reply, Stamp, Table};
+use crate::{Backend, Call, Effect, Event, Member, Message, Stamp, Table};
 
 /// Interval between two digests sent to a random peer.
 const DIGEST_INTERVAL: Span = Span::new(500);
@@ -54,6 +56,9 @@
     /// Age of the configuration from which calls with keys are refused; without one, the node does
     /// not ask for confirmations.
     pub revocation: Option<Span>,
+    /// Whether operators order rollouts of releases.
+    #[builder(default)]
+    pub rollouts: bool,
     /// Seed of the random number generator.
     pub seed: u64,
     /// Start time of the process, in milliseconds since the Unix epoch.
@@ -94,6 +99,7 @@
     pub(super) read_at: Timestamp,
     pub(super) registration: Registration,
     pub(super) rng: StdRng,
+    pub(super) rollouts: Rollouts,
     pub(super) snapshot: Option<Arc<Snapshot>>,
     pub(super) source: Source,
     pub(super) table: Table,
@@ -137,6 +143,7 @@
             read_at: Timestamp::default(),
             registration: Registration::new(setup.first_start),
             rng: StdRng::seed_from_u64(setup.seed),
+            rollouts: Rollouts::new(setup.rollouts, setup.start_ms),
             snapshot: None,
             source: Source::default(),
             table,
@@ -164,11 +171,22 @@
         &self.table
     }
 
+    /// Returns the rollouts that this node knows, withdrawn ones included.
+    pub fn rollouts(&self) -> impl Iterator<Item = &Directive> {
+        self.rollouts.iter()
+    }
+
+    /// Returns the number of rollouts that this node leads.
+    pub fn rollouts_led(&self) -> usize {
+        self.rollouts.led.len()
+    }
+
     /// Processes `event` and returns the effects to carry out, in order.
     pub fn step(&mut self, now: Timestamp, event: Event) -> Vec<Effect> {
         match event {
             Event::Tick => self.tick(now),
             Event::Local(local) => self.handle_local(now, &local),
+            Event::Report(report) => self.handle_report(now, *report),
             Event::Message(sender, message) => self.handle_message(now, sender, message),
             Event::Quota(request) => self.request_tokens(now, request),
             Event::Reply(reply) => self.handle_reply(now, reply),
@@ -195,6 +213,7 @@
         }
         self.seek_confirmation(now);
         self.send_beacon(now);
+        self.tick_rollouts(now);
         match self.registration.tick(now) {
             Some(Request::Write { create }) => self.effects.push(Effect::Call(Call::Register {
                 member: Box::new(self.own.clone()),
@@ -287,6 +306,7 @@
                 digest,
                 follows,
                 version,
+                rollouts,
             } => {
                 self.watchers.record(now, &from, follows);
                 if follows {
@@ -294,6 +314,7 @@
                 }
                 if self.table.get(&from).is_some() {
                     self.handle_digest(now, &from, digest, version);
+                    self.compare_rollouts(sender, rollouts);
                 } else {
                     self.introduce(sender);
                 }
@@ -306,6 +327,8 @@
                 revision,
                 version,
             } => self.handle_answer(now, &from, number, age, (revision, version)),
+            Message::Rollout { directive } => self.learn_rollout(&directive),
+            Message::Report { report } => self.handle_report(now, *report),
             Message::Parts { from, digests } => self.compare_partitions(&from, &digests),
             Message::Have {
                 from,
@@ -336,54 +359,4 @@
             Message::Grant(grant) => self.effects.push(Effect::Grant(grant)),
         }
     }
-
-    /// Processes the response to a request to the platform or to another node.
-    fn handle_reply(&mut self, now: Timestamp, reply: Reply) {
-        match reply {
-            Reply::Registered(outcome) => {
-                self.registration.written(now, &outcome, &mut self.rng);
-                self.track_platform(now, &outcome);
-            }
-            Reply::Members(outcome) => {
-                let is_answered = outcome.is_ok();
-                self.track_platform(now, &outcome);
-                self.merge_listed(now, outcome.unwrap_or_else(|_| Vec::new()));
-                let others = self.table.iter().count() - 1;
-                self.registration
-                    .listed(now, is_answered, others, &mut self.rng);
-            }
-            Reply::Configuration(outcome) => self.handle_configuration(now, outcome),
-            Reply::Checked(outcome) => self.handle_check(now, outcome),
-            Reply::Confirmed(inquiry, outcome) => self.handle_inquiry(now, inquiry, outcome),
-            Reply::Fetched(outcome) => {
-                self.fetch_deadline = None;
-                match outcome {
-                    Ok(snapshot) => self.adopt(snapshot, true),
-                    Err(error) => {
-                        let notice = Notice::Refused(error.to_string());
-                        self.effects.push(Effect::Log(notice));
-                    }
-                }
-            }
-        }
-    }
-
-    /// Merges the nodes listed by the platform. The list may be older than the records that nodes
-    /// send themselves, so only nodes that are not in the table yet are added.
-    fn merge_listed(&mut self, now: Timestamp, members: Vec<Member>) {
-        let mut has_changed = false;
-        for member in members {
-            let is_known = self.table.get(&member.node).is_some();
-            if member.node == self.own.node {
-                self.refute(now, &member);
-            } else if !is_known {
-                has_changed |= self.merge(now, &member);
-            }
-        }
-        if has_changed {
-            self.queue_relays(now);
-            self.push(now);
-            self.publish();
-        }
-    }
 }
--- a/crates/cicadagw-gossip/tests/support/platform.rs
+++ b/crates/cicadagw-gossip/tests/support/platform.rs
@@ -6,6 +6,7 @@
 use cicadagw_config::Snapshot;
 use cicadagw_gossip::{Call, Event, Member, Reply};
 use cicadagw_platform::{Error, Revision};
+use cicadagw_rollout::Entry;
 use cicadagw_unit::time::{Span, Timestamp};
 
 use super::Fleet;
@@ -15,6 +16,7 @@
 
 /// A simulated platform.
 #[derive(Default)]
+#[expect(clippy::struct_excessive_bools, reason = "each is a fault of its own")]
 pub struct Platform {
     pub members: BTreeMap<String, Member>,
     pub config: Option<(Revision, Arc<Snapshot>)>,
@@ -31,6 +33,12 @@
     pub checks_find_no_history: bool,
     /// Whether watches fail because the history that they need was compacted.
     pub has_compacted: bool,
+    /// The orders of rollouts by service, withdrawn ones included.
+    pub orders: BTreeMap<String, Entry>,
+    /// Number of statuses of rollouts written.
+    pub rollout_writes: usize,
+    /// Whether the responses to writes of the status of rollouts are lost.
+    pub loses_responses: bool,
 }
 
 impl Fleet {
@@ -107,6 +115,9 @@
                     Ok((at, newer.map(|(_, snapshot)| snapshot.clone()))),
                 )
             }
+            Call::ListRollouts | Call::WatchRollouts { .. } | Call::WriteRollout { .. } => {
+                return self.rollout_call(index, call);
+            }
             Call::FetchConfiguration(_) => unreachable!("a fetch returns above"),
         };
         self.step(index, Event::Reply(reply));
@@ -126,6 +137,14 @@
             Call::ConfirmConfiguration(inquiry) => {
                 (CALL_TIMEOUT, Reply::Confirmed(*inquiry, Err(error())))
             }
+            Call::ListRollouts => (CALL_TIMEOUT, Reply::Rollouts(Err(error()))),
+            Call::WatchRollouts { wait, .. } => {
+                (wait.plus(CALL_TIMEOUT), Reply::Rollouts(Err(error())))
+            }
+            Call::WriteRollout { service, .. } => {
+                let reply = Reply::RolloutWritten(service.clone(), Err(error()));
+                (CALL_TIMEOUT, reply)
+            }
             Call::FetchConfiguration(_) => (CALL_TIMEOUT, Reply::Fetched(Err(error()))),
         };
         let at = self.now.after(timeout);
--- a/crates/cicadagw-gossip/tests/support/record.rs
+++ b/crates/cicadagw-gossip/tests/support/record.rs
@@ -98,6 +98,14 @@
     Timestamp::new(10_000_000 * (index as u64 + 1))
 }
 
+/// Creates the state machine of node `index` where operators order rollouts.
+pub fn new_core_with_rollouts(index: usize, start_ms: u64) -> Core {
+    Core::new(Setup {
+        rollouts: true,
+        ..setup(index, start_ms)
+    })
+}
+
 fn setup(index: usize, start_ms: u64) -> Setup {
     let region = REGIONS[index % REGIONS.len()];
     Setup::builder()
--- a/crates/cicadagw-node/src/peering/gossip.rs
+++ b/crates/cicadagw-node/src/peering/gossip.rs
@@ -10,6 +10,8 @@
 use cicadagw_meter::Meter;
 use cicadagw_platform::Error;
 use cicadagw_ring::{Receiver, TrySendError};
+use cicadagw_rollout::{Decision, Directive, Phase};
+use cicadagw_unit::id;
 use cicadagw_view::Shared;
 use serde_json::json;
 use tokio::net::UdpSocket;
@@ -69,6 +71,7 @@
             _ = ticks.tick() => Some(Event::Tick),
             local = event_loop.rings.locals.recv() => local.map(Event::Local),
             request = event_loop.rings.quota_requests.recv() => request.map(Event::Quota),
+            report = event_loop.rings.reports.recv() => report.map(|report| Event::Report(Box::new(report))),
             reply = event_loop.rings.replies.recv() => reply.map(Event::Reply),
             received = event_loop.socket.recv_from(&mut datagram) => {
                 match decode(received, &datagram) {
@@ -158,6 +161,8 @@
             }
             Call::CheckConfiguration { .. } => Reply::Checked(Err(error())),
             Call::ConfirmConfiguration(inquiry) => Reply::Confirmed(inquiry, Err(error())),
+            Call::ListRollouts | Call::WatchRollouts { .. } => Reply::Rollouts(Err(error())),
+            Call::WriteRollout { service, .. } => Reply::RolloutWritten(service, Err(error())),
             Call::FetchConfiguration(_) => Reply::Fetched(Err(error())),
         })
     }
@@ -172,7 +177,12 @@
     fn answer_request(&self, request: Option<Request>) {
         if let Some(Request::Dump(reply)) = request {
             let members: Vec<_> = self.core.table().iter().collect();
-            let dump = json!({ "version": self.core.version(), "members": members });
+            let rollouts: Vec<_> = self.core.rollouts().collect();
+            let dump = json!({
+                "version": self.core.version(),
+                "members": members,
+                "rollouts": rollouts,
+            });
             // The admin request may have timed out in the meantime.
             reply.send(dump).ok();
         }
@@ -194,6 +204,13 @@
         self.meter.set_endpoints(State::Ready, ready as u64);
         self.meter.set_endpoints(State::Draining, draining as u64);
         self.meter.set_quotas_owned(self.core.quotas_owned() as u64);
+        let phases = || self.core.rollouts().filter_map(Directive::phase);
+        let done = phases().filter(|phase| *phase == Phase::Done).count();
+        let rolled_back = phases().filter(|phase| *phase == Phase::RolledBack).count();
+        let running = phases().count() - done - rolled_back;
+        self.meter
+            .set_rollouts([running, done, rolled_back].map(|number| number as u64));
+        self.meter.set_rollouts_led(self.core.rollouts_led() as u64);
     }
 }
 
@@ -222,6 +239,25 @@
                 .is_some_and(|backend| backend.is_ready);
             log::info!(member:% = member.node, stamp:% = member.stamp, endpoint, is_ready, is_leaving = member.is_leaving; "{notice}");
         }
+        Notice::RolloutOrdered(directive) => {
+            let target = directive
+                .status
+                .as_ref()
+                .map(|status| status.target.as_str());
+            log::info!(service:% = directive.service, term:% = directive.term, target = target.unwrap_or("-"); "{notice}");
+        }
+        Notice::RolloutLed { service, .. } => log::info!(service:%; "{notice}"),
+        Notice::RolloutDecided {
+            service,
+            decision,
+            exposure,
+        } => log_decision(service, decision, *exposure),
+        Notice::RolloutServiceUnknown(service) => {
+            log::warn!(service:%, field = "service", next = "the rollout waits for backend servers"; "{notice}");
+        }
+        Notice::RolloutNotWritten(service, reason) => {
+            log::warn!(service:%, reason:%, next = "the write is repeated"; "{notice}");
+        }
         Notice::Fresh(age) => log::info!(age_ms = age.get(); "{notice}"),
         Notice::Stale(age) => {
             log::warn!(age_ms = age.get(), next = "the node refuses calls with keys until the platform or another node confirms the configuration"; "{notice}");
@@ -235,3 +271,13 @@
         }
     }
 }
+
+/// Writes a decision about a rollout to the log. A renewal of the leadership is a decision as well.
+fn log_decision(service: &id::Service, decision: &Decision, (reached, exposed): (u64, u64)) {
+    let Decision { fault, status } = decision;
+    let (phase, share, target) = (status.phase, status.share, &status.target);
+    if let Some(fault) = fault {
+        log::warn!(service:%, target:%, fault:%, reached, exposed, next = "the release gets no more calls"; "rollout stopped");
+    }
+    log::info!(service:%, target:%, phase:%, share:%, beat = status.beat, reached, exposed; "rollout decided");
+}
--- a/crates/cicadagw-proxy/src/lib.rs
+++ b/crates/cicadagw-proxy/src/lib.rs
@@ -28,6 +28,7 @@
 mod quotas;
 mod relay;
 mod reply;
+mod reporter;
 mod request;
 mod response;
 mod room;
--- a/crates/cicadagw-proxy/src/maintenance.rs
+++ b/crates/cicadagw-proxy/src/maintenance.rs
@@ -48,6 +48,7 @@
     node.publish_limits();
     node.stats.set_ledger(&node.ledger);
     node.stats.set_quotas(node.quotas.maintain());
+    node.report_rollouts();
     node.flush();
     node.publish();
 }
--- a/crates/cicadagw-proxy/src/run.rs
+++ b/crates/cicadagw-proxy/src/run.rs
@@ -55,6 +55,7 @@
         link_rate: setup.link_rate,
         locality: setup.locality,
         quota_requests,
+        reports: setup.reports,
         room,
         retry_slack: setup.retry_slack,
         revocation: setup.revocation,
--- a/crates/cicadagw-settings/src/key.rs
+++ b/crates/cicadagw-settings/src/key.rs
@@ -60,6 +60,8 @@
     RetrySlack,
     /// [`crate::Peering::revocation`].
     Revocation,
+    /// [`crate::Peering::rollouts`].
+    Rollouts,
     /// [`crate::Peering::service`].
     Service,
     /// [`Timing::drain`].
@@ -112,7 +114,7 @@
 
 impl Key {
     /// All keys, in the order in which they are rendered.
-    pub const ALL: [Self; 31] = [
+    pub const ALL: [Self; 32] = [
         Self::Node,
         Self::Region,
         Self::Domain,
@@ -138,6 +140,7 @@
         Self::Ready,
         Self::RetrySlack,
         Self::Revocation,
+        Self::Rollouts,
         Self::Service,
         Self::Drain,
         Self::Heartbeat,
@@ -174,6 +177,7 @@
             Self::Ready => "ready",
             Self::RetrySlack => "retry_slack",
             Self::Revocation => "revocation",
+            Self::Rollouts => "rollouts",
             Self::Service => "service",
             Self::Drain => "drain",
             Self::Heartbeat => "heartbeat",
@@ -197,6 +201,7 @@
             | Self::Ready
             | Self::RetrySlack
             | Self::Revocation
+            | Self::Rollouts
             | Self::Service => Some(Section::Peering),
             Self::Drain | Self::Heartbeat | Self::Lease | Self::Renewal | Self::Status => {
                 Some(Section::Timing)
@@ -217,7 +222,7 @@
             | Self::Nodes
             | Self::Ready => Format::Address,
             Self::Dialect => Format::Dialect,
-            Self::FirstStart => Format::Flag,
+            Self::FirstStart | Self::Rollouts => Format::Flag,
             Self::LinkRate => Format::Rate,
             Self::Memory | Self::RetrySlack => Format::Count(1, 1_000_000),
             Self::AdminToken => Format::Token,
@@ -281,6 +286,9 @@
             Self::Revocation => {
                 "Time after which a key that was removed from the configuration is not accepted anywhere; a node that has not confirmed its configuration for that long refuses calls with keys."
             }
+            Self::Rollouts => {
+                "Whether operators order rollouts of releases, which some nodes then watch the platform for."
+            }
             Self::Service => "Service of the host's backend server.",
             Self::Drain => "Time for calls in flight to finish when the node stops.",
             Self::Heartbeat => "Interval of the heartbeats between parent and child.",
@@ -296,6 +304,7 @@
         let timing = Timing::default();
         match self {
             Self::AdminToken | Self::Revocation => Some("none".to_owned()),
+            Self::Rollouts => Some("false".to_owned()),
             key if key.section() == Some(Section::Peering) => {
                 Some("none; the section is complete or absent".to_owned())
             }
--- a/crates/cicadagw-settings/src/load.rs
+++ b/crates/cicadagw-settings/src/load.rs
@@ -187,6 +187,8 @@
     let retry_slack = object.required(Key::RetrySlack.name());
     let retry_slack = retry_slack.and_then(|_| count(object, Key::RetrySlack));
     let revocation = span(object, Key::Revocation);
+    let rollouts = object.get(Key::Rollouts.name());
+    let rollouts = rollouts.map_or(Some(false), |value| value.boolean());
     let service = required(object, Key::Service);
     object.report_unknown();
     Some(Peering {
@@ -198,6 +200,7 @@
         ready: ready?,
         retry_slack: u32::try_from(retry_slack?).ok()?,
         revocation,
+        rollouts: rollouts?,
         service: service?,
     })
 }
--- a/crates/cicadagw-settings/src/render.rs
+++ b/crates/cicadagw-settings/src/render.rs
@@ -99,6 +99,7 @@
         Key::Ready => quoted(peering.ready),
         Key::Revocation => return peering.revocation.map(quoted),
         Key::RetrySlack => peering.retry_slack.to_string(),
+        Key::Rollouts => peering.rollouts.to_string(),
         Key::Service => quoted(&peering.service),
         _ => return None,
     })
--- a/crates/cicadagw-settings/src/settings.rs
+++ b/crates/cicadagw-settings/src/settings.rs
@@ -82,6 +82,10 @@
     /// The time after which a revoked key is not accepted anywhere, if there is such a limit.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub revocation: Option<Span>,
+    /// Whether operators order rollouts of releases.
+    #[builder(default)]
+    #[serde(default)]
+    pub rollouts: bool,
     /// The service of the host's backend server.
     pub service: id::Service,
 }
--- a/crates/cicadagw-settings/tests/render.rs
+++ b/crates/cicadagw-settings/tests/render.rs
@@ -75,6 +75,7 @@
                 ready: address(source, 8_107),
                 retry_slack: u32::from(u16::arbitrary(source)) + 1,
                 revocation: bool::arbitrary(source).then(|| span(source, Key::Revocation)),
+                rollouts: bool::arbitrary(source),
                 service: name(source),
             }),
             platform: addresses(source, 1).into(),
--- a/crates/cicadagw-view/src/lib.rs
+++ b/crates/cicadagw-view/src/lib.rs
@@ -9,4 +9,4 @@
 
 pub use clock::host_time;
 pub use shared::Shared;
-pub use view::{Endpoints, View};
+pub use view::{Endpoints, Rollouts, View};
