Keep questions about the age of the configuration within the region

Cause: in regions with relays, a node asked a relay whose configuration was nearly as old as its own, did not get a younger one, and repeated the question to any node of the fleet. Ruled out: fewer relays, since each answers all the nodes that ask it. Change: relays ask at a lower age than the nodes that ask them, and only the second repetition goes to any node.

--- a/crates/cicadagw-gossip/src/core/confirmation.rs
+++ b/crates/cicadagw-gossip/src/core/confirmation.rs
@@ -13,7 +13,7 @@
 use super::Core;
 use crate::event::Inquiry;
 use crate::freshness::{Confirmation, Freshness};
-use crate::watchers::WATCHERS_PER_REGION;
+use crate::watchers::{self, WATCHERS_PER_REGION};
 use crate::{Call, Effect, Message, Notice};
 
 impl Core {
@@ -42,22 +42,23 @@
             let call = Call::ConfirmConfiguration(inquiry);
             self.effects.push(Effect::Call(call));
         }
-        if let Some((number, has_failed)) = freshness.question(at, &mut self.rng) {
-            self.ask_peers(now, number, has_failed);
+        let is_relay = || watchers::is_relay(&self.table, &self.own);
+        if let Some((number, repeats)) = freshness.question(at, is_relay, &mut self.rng) {
+            self.ask_peers(now, number, repeats);
         }
         self.track_staleness(at);
     }
 
-    /// Sends a question to the node that probably has the youngest configuration, or with `widely`
-    /// to another one that may have a younger one and to any node of the fleet.
-    fn ask_peers(&mut self, now: Timestamp, number: u64, widely: bool) {
+    /// Sends a question to the node that probably has the youngest configuration, a repeated one to
+    /// another that may have a younger one, and from the second repetition on to any node as well.
+    fn ask_peers(&mut self, now: Timestamp, number: u64, repeats: u32) {
         let mut sources = self.watchers.sources(now, &self.table, &self.own);
-        let source = if widely || sources.len() > WATCHERS_PER_REGION {
+        let source = if repeats > 0 || sources.len() > WATCHERS_PER_REGION {
             sources.into_iter().choose(&mut self.rng)
         } else {
             sources.drain(..).next()
         };
-        let any = if widely || source.is_none() {
+        let any = if repeats > 1 || source.is_none() {
             self.random_peer()
         } else {
             None
--- a/crates/cicadagw-gossip/src/freshness.rs
+++ b/crates/cicadagw-gossip/src/freshness.rs
@@ -25,6 +25,9 @@
 /// The share of the limit at which a node asks a peer.
 const QUESTION_AGE: Permille = Permille::new(260);
 
+/// The share of the limit at which a relay, which others ask, asks a peer.
+const RELAY_QUESTION_AGE: Permille = Permille::new(180);
+
 /// Minimum time between two questions to peers.
 const QUESTION_GAP: Permille = Permille::new(60);
 
@@ -131,10 +134,18 @@
         true
     }
 
-    /// Returns the number of the question that this node must send to a peer now, and whether to
-    /// send it to a second one because questions before it did not help; `None` if none is due.
-    pub(crate) fn question(&mut self, at: Timestamp, rng: &mut impl Rng) -> Option<(u64, bool)> {
-        if self.held.is_some() && self.age(at) < self.share(QUESTION_AGE) {
+    /// Returns the question that this node must send to a peer now: its number, and how many before
+    /// it did not help; `None` if none is due.
+    pub(crate) fn question(
+        &mut self,
+        at: Timestamp,
+        is_relay: impl FnOnce() -> bool,
+        rng: &mut impl Rng,
+    ) -> Option<(u64, u32)> {
+        let age = self.age(at);
+        let is_young =
+            age < self.share(RELAY_QUESTION_AGE) || age < self.share(QUESTION_AGE) && !is_relay();
+        if self.held.is_some() && is_young {
             self.repeats = 0;
             return None;
         }
@@ -147,8 +158,9 @@
         }
         let number = rng.random();
         self.questions.push((number, at));
+        let repeats = self.repeats;
         self.repeats += 1;
-        Some((number, self.repeats > 1))
+        Some((number, repeats))
     }
 
     /// Returns the confirmation that an answer to question `number` contains: the configuration of
--- a/crates/cicadagw-gossip/src/watchers.rs
+++ b/crates/cicadagw-gossip/src/watchers.rs
@@ -165,8 +165,8 @@
         own: &Member,
     ) -> SmallVec<[SocketAddr; WATCHERS_PER_REGION]> {
         let order = order(table, own);
-        let relays = order.len() / NODES_PER_RELAY;
-        let is_relayed = relays > WATCHERS_PER_REGION && position(&order, own) >= relays;
+        let relays = relays(order.len());
+        let is_relayed = relays > 0 && position(&order, own) >= relays;
         let sources = order.iter().enumerate().filter(|(position, member)| {
             let is_source = if is_relayed {
                 *position < relays
@@ -185,6 +185,22 @@
     }
 }
 
+/// Returns how many of the first nodes in the order are relays, in a region of `count` nodes.
+const fn relays(count: usize) -> usize {
+    let relays = count / NODES_PER_RELAY;
+    if relays > WATCHERS_PER_REGION {
+        relays
+    } else {
+        0
+    }
+}
+
+/// Returns whether other nodes ask `own` for the age of the configuration instead of the watchers.
+pub(crate) fn is_relay(table: &Table, own: &Member) -> bool {
+    let order = order(table, own);
+    position(&order, own) < relays(order.len())
+}
+
 /// Returns the interval between two beacons of a watcher that sends them to `count` nodes.
 pub(crate) fn beacon_interval(count: usize) -> Span {
     let interval = BEACON_INTERVAL_PER_NODE.times(count as u64);
