Let callers refused by a backend server itself come back in time once more

Cause: a second return waits for the end of a peak.

Change: only a refusal by admission control counts.

--- a/crates/cicadagw-call/src/refusal.rs
+++ b/crates/cicadagw-call/src/refusal.rs
@@ -54,7 +54,7 @@
 /// The time that the caller of a refused call has left.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Prospect {
-    /// Whether the caller was refused before and has come back.
+    /// Whether the caller has come back before and finds no room again.
     pub has_returned: bool,
     /// The time by which the response should arrive to be of full value, if there is one.
     pub soft_deadline: Option<Timestamp>,
--- a/crates/cicadagw-proxy/src/relay.rs
+++ b/crates/cicadagw-proxy/src/relay.rs
@@ -114,7 +114,9 @@
             Reason::Rejected | Reason::Shed => {
                 let request = self.call.request;
                 let prospect = Prospect {
-                    has_returned: request.first_arrival < request.arrival,
+                    // A backend server that refuses calls itself says nothing of a peak that ends.
+                    has_returned: self.reason == Reason::Shed
+                        && request.first_arrival < request.arrival,
                     soft_deadline: self.call.soft_deadline(),
                     deadline: request.caller_deadline(),
                     work: self.average_work().unwrap_or_default(),
