Decide without I/O how many calls may be in flight to a service

The bound was counted in the proxy, where only a crowd of real connections could test it.

No change of behaviour.

--- a/crates/cicadagw-proxy/src/service_calls.rs
+++ b/crates/cicadagw-proxy/src/service_calls.rs
@@ -1,20 +1,14 @@
-//! Counts the calls in flight of local callers by service.
-//!
-//! The load that this answers: calls to one service that fill all connections of a node, so that
-//! there is none left for calls to other services.
+//! The calls in flight of local callers, bounded for each service.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use cicadagw_call::Bulkhead;
 use cicadagw_unit::id;
 
 /// The calls in flight of local callers, by service.
 #[derive(Debug)]
-pub(crate) struct ServiceCalls {
-    max: usize,
-    in_flight: RefCell<BTreeMap<id::Service, usize>>,
-}
+pub(crate) struct ServiceCalls(RefCell<Bulkhead>);
 
 /// A call in flight, until this is dropped.
 #[derive(Debug)]
@@ -26,21 +20,12 @@
 impl ServiceCalls {
     /// Creates the counts, with the maximum number of calls in flight to one service.
     pub(crate) fn new(max: usize) -> Rc<Self> {
-        Rc::new(Self {
-            max,
-            in_flight: RefCell::default(),
-        })
+        Rc::new(Self(RefCell::new(Bulkhead::new(max))))
     }
 
     /// Counts a call to `service`; returns `None` if there are too many.
     pub(crate) fn start(self: &Rc<Self>, service: &id::Service) -> Option<Guard> {
-        let mut in_flight = self.in_flight.borrow_mut();
-        let number = in_flight.entry(service.clone()).or_default();
-        if *number >= self.max {
-            return None;
-        }
-        *number += 1;
-        Some(Guard {
+        self.0.borrow_mut().start(service).then(|| Guard {
             calls: self.clone(),
             service: service.clone(),
         })
@@ -49,12 +34,6 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        let mut in_flight = self.calls.in_flight.borrow_mut();
-        if let Some(number) = in_flight.get_mut(&self.service) {
-            *number -= 1;
-            if *number == 0 {
-                in_flight.remove(&self.service);
-            }
-        }
+        self.calls.0.borrow_mut().end(&self.service);
     }
 }
