Take the number of descriptors from the settings before the system's

Cause: a node took the lower of budget.descriptors and the system's limit.

Change: budget.descriptors, when it is set, goes before the system's limit; the default is the system's limit, 4,100 at most. Further, a connection that may not read ahead receives up to 4 KiB while it waits, so that the node notices when its client disconnects.

The tests of settings and http and the short soak pass.

--- a/crates/cicadagw-http/src/server/reader.rs
+++ b/crates/cicadagw-http/src/server/reader.rs
@@ -1,6 +1,7 @@
 //! Reads the requests of a connection.
 
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
@@ -57,7 +58,9 @@
     /// Reads requests until the client disconnects or the connection is to be closed.
     pub(super) async fn run(mut self) -> End {
         loop {
-            self.queue.wait_for_capacity().await;
+            if self.wait_for_capacity().await.is_err() {
+                return End::Disconnected;
+            }
             let pause = backoff::pause(self.queue.refusals());
             if !self.buffer.is_empty() && !pause.is_zero() {
                 sleep(pause).await;
@@ -88,6 +91,20 @@
         }
     }
 
+    /// Waits until another request may be read. Meanwhile a few bytes are received, so that a client
+    /// that disconnects is noticed.
+    async fn wait_for_capacity(&mut self) -> Result<(), NoRequest> {
+        let queue = self.queue;
+        let mut waiting = pin!(queue.wait_for_capacity());
+        loop {
+            tokio::select! {
+                biased;
+                () = &mut waiting => return Ok(()),
+                filled = self.fill(), if self.buffer.len() < READ_BYTES => filled?,
+            }
+        }
+    }
+
     /// Reads the head of the next request.
     async fn head(&mut self) -> Result<Request, NoRequest> {
         let mut begin = Instant::now();
--- a/crates/cicadagw-proxy/src/room.rs
+++ b/crates/cicadagw-proxy/src/room.rs
@@ -11,6 +11,9 @@
 
 use crate::listener_kind::ListenerKind;
 
+/// The maximum number of descriptors that are used unless the settings grant more.
+const DESCRIPTORS: u64 = 4_100;
+
 /// The descriptors that are reserved for files.
 const FILE_DESCRIPTORS: u64 = 200;
 
@@ -33,10 +36,12 @@
 }
 
 impl Room {
-    /// Divides what the settings grant; `descriptors` is the limit of the system, if it is known.
-    pub(crate) fn new(budget: &Budget, descriptors: Option<u64>) -> Self {
-        let granted = u64::from(budget.descriptors.get());
-        let descriptors = descriptors.map_or(granted, |limit| limit.min(granted));
+    /// Divides what the settings grant; `system_limit` is the number of descriptors that the system
+    /// allows, if it is known.
+    pub(crate) fn new(budget: &Budget, system_limit: Option<u64>) -> Self {
+        let granted = budget.descriptors.map(|number| u64::from(number.get()));
+        let by_default = || system_limit.map_or(DESCRIPTORS, |limit| limit.min(DESCRIPTORS));
+        let descriptors = granted.unwrap_or_else(by_default);
         Self {
             memory: budget.memory.get(),
             sockets: descriptors.saturating_sub(FILE_DESCRIPTORS),
--- a/crates/cicadagw-settings/src/key.rs
+++ b/crates/cicadagw-settings/src/key.rs
@@ -260,7 +260,7 @@
                 "Least severe level that is logged; PUT /log-level changes it at run time."
             }
             Self::Descriptors => {
-                "Number of file descriptors of the process, unless the system allows fewer; 200 are kept for files."
+                "Number of file descriptors of the process, 200 of them for files; by default that of the system, 4100 at most."
             }
             Self::Fanout => "Maximum number of children of the node.",
             Self::Hops => "Maximum number of hops from node to node that a call may have made.",
@@ -303,14 +303,13 @@
         let budget = Budget::default();
         let timing = Timing::default();
         match self {
-            Self::AdminToken | Self::Revocation => Some("none".to_owned()),
+            Self::AdminToken | Self::Descriptors | Self::Revocation => Some("none".to_owned()),
             Self::Rollouts => Some("false".to_owned()),
             key if key.section() == Some(Section::Peering) => {
                 Some("none; the section is complete or absent".to_owned())
             }
             Self::Seeds => Some("[]".to_owned()),
             Self::Log => Some(quoted(Level::default())),
-            Self::Descriptors => Some(budget.descriptors.to_string()),
             Self::Fanout => Some(budget.fanout.to_string()),
             Self::Hops => Some(budget.hops.to_string()),
             Self::Memory => Some((budget.memory.get() / BYTES_PER_MB).to_string()),
--- a/crates/cicadagw-settings/src/load.rs
+++ b/crates/cicadagw-settings/src/load.rs
@@ -123,7 +123,9 @@
             .map_or(default, Slots::new)
     };
     let budget = Budget {
-        descriptors: slots(Key::Descriptors, default.descriptors),
+        descriptors: count(&object, Key::Descriptors)
+            .and_then(|number| u32::try_from(number).ok())
+            .map(Slots::new),
         fanout: slots(Key::Fanout, default.fanout),
         hops: count(&object, Key::Hops)
             .and_then(|number| u8::try_from(number).ok())
--- a/crates/cicadagw-settings/src/render.rs
+++ b/crates/cicadagw-settings/src/render.rs
@@ -75,7 +75,7 @@
         Key::Platform => list(&settings.platform),
         Key::Seeds => list(&settings.seeds),
         Key::Log => quoted(settings.log),
-        Key::Descriptors => budget.descriptors.to_string(),
+        Key::Descriptors => return budget.descriptors.map(|number| number.to_string()),
         Key::Fanout => budget.fanout.to_string(),
         Key::Hops => budget.hops.to_string(),
         Key::Memory => (budget.memory.get() / BYTES_PER_MB).to_string(),
--- a/crates/cicadagw-settings/src/settings.rs
+++ b/crates/cicadagw-settings/src/settings.rs
@@ -125,8 +125,8 @@
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Budget {
-    /// The number of file descriptors that the process may open.
-    pub descriptors: Slots,
+    /// The number of file descriptors that the process may open, if it is not that of the system.
+    pub descriptors: Option<Slots>,
     /// The maximum number of children of a node.
     pub fanout: Slots,
     /// The maximum number of hops from node to node that a call may have made.
@@ -156,7 +156,7 @@
 impl Default for Budget {
     fn default() -> Self {
         Self {
-            descriptors: Slots::new(4_100),
+            descriptors: None,
             fanout: Slots::new(8),
             hops: Hops::new(44),
             memory: Bytes::new(88 * BYTES_PER_MB),
