Start calls of policies without samples, and give back limited calls

Calls that were displaced, expired or were shed in the queue, and those of a closing queue, did not give back what they had taken from the limit that a backend server names. Ruled out: a guessed work time for such policies; the first call tells it. Change: no time is required before the first sample of the policy itself; every way out of the queue gives the call back to the limit. Measured: a_call_of_a_policy_without_samples_starts_at_an_idle_backend_server, a_call_that_expires_in_the_queue_gives_its_token_back and a_displaced_call_gives_its_token_back fail without it and pass with it.

--- a/crates/cicadagw-call/src/admission/core.rs
+++ b/crates/cicadagw-call/src/admission/core.rs
@@ -110,6 +110,9 @@
         match decision {
             Decision::Start => self.start(call),
             Decision::Queue { displaced } => {
+                if displaced.is_some() {
+                    self.limit.give_back();
+                }
                 self.queue.retain(|key, _| Some(key.ticket) != displaced);
                 self.queue.insert(key, call);
             }
@@ -183,10 +186,9 @@
 
     /// Removes all calls from the queue and returns them. Later calls may be queued again.
     pub fn close(&mut self) -> Vec<Ticket> {
-        std::mem::take(&mut self.queue)
-            .into_keys()
-            .map(|key| key.ticket)
-            .collect()
+        let queue = std::mem::take(&mut self.queue);
+        queue.iter().for_each(|_| self.limit.give_back());
+        queue.into_keys().map(|key| key.ticket).collect()
     }
 
     fn decide(&self, now: Timestamp, key: Key, call: &QueuedCall) -> Decision {
@@ -197,7 +199,7 @@
         let has_room = self.running.has_room(constraints);
         let work = self.work.of(&constraints.policy);
         let work_left_min = self.work.left_min(&constraints.policy);
-        if self.work.is_known() && now.after(work_left_min) >= call.deadline {
+        if now.after(work_left_min) >= call.deadline {
             return Decision::Shed;
         }
         let link = self.link_wait(constraints);
@@ -263,6 +265,8 @@
                 self.queue.insert(key, call);
             }
         }
+        let refused = release.expired.iter().chain(&release.shed);
+        refused.for_each(|_| self.limit.give_back());
         release
     }
 
--- a/crates/cicadagw-call/src/admission/work.rs
+++ b/crates/cicadagw-call/src/admission/work.rs
@@ -48,11 +48,6 @@
         *average = smooth(*average, size.get());
     }
 
-    /// Returns whether there are samples.
-    pub(super) fn is_known(&self) -> bool {
-        self.overall.get() > 0
-    }
-
     /// Returns the average work time of a call under any policy; zero before the first sample.
     pub(super) const fn overall(&self) -> Span {
         self.overall
@@ -64,9 +59,12 @@
         self.by_policy.get(policy).copied().unwrap_or(self.overall)
     }
 
-    /// Returns how much time must remain before the deadline for a call under `policy` to start.
+    /// Returns how much time must remain before the deadline for a call under `policy` to start;
+    /// none before the first sample under it. The work of other policies says little of it, and a
+    /// policy whose calls are refused for it would never get a sample.
     pub(super) fn left_min(&self, policy: &id::Policy) -> Span {
-        share(self.of(policy), WORK_LEFT_MIN_PERMILLE)
+        let work = self.by_policy.get(policy).copied().unwrap_or_default();
+        share(work, WORK_LEFT_MIN_PERMILLE)
     }
 
     /// Returns whether the responses under `policy` are so large that they wait for the link.
--- a/crates/cicadagw-call/tests/admission/main.rs
+++ b/crates/cicadagw-call/tests/admission/main.rs
@@ -97,6 +97,23 @@
     assert_eq!(decision, Decision::Shed);
 }
 
+#[test]
+fn a_call_of_a_policy_without_samples_starts_at_an_idle_backend_server() {
+    let mut admission = admission();
+    admission.offer(at(0), at(5_000), constraints());
+    admission.finish(at(900), &policy("wide"), Span::new(900));
+    let brief = Constraints {
+        policy: policy("brief"),
+        ..constraints()
+    };
+
+    // The work time of the other policy says nothing of this one, which never gets a sample if it is
+    // refused for it.
+    let (_, decision) = admission.offer(at(1_000), at(1_600), brief);
+
+    assert_eq!(decision, Decision::Start);
+}
+
 #[test]
 fn an_abandoned_call_above_the_average_raises_the_average_work_time() {
     let mut admission = full_admission();
--- a/crates/cicadagw-call/tests/limit.rs
+++ b/crates/cicadagw-call/tests/limit.rs
@@ -240,3 +240,53 @@
         assert_eq!(rate.to_string().parse(), Ok(rate));
     }
 }
+
+/// The admission control of a backend server with one slot and a limit of six calls a second, with a
+/// call that runs and a queue of one call. `deadline` is that of the queued call.
+fn with_queued_call(deadline: u64) -> Admission {
+    let mut admission = Admission::with_limit(Slots::new(1), limited("6"));
+    admission.offer(at(1_000), at(9_000), one_queued());
+    let (_, decision) = admission.offer(at(1_000), at(deadline), one_queued());
+    assert_eq!(decision, Decision::Queue { displaced: None });
+    admission
+}
+
+fn one_queued() -> Constraints {
+    Constraints {
+        queue: Slots::new(1),
+        ..constraints()
+    }
+}
+
+#[test]
+fn a_call_that_expires_in_the_queue_gives_its_token_back() {
+    let mut admission = with_queued_call(1_100);
+
+    let release = admission.abandon(at(1_101), &constraints().policy, Span::new(0));
+    let started: Vec<_> = (0..2)
+        .map(|_| {
+            let (_, decision) = admission.offer(at(1_101), at(9_000), one_queued());
+            admission.abandon(at(1_101), &constraints().policy, Span::new(0));
+            decision
+        })
+        .collect();
+
+    assert_eq!(release.expired.len(), 1);
+    assert_eq!(started, [Decision::Start, Decision::Start]);
+}
+
+#[test]
+fn a_displaced_call_gives_its_token_back() {
+    let mut admission = with_queued_call(9_000);
+
+    let (_, decision) = admission.offer(at(1_050), at(2_000), one_queued());
+    admission.close();
+    admission.abandon(at(1_050), &constraints().policy, Span::new(0));
+    let (_, next) = admission.offer(at(1_050), at(9_000), one_queued());
+
+    assert!(
+        matches!(decision, Decision::Queue { displaced: Some(_) }),
+        "{decision:?}"
+    );
+    assert_eq!(next, Decision::Start);
+}
