--- a/crates/cicadagw-proxy/src/listener.rs
+++ b/crates/cicadagw-proxy/src/listener.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use cicadagw_call::Reason;
-use cicadagw_config::part;
 use cicadagw_http::server::{Limits, Refusal, Reply, Service};
 use cicadagw_http::{Body, Request};
 use cicadagw_unit::time::Span;
@@ -90,11 +89,11 @@
 }
 
 fn snapshot(node: &Node) -> Reply {
-    let Some(snapshot) = node.snapshot() else {
+    let Some(snapshot) = node.compressed_snapshot() else {
         return Reply::new(404);
     };
     let mut reply = Reply::new(200);
-    reply.body = Body::Buffered(part::compress(&*snapshot).into());
+    reply.body = Body::Buffered(snapshot);
     reply
 }
 
--- a/crates/cicadagw-proxy/src/node.rs
+++ b/crates/cicadagw-proxy/src/node.rs
@@ -8,10 +8,11 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use cicadagw_call::refusal::History;
 use cicadagw_call::route::Index;
 use cicadagw_call::{Registry, access};
-use cicadagw_config::{Edge, Snapshot};
+use cicadagw_config::{Edge, Snapshot, Stamp, part};
 use cicadagw_dialect::Dialect;
 use cicadagw_http::Ledger;
 use cicadagw_settings::{Budget, Timing};
@@ -58,6 +59,8 @@
     pub(crate) stats: Arc<Stats>,
     pub(crate) timing: Timing,
     local_backends: RefCell<BTreeMap<id::Endpoint, Rc<Backend>>>,
+    /// The configuration snapshot as other nodes fetch it, with its stamp.
+    compressed: RefCell<Option<(Stamp, Bytes)>>,
     refusals: RefCell<History>,
     became_idle: Notify,
     in_flight: Cell<usize>,
@@ -91,6 +94,7 @@
             stats: parts.stats,
             timing: parts.timing,
             local_backends: RefCell::default(),
+            compressed: RefCell::default(),
             refusals: RefCell::default(),
             became_idle: Notify::new(),
             in_flight: Cell::new(0),
@@ -181,6 +185,22 @@
         self.view.load().snapshot.clone()
     }
 
+    /// Returns the current configuration snapshot as other nodes fetch it, if there is one. Several
+    /// fetch each version, and compressing it takes many times its memory.
+    pub(crate) fn compressed_snapshot(&self) -> Option<Bytes> {
+        let snapshot = self.snapshot()?;
+        let mut compressed = self.compressed.borrow_mut();
+        if let Some((stamp, bytes)) = &*compressed
+            && *stamp == snapshot.stamp
+        {
+            return Some(bytes.clone());
+        }
+        // A copy, since the buffer of the compression is as large as the content.
+        let bytes = Bytes::copy_from_slice(&part::compress(&*snapshot));
+        *compressed = Some((snapshot.stamp, bytes.clone()));
+        Some(bytes)
+    }
+
     /// Returns the size limits of calls: the stricter of those from the settings and from the
     /// configuration.
     pub(crate) fn limits(&self) -> Limits {
