Keep the age of a rollout over a leader's restart

Cause: Leader::new put the beginning of the rollout on the clock of the process, which begins at zero, so the subtraction ended at the start of the process and the whole duration began anew.

Ruled out: a signed timestamp, since the status already holds the wall clock time at which the order was noticed.

Change: the age is the wall clock time minus `started_ms`. Restarted nodes of the simulated fleet have a clock that begins at zero.

--- a/crates/cicadagw-gossip/tests/rollout.rs
+++ b/crates/cicadagw-gossip/tests/rollout.rs
@@ -233,7 +233,7 @@
         load.run(&mut fleet, Span::new(2_500), has_ended);
 
         for index in 0..16 {
-            fleet.restart(index, 6_000);
+            fleet.restart_now(index);
         }
         fleet.run(Span::new(300));
         for index in 0..16 {
@@ -245,6 +245,26 @@
     }
 }
 
+#[test]
+fn the_end_of_a_rollout_is_where_it_was_after_all_nodes_have_restarted() {
+    let mut fleet = Fleet::with_rollouts(8);
+    let mut load = Load::new(&fleet, 100);
+    fleet.order("v9", DURATION);
+    load.run(&mut fleet, Span::seconds(3), |_| false);
+    for index in 0..8 {
+        fleet.restart_now(index);
+    }
+
+    load.run(&mut fleet, Span::new(8_500), |_| false);
+    let before = state(&fleet);
+    load.run(&mut fleet, Span::new(1_500), |_| false);
+
+    assert_eq!(
+        (before, state(&fleet)),
+        (Some(State::Running), Some(State::RolledBack))
+    );
+}
+
 #[test]
 fn a_target_without_backend_servers_is_rolled_back_when_the_time_is_over() {
     let mut fleet = Fleet::with_rollouts(8);
--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -38,6 +38,8 @@
 /// A node of the fleet.
 pub struct Node {
     pub core: Core,
+    /// When the process started; its clock begins at zero.
+    pub started: Timestamp,
     pub view: View,
     pub notices: Vec<String>,
     /// The answers to requests for tokens.
@@ -146,7 +148,10 @@
     }
 
     pub fn step(&mut self, index: usize, event: Event) {
-        let effects = self.nodes[index].core.step(self.now, event);
+        let node = &mut self.nodes[index];
+        let effects = node
+            .core
+            .step(Timestamp::new(self.now.since(node.started).get()), event);
         for effect in effects {
             match effect {
                 Effect::Call(call) => self.call(index, call),
@@ -167,6 +172,17 @@
         });
     }
 
+    /// Replaces a node by a new process that starts now, and whose clock begins at zero.
+    pub fn restart_now(&mut self, index: usize) {
+        self.restart(index, self.unix_ms());
+        self.nodes[index].started = self.now;
+    }
+
+    /// Returns the time in milliseconds since the Unix epoch.
+    pub const fn unix_ms(&self) -> u64 {
+        self.now.get() + 1
+    }
+
     /// Replaces a node where keys must not outlive their revocation.
     pub fn restart_strict(&mut self, index: usize, start_ms: u64) {
         self.nodes[index] = Node::new(new_strict_core(index, start_ms));
@@ -231,6 +247,7 @@
     fn new(core: Core) -> Self {
         Self {
             core,
+            started: Timestamp::default(),
             view: View::default(),
             notices: Vec::new(),
             grants: Vec::new(),
--- a/crates/cicadagw-rollout/src/leader.rs
+++ b/crates/cicadagw-rollout/src/leader.rs
@@ -51,8 +51,6 @@
 pub struct Leader {
     order: Order,
     schedule: Schedule,
-    /// When the order was noticed.
-    began: Timestamp,
     status: Status,
     reports: Reports,
     /// When the current share came into force.
@@ -80,12 +78,10 @@
             0 => unix_ms,
             started_ms => started_ms,
         };
-        let age = Span::new(unix_ms.saturating_sub(started_ms));
         let is_new = status.started_ms == 0;
         Self {
             schedule: Schedule::new(order.duration),
             order,
-            began: now.before(age),
             status: Status {
                 leader: Some(node.clone()),
                 started_ms,
@@ -146,11 +142,11 @@
             self.step(now, unix_ms, Event::Bad);
         }
         // What has happened is judged anew after each step.
-        let mut events = self.events(now, &verdict, records).into_iter();
+        let mut events = self.events(now, unix_ms, &verdict, records).into_iter();
         events.find(|event| self.step(now, unix_ms, *event));
         if self.status.phase == Phase::Observing && now.since(self.stepped) >= TEST_STEP {
             self.stepped = now;
-            let age = now.since(self.began);
+            let age = self.age(unix_ms);
             self.status.share = self.schedule.test_share(age, reached, exposed);
         }
         let has_changed = before != (self.status.phase, self.status.share);
@@ -187,17 +183,24 @@
         }
     }
 
+    /// Returns the time since the order was noticed. It is kept as wall clock time, since the clock of
+    /// the timestamps begins anew with each process.
+    const fn age(&self, unix_ms: u64) -> Span {
+        Span::new(unix_ms.saturating_sub(self.status.started_ms))
+    }
+
     /// Returns what has happened, in the order in which it counts.
     fn events(
         &self,
         now: Timestamp,
+        unix_ms: u64,
         verdict: &Verdict,
         records: &[Record],
     ) -> SmallVec<[Event; 4]> {
         let group = |record: &Record| self.group(record.release.as_ref());
         let has_target = records.iter().any(|record| group(record) == Group::Target);
         let has_base = records.iter().any(|record| group(record) == Group::Base);
-        let age = now.since(self.began);
+        let age = self.age(unix_ms);
         let mut events = SmallVec::new();
         events.push(match (has_target, has_base) {
             (false, _) => Event::Absent,
@@ -238,7 +241,7 @@
             self.stepped = now;
             self.status.share = match action {
                 Action::Observe => {
-                    let age = now.since(self.began);
+                    let age = self.age(unix_ms);
                     let (reached, exposed) = self.exposure();
                     self.schedule.test_share(age, reached, exposed)
                 }
