Take a rollout up only with a filled table of nodes

Cause: a leader that restarted took its rollout up at once, when it knew only its own endpoint. While the rollout closed it saw no backend server of the target and rolled a good release back; beside a server of the target it saw no other release and gave all calls to an unproven one.

Ruled out: a wait in the leader alone, since its writes would keep better informed nodes from leading.

Change: a node takes an order up after it has run for 3 s and has listed the nodes. That no other release, or none of the target, is there counts after 2 s; the former only if no node beside another release reports. The new test showed a second fault: the share was computed from the first reports, which count few calls, and was half of all calls while nobody led. The slack now counts after reports for one second.

--- a/crates/cicadagw-gossip/src/core/rollouts.rs
+++ b/crates/cicadagw-gossip/src/core/rollouts.rs
@@ -17,6 +17,10 @@
 /// How long a leader may go without a write until another node takes its place.
 const LEASE: Span = Span::seconds(3);
 
+/// How long a node must run until it takes up an order: a node that has just started knows only
+/// itself, and most endpoints a moment later.
+const UPTIME_MIN: Span = Span::seconds(3);
+
 /// How much longer each further watcher waits, so that they do not all write at once.
 const TURN: Span = Span::new(150);
 
@@ -195,7 +199,10 @@
 
     /// Takes up the orders that have no leader, or whose leader has not written for [`LEASE`].
     fn take_up_orders(&mut self, now: Timestamp) {
-        if !self.rollouts.follower.is_synced() {
+        let is_informed = now.since(Timestamp::default()) >= UPTIME_MIN
+            && self.registration.has_listed()
+            && self.rollouts.follower.is_synced();
+        if !is_informed {
             return;
         }
         let turn = TURN.times(watchers::turn(&self.table, &self.own) as u64);
--- a/crates/cicadagw-gossip/tests/rollout.rs
+++ b/crates/cicadagw-gossip/tests/rollout.rs
@@ -245,6 +245,58 @@
     }
 }
 
+/// Returns a fleet like [`ordered`], whose first half, with the leader, has the backend servers of
+/// release `v2`.
+fn ordered_beside_target(behaviour: Behaviour) -> (Fleet, Load) {
+    let mut fleet = Fleet::with_rollouts(16);
+    let mut load = Load::new(&fleet, 400);
+    load.behaviour.insert("v2".to_owned(), behaviour);
+    for index in 8..16 {
+        fleet.start_backend(index, "v1");
+    }
+    fleet.order("v2", DURATION);
+    load.run(&mut fleet, Span::new(500), |_| false);
+    for index in 0..8 {
+        fleet.start_backend(index, "v2");
+    }
+    (fleet, load)
+}
+
+#[test]
+fn a_leader_that_has_restarted_does_not_raise_a_bad_release_that_is_all_it_sees() {
+    for at in [500, 1_000, 1_500, 2_000] {
+        let (mut fleet, mut load) = ordered_beside_target(Behaviour::BadAfter(Span::seconds(3)));
+        load.run(&mut fleet, Span::new(at), has_ended);
+        let leader = fleet.leader().unwrap();
+
+        fleet.restart_now(leader);
+        fleet.start_backend(leader, "v2");
+        load.run(&mut fleet, DURATION, |_| false);
+        let exposed = load.exposed("v2");
+        load.run(&mut fleet, TAKEOVER_MAX, has_ended);
+
+        assert_eq!(state(&fleet), Some(State::RolledBack), "{at} ms");
+        assert!(exposed <= load.allowance(), "{exposed} calls, {at} ms");
+    }
+}
+
+#[test]
+fn a_leader_that_restarts_while_the_rollout_closes_does_not_roll_it_back() {
+    let (mut fleet, mut load) = ordered(Behaviour::Good);
+    let closes = |fleet: &Fleet| {
+        let status = fleet.rollout_status();
+        status.is_some_and(|status| status.phase == Phase::Closing)
+    };
+    load.run(&mut fleet, DURATION, closes);
+    let leader = fleet.leader().unwrap();
+
+    fleet.restart_now(leader);
+    fleet.start_backend(leader, "v1");
+    load.run(&mut fleet, TAKEOVER_MAX, has_ended);
+
+    assert_eq!(state(&fleet), Some(State::Done));
+}
+
 #[test]
 fn the_end_of_a_rollout_is_where_it_was_after_all_nodes_have_restarted() {
     let mut fleet = Fleet::with_rollouts(8);
--- a/crates/cicadagw-rollout/src/leader.rs
+++ b/crates/cicadagw-rollout/src/leader.rs
@@ -37,6 +37,10 @@
 /// reach the backend server only through it.
 const SILENCE_MAX: Span = Span::seconds(4);
 
+/// How long only the target release, or none of its backend servers, must have been seen until that
+/// counts. Nothing that follows from it can be taken back.
+const HELD_MIN: Span = Span::seconds(2);
+
 /// A decision, to be written to the platform under the condition that nobody has changed the order.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Decision {
@@ -53,6 +57,10 @@
     schedule: Schedule,
     status: Status,
     reports: Reports,
+    /// When the first calls were reported to this leader.
+    counted_from: Option<Timestamp>,
+    /// Which of the releases have been seen, and since when.
+    presence: Option<(Event, Timestamp)>,
     /// When the current share came into force.
     stepped: Timestamp,
     /// When the last decision was taken; `None` before the first one, by which this node takes up the
@@ -89,6 +97,8 @@
                 ..status
             },
             reports: Reports::default(),
+            counted_from: None,
+            presence: None,
             stepped: now,
             decided: None,
             due_milli: 0,
@@ -135,6 +145,9 @@
         let (reached, exposed) = self.exposure();
         self.due_milli += reached.saturating_sub(self.reached) * u64::from(self.status.share.get());
         self.reached = reached;
+        if reached > 0 {
+            self.counted_from.get_or_insert(now);
+        }
         let verdict = self.verdict();
         let mut fault = None;
         if let Verdict::Bad(found) = &verdict {
@@ -142,12 +155,14 @@
             self.step(now, unix_ms, Event::Bad);
         }
         // What has happened is judged anew after each step.
-        let mut events = self.events(now, unix_ms, &verdict, records).into_iter();
+        let presence = self.presence(now, records);
+        let others = self.events(now, unix_ms, &verdict, records);
+        let mut events = presence.into_iter().chain(others);
         events.find(|event| self.step(now, unix_ms, *event));
         if self.status.phase == Phase::Observing && now.since(self.stepped) >= TEST_STEP {
             self.stepped = now;
-            let age = self.age(unix_ms);
-            self.status.share = self.schedule.test_share(age, reached, exposed);
+            let (age, counted) = (self.age(unix_ms), self.counted(now));
+            self.status.share = self.schedule.test_share(age, counted, reached, exposed);
         }
         let has_changed = before != (self.status.phase, self.status.share);
         let is_renewal = self
@@ -189,7 +204,37 @@
         Span::new(unix_ms.saturating_sub(self.status.started_ms))
     }
 
-    /// Returns what has happened, in the order in which it counts.
+    /// Returns for how long calls have been reported to this leader.
+    fn counted(&self, now: Timestamp) -> Span {
+        self.counted_from
+            .map_or(Span::new(0), |from| now.since(from))
+    }
+
+    /// Returns which of the releases accept calls, unless that must first be seen for longer.
+    fn presence(&mut self, now: Timestamp, records: &[Record]) -> Option<Event> {
+        let group = |record: &Record| self.group(record.release.as_ref());
+        let has_target = records.iter().any(|record| group(record) == Group::Target);
+        let has_base = records.iter().any(|record| group(record) == Group::Base);
+        // A node that still reports is there, whatever this one knows of its endpoint.
+        let is_reporting = |host: &Host| {
+            let (at, report) = &host.last;
+            self.group(report.release.as_ref()) == Group::Base && now.since(*at) < SILENCE_MAX
+        };
+        let event = match (has_target, has_base) {
+            (false, _) => Event::Absent,
+            (true, false) if !self.reports.iter().any(is_reporting) => Event::Alone,
+            (true, _) => Event::Present,
+        };
+        let since = match self.presence {
+            Some((known, since)) if known == event => since,
+            _ => now,
+        };
+        self.presence = Some((event, since));
+        let is_certain = event == Event::Present || now.since(since) >= HELD_MIN;
+        is_certain.then_some(event)
+    }
+
+    /// Returns what else has happened, in the order in which it counts.
     fn events(
         &self,
         now: Timestamp,
@@ -197,16 +242,8 @@
         verdict: &Verdict,
         records: &[Record],
     ) -> SmallVec<[Event; 4]> {
-        let group = |record: &Record| self.group(record.release.as_ref());
-        let has_target = records.iter().any(|record| group(record) == Group::Target);
-        let has_base = records.iter().any(|record| group(record) == Group::Base);
         let age = self.age(unix_ms);
         let mut events = SmallVec::new();
-        events.push(match (has_target, has_base) {
-            (false, _) => Event::Absent,
-            (true, true) => Event::Present,
-            (true, false) => Event::Alone,
-        });
         let is_clear = *verdict == Verdict::Clear;
         let is_clear = is_clear && self.is_informed(now, records);
         if is_clear && age >= self.schedule.raise_at() && self.is_proven() {
@@ -241,9 +278,9 @@
             self.stepped = now;
             self.status.share = match action {
                 Action::Observe => {
-                    let age = self.age(unix_ms);
+                    let (age, counted) = (self.age(unix_ms), self.counted(now));
                     let (reached, exposed) = self.exposure();
-                    self.schedule.test_share(age, reached, exposed)
+                    self.schedule.test_share(age, counted, reached, exposed)
                 }
                 Action::Raise => Schedule::next_share(self.status.share),
                 Action::Close | Action::Finish => Permille::WHOLE,
--- a/crates/cicadagw-rollout/src/schedule.rs
+++ b/crates/cicadagw-rollout/src/schedule.rs
@@ -32,6 +32,10 @@
 /// The largest share during the test.
 const TEST_SHARE_MAX: f64 = 500.0;
 
+/// How long calls must have been reported until their number counts: the first reports tell of a few
+/// calls only, whose slack would be a large share of all.
+const COUNTED_MIN: Span = Span::seconds(1);
+
 /// The smallest share of the first step after the test.
 const FIRST_SHARE: u16 = 80;
 
@@ -59,13 +63,13 @@
     }
 
     /// Returns the share with which the release is tested at `age`, when `exposed` of `reached` calls
-    /// have gone to it.
+    /// have gone to it; the calls have been reported for `counted`.
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
         reason = "the range is clamped"
     )]
-    pub fn test_share(self, age: Span, reached: u64, exposed: u64) -> Permille {
+    pub fn test_share(self, age: Span, counted: Span, reached: u64, exposed: u64) -> Permille {
         let allowed = TEST_PART * EXPOSURE * reached as f64 + TEST_PART * SLACK;
         if exposed as f64 >= allowed {
             return Permille::new(0);
@@ -74,7 +78,11 @@
         let test_age = age.get().max(1) as f64;
         // The number of calls during the whole test, at the rate so far.
         let expected = (reached as f64 * raise_at / test_age).max(reached as f64);
-        let slack_share = TEST_PART * SLACK / expected.max(1.0);
+        let slack_share = if counted < COUNTED_MIN {
+            0.0
+        } else {
+            TEST_PART * SLACK / expected.max(1.0)
+        };
         let share = (TEST_PART * EXPOSURE + slack_share) * 1_000.0;
         Permille::new(share.min(TEST_SHARE_MAX) as u16)
     }
