Move the decisions about rollouts of the gossip core into a file

Only moved: taking orders up, decisions and their writes are in lead.rs, the orders and what other nodes are told stay in rollouts.rs.

--- a/crates/cicadagw-gossip/src/core/mod.rs
+++ b/crates/cicadagw-gossip/src/core/mod.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod confirmation;
 mod dissemination;
+mod lead;
 mod quota;
 mod reply;
 mod rollouts;
