Raise a share only after the one before was written

Cause: while the platform was unavailable the leader went on to decide, so the share grew in memory and the next write had all steps at once.

Ruled out: going back to the last written status, since a stop must stay.

Change: until a decision that failed to be written is written, only a bad release or the end of the time is acted on, and the decision is repeated. A step lasts from the acknowledged write.

--- a/crates/cicadagw-gossip/src/core/lead.rs
+++ b/crates/cicadagw-gossip/src/core/lead.rs
@@ -104,17 +104,14 @@
             }
             return;
         }
-        let mut decision = lead.leader.decide(now, unix_ms, &records);
-        if let Some(retry_at) = lead.retry_at {
-            if decision.is_none() && now >= retry_at {
-                decision = Some(lead.leader.repeat(now));
-            } else if decision
-                .as_ref()
-                .is_none_or(|decision| decision.status.is_running())
-            {
-                return;
-            }
-        }
+        let decision = match lead.retry_at {
+            None => lead.leader.decide(now, unix_ms, &records),
+            // Nothing but a stop is decided until the decision before is written.
+            Some(retry_at) => match lead.leader.decide_stop(now, unix_ms) {
+                None if now >= retry_at => Some(lead.leader.repeat(now)),
+                stop => stop,
+            },
+        };
         let Some(decision) = decision else { return };
         lead.retry_at = None;
         lead.writing = Some(decision.status.clone());
--- a/crates/cicadagw-gossip/src/core/rollouts.rs
+++ b/crates/cicadagw-gossip/src/core/rollouts.rs
@@ -106,7 +106,12 @@
         };
         match self.rollouts.led.get_mut(&entry.service) {
             // A write of this node, whose response may have been lost.
-            Some(lead) if leads(lead) => lead.term = lead.term.max(entry.term),
+            Some(lead) if leads(lead) => {
+                lead.term = lead.term.max(entry.term);
+                if let Some(status) = entry.current_status() {
+                    lead.leader.acknowledge(now, status);
+                }
+            }
             Some(lead) if lead.term >= entry.term => {}
             Some(_) => self.cease_to_lead(&entry.service),
             None => {}
--- a/crates/cicadagw-gossip/tests/rollout.rs
+++ b/crates/cicadagw-gossip/tests/rollout.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use cicadagw_gossip::Event;
-use cicadagw_rollout::{Phase, State, Status};
+use cicadagw_rollout::{Phase, Schedule, State, Status};
 use cicadagw_unit::time::Span;
 use support::{Behaviour, Fleet, Load};
 
@@ -347,3 +347,19 @@
     assert!(order(&fleet));
     assert_eq!(fleet.platform.rollout_writes, 0);
 }
+
+#[test]
+fn the_share_grows_by_one_step_after_the_platform_was_unavailable() {
+    let (mut fleet, mut load) = ordered(Behaviour::Good);
+    let share = |fleet: &Fleet| fleet.rollout_status().unwrap().share;
+    let raises = |fleet: &Fleet| fleet.rollout_status().unwrap().phase == Phase::Raising;
+    load.run(&mut fleet, DURATION, raises);
+    let before = share(&fleet);
+
+    fleet.platform.unavailable_to = (0..16).collect();
+    load.run(&mut fleet, Span::seconds(3), |_| false);
+    fleet.platform.unavailable_to.clear();
+    load.run(&mut fleet, TAKEOVER_MAX, |fleet| share(fleet) != before);
+
+    assert_eq!(share(&fleet), Schedule::next_share(before));
+}
--- a/crates/cicadagw-rollout/src/leader.rs
+++ b/crates/cicadagw-rollout/src/leader.rs
@@ -61,8 +61,10 @@
     counted_from: Option<Timestamp>,
     /// Which of the releases have been seen, and since when.
     presence: Option<(Event, Timestamp)>,
-    /// When the current share came into force.
+    /// When the current share was written, which brings it into force; when it was decided until then.
     stepped: Timestamp,
+    /// Whether the current share was written.
+    is_written: bool,
     /// When the last decision was taken; `None` before the first one, by which this node takes up the
     /// order.
     decided: Option<Timestamp>,
@@ -100,6 +102,7 @@
             counted_from: None,
             presence: None,
             stepped: now,
+            is_written: true,
             decided: None,
             due_milli: 0,
             reached: 0,
@@ -161,6 +164,7 @@
         events.find(|event| self.step(now, unix_ms, *event));
         if self.status.phase == Phase::Observing && now.since(self.stepped) >= TEST_STEP {
             self.stepped = now;
+            self.is_written = false;
             let (age, counted) = (self.age(unix_ms), self.counted(now));
             self.status.share = self.schedule.test_share(age, counted, reached, exposed);
         }
@@ -174,13 +178,24 @@
         Some(self.decision(now, fault))
     }
 
-    /// Stops the rollout if the target release is worse than the others, and decides nothing else.
+    /// Stops the rollout if the target release is worse than the others or the time is over, and
+    /// decides nothing else.
     pub fn decide_stop(&mut self, now: Timestamp, unix_ms: u64) -> Option<Decision> {
-        match self.verdict() {
-            Verdict::Bad(fault) if self.step(now, unix_ms, Event::Bad) => {
-                Some(self.decision(now, Some(fault)))
-            }
-            _ => None,
+        let (event, fault) = match self.verdict() {
+            Verdict::Bad(fault) => (Event::Bad, Some(fault)),
+            verdict if self.is_overdue(unix_ms, &verdict) => (Event::Overdue, None),
+            _ => return None,
+        };
+        let stops = self.step(now, unix_ms, event);
+        stops.then(|| self.decision(now, fault))
+    }
+
+    /// Notes that `status` has been written to the platform.
+    pub fn acknowledge(&mut self, now: Timestamp, status: &Status) {
+        let is_current = (status.phase, status.share) == (self.status.phase, self.status.share);
+        if is_current && !self.is_written {
+            self.is_written = true;
+            self.stepped = now;
         }
     }
 
@@ -255,15 +270,20 @@
         if self.is_quiet(now, records) {
             events.push(Event::Quiet);
         }
-        // A release that has been proven is given some more time, such as for another leader to take over.
-        let is_proven = *verdict == Verdict::Clear && self.status.phase == Phase::Raising;
-        let more = if is_proven { OVERDUE_MAX } else { Span::new(0) };
-        if age >= self.order.duration.plus(more) {
+        if self.is_overdue(unix_ms, verdict) {
             events.push(Event::Overdue);
         }
         events
     }
 
+    /// Returns whether the time is over. A release that has been proven is given some more, such as
+    /// for another leader to take over.
+    fn is_overdue(&self, unix_ms: u64, verdict: &Verdict) -> bool {
+        let is_proven = *verdict == Verdict::Clear && self.status.phase == Phase::Raising;
+        let more = if is_proven { OVERDUE_MAX } else { Span::new(0) };
+        self.age(unix_ms) >= self.order.duration.plus(more)
+    }
+
     /// Takes a step of the chart; returns whether it does anything.
     fn step(&mut self, now: Timestamp, unix_ms: u64, event: Event) -> bool {
         let is_whole = self.status.share >= Permille::WHOLE;
@@ -276,6 +296,7 @@
         self.status.phase = step.to;
         for action in step.actions {
             self.stepped = now;
+            self.is_written = false;
             self.status.share = match action {
                 Action::Observe => {
                     let (age, counted) = (self.age(unix_ms), self.counted(now));
