Keep a stop in force when an earlier write turns out to be applied

Cause: a stop was sent under the revision that the leader knew. If the response to a write before it was lost, that write had a later revision and a running status, which replaced the stop when it was read.

Ruled out: repeating the stop only while the node leads, since a conflict ends that before the order is read again.

Change: a node that has stopped a rollout keeps its stop, under the later revision, in place of a running status that it wrote itself.

--- a/crates/cicadagw-gossip/src/core/rollouts.rs
+++ b/crates/cicadagw-gossip/src/core/rollouts.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use cicadagw_platform::Error;
-use cicadagw_rollout::{Directive, Entry, Report};
+use cicadagw_rollout::{Directive, Entry, Report, Status};
 use cicadagw_unit::time::Timestamp;
 use cicadagw_unit::{Term, id};
 use rand::seq::IteratorRandom;
@@ -116,9 +116,26 @@
             Some(_) => self.cease_to_lead(&entry.service),
             None => {}
         }
+        let stop = self.own_stop(&entry);
         let service = entry.service.clone();
         self.rollouts.entries.insert(service, (now, entry));
-        self.learn_rollout(&directive);
+        self.learn_rollout(&stop.unwrap_or(directive));
+    }
+
+    /// Returns the stop by this node of the rollout of `entry` if it goes on there: a write before
+    /// the stop, whose response was lost, must not undo it.
+    fn own_stop(&self, entry: &Entry) -> Option<Directive> {
+        let status = entry
+            .current_status()
+            .filter(|status| status.is_running())?;
+        let known = self.rollouts.get(&entry.service)?;
+        let stopped = known.status.as_ref().filter(|_| known.stopped)?;
+        let is_own = |status: &Status| status.leader.as_ref() == Some(&self.own.node);
+        let is_same = stopped.started_ms == status.started_ms && is_own(stopped) && is_own(status);
+        is_same.then(|| Directive {
+            term: entry.term,
+            ..known.clone()
+        })
     }
 
     /// Applies what is newer than what this node knows of a rollout, and passes it on.
--- a/crates/cicadagw-gossip/tests/rollout.rs
+++ b/crates/cicadagw-gossip/tests/rollout.rs
@@ -363,3 +363,25 @@
 
     assert_eq!(share(&fleet), Schedule::next_share(before));
 }
+
+#[test]
+fn a_stop_stays_in_force_although_the_responses_to_the_writes_before_it_are_lost() {
+    let (mut fleet, mut load) = ordered(Behaviour::BadAfter(Span::seconds(3)));
+    let is_stopped = |fleet: &Fleet| {
+        let mut rollouts = fleet
+            .nodes
+            .iter()
+            .flat_map(|node| node.view.rollouts.values());
+        rollouts.any(|rollout| !rollout.is_running())
+    };
+    load.run(&mut fleet, Span::seconds(2), has_ended);
+    fleet.platform.loses_responses = true;
+    fleet.platform.holds_rollout_watches = true;
+    load.run(&mut fleet, DURATION, is_stopped);
+
+    load.run(&mut fleet, Span::new(200), |_| false);
+    let exposed = load.exposed("v2");
+    load.run(&mut fleet, Span::seconds(3), |_| false);
+
+    assert_eq!(load.exposed("v2"), exposed);
+}
--- a/crates/cicadagw-gossip/tests/support/rollout.rs
+++ b/crates/cicadagw-gossip/tests/support/rollout.rs
@@ -139,6 +139,9 @@
         let Some((after, until)) = self.nodes[index].pending_rollout_watch else {
             return;
         };
+        if self.platform.holds_rollout_watches {
+            return;
+        }
         let changed = self.platform.orders.values();
         let entries: Vec<Entry> = changed
             .filter(|entry| entry.term.get() > after.0)
