Let a replaced leader cease when another node tells it

Cause: a leader that could not reach the platform did not learn that it was replaced, and kept the reports of the backend server on its host.

Ruled out: a time limit on failed writes, since a stop must go on while the platform is away.

Change: a directive with a higher revision that names another leader ends the leadership, and an order read before such a directive is not taken up. Without the second part the node took it up again at once.

--- a/crates/cicadagw-gossip/src/core/lead.rs
+++ b/crates/cicadagw-gossip/src/core/lead.rs
@@ -44,7 +44,11 @@
                 Some(_) => LEASE.plus(turn),
                 None => turn,
             };
+            let known = self.rollouts.get(&entry.service);
+            // Another node has written since, which this one could not read.
+            let is_outdated = known.is_some_and(|known| known.term > entry.term);
             entry.order.is_some()
+                && !is_outdated
                 && status.is_none_or(Status::is_running)
                 && now.since(*seen) >= wait
         };
--- a/crates/cicadagw-gossip/src/core/rollouts.rs
+++ b/crates/cicadagw-gossip/src/core/rollouts.rs
@@ -143,6 +143,15 @@
         if !self.rollouts.is_enabled || !self.rollouts.learn(directive) {
             return;
         }
+        let leader = directive.status.as_ref();
+        let leader = leader.and_then(|status| status.leader.as_ref());
+        let lead = self.rollouts.led.get(&directive.service);
+        if leader.is_some_and(|leader| *leader != self.own.node)
+            && lead.is_some_and(|lead| directive.term > lead.term)
+        {
+            // Another node has taken its place, which this one could not read.
+            self.cease_to_lead(&directive.service);
+        }
         self.publish();
         let children = watchers::children(&self.table, &self.own);
         let mut receivers = children.to_vec();
--- a/crates/cicadagw-gossip/tests/rollout.rs
+++ b/crates/cicadagw-gossip/tests/rollout.rs
@@ -385,3 +385,21 @@
 
     assert_eq!(load.exposed("v2"), exposed);
 }
+
+#[test]
+fn a_replaced_leader_that_the_platform_does_not_answer_ceases_to_lead() {
+    let (mut fleet, mut load) = ordered(Behaviour::Good);
+    load.run(&mut fleet, Span::seconds(2), has_ended);
+    let leader = fleet.leader().unwrap();
+    let led = |fleet: &Fleet| {
+        let notices = fleet.nodes[leader].notices.iter();
+        notices.filter(|notice| notice.contains("lead")).count()
+    };
+    let before = led(&fleet);
+
+    fleet.platform.unavailable_to.insert(leader);
+    load.run(&mut fleet, Span::seconds(5), has_ended);
+
+    assert_ne!(fleet.leader(), Some(leader));
+    assert_eq!(led(&fleet), before + 1, "{:?}", fleet.nodes[leader].notices);
+}
