--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -31,6 +31,7 @@
     REVOCATION, address, local, member, new_core, new_strict_core, origin, snapshot,
     snapshot_with_quota,
 };
+pub use rollout::{DURATION, TAKEOVER_MAX, has_ended, ordered, state};
 
 /// Time between two ticks.
 pub const TICK: Span = Span::new(50);
--- a/crates/cicadagw-gossip/tests/support/rollout.rs
+++ b/crates/cicadagw-gossip/tests/support/rollout.rs
@@ -3,11 +3,40 @@
 use cicadagw_endpoint::{LocalUpdate, State};
 use cicadagw_gossip::{Call, Event, Orders, Reply};
 use cicadagw_platform::{Error, Revision};
-use cicadagw_rollout::{Entry, Order, Status};
+use cicadagw_rollout::{Entry, Order, State as RolloutState, Status};
 use cicadagw_unit::Term;
 use cicadagw_unit::time::Span;
 
-use super::{Fleet, Node, local, record};
+use super::{Behaviour, Fleet, Load, Node, local, record};
+
+/// The duration of the ordered rollouts.
+pub const DURATION: Span = Span::seconds(12);
+
+/// How much longer a rollout may take whose leader fails: the lease, the turn of the next one and
+/// what it has to observe again.
+pub const TAKEOVER_MAX: Span = Span::seconds(8);
+
+/// Returns a fleet whose second half has backend servers of release `v2`, and its load.
+pub fn ordered(behaviour: Behaviour) -> (Fleet, Load) {
+    let mut fleet = Fleet::with_rollouts(16);
+    let mut load = Load::new(&fleet, 400);
+    load.behaviour.insert("v2".to_owned(), behaviour);
+    fleet.order("v2", DURATION);
+    load.run(&mut fleet, Span::new(500), |_| false);
+    for index in 8..16 {
+        fleet.start_backend(index, "v2");
+    }
+    (fleet, load)
+}
+
+pub fn has_ended(fleet: &Fleet) -> bool {
+    let status = fleet.rollout_status();
+    status.is_some_and(|status| status.state() != RolloutState::Running)
+}
+
+pub fn state(fleet: &Fleet) -> Option<RolloutState> {
+    fleet.rollout_status().map(Status::state)
+}
 
 impl Fleet {
     /// Creates a fleet whose operators order rollouts. The first half of the nodes has backend servers
