Keep large responses in a region only if the drawn release is there

Cause: the check for a usable endpoint in the region counted servers of every release. With none of the drawn one in the region, the endpoints of the other regions were left out and the call found no endpoint.

Ruled out: choosing another release in that case, since the share of the target must hold.

Change: only endpoints that the split admits count.

Result: a_call_with_a_large_response_leaves_a_region_where_only_another_release_is failed before (no endpoint) and passes now; the other tests of cicadagw-call pass.

--- a/crates/cicadagw-call/src/balancer/core.rs
+++ b/crates/cicadagw-call/src/balancer/core.rs
@@ -140,7 +140,9 @@
             .get(demand.policy)
             .copied()
             .unwrap_or_default();
-        if profile.bytes >= LOCAL_RESPONSE_BYTES_MIN && self.has_usable_endpoint_in_region(now) {
+        if profile.bytes >= LOCAL_RESPONSE_BYTES_MIN
+            && self.has_usable_endpoint_in_region(now, draw)
+        {
             tiers[TIERS - 1].clear();
         }
         let comparison = Comparison {
@@ -318,12 +320,13 @@
         })
     }
 
-    /// Returns whether an endpoint in the node's region is reachable and healthy, whatever its
+    /// Returns whether a drawn endpoint in the node's region is reachable and healthy, whatever its
     /// load. Endpoints that the call has tried already count as well.
-    fn has_usable_endpoint_in_region(&self, now: Timestamp) -> bool {
+    fn has_usable_endpoint_in_region(&self, now: Timestamp, draw: Draw) -> bool {
         let own_region = self.tiers[..TIERS - 1].iter().flatten();
         own_region
             .map(|&index| &self.endpoints[index])
+            .filter(|endpoint| self.split.admits(draw, &endpoint.record))
             .any(|endpoint| endpoint.is_reachable(now) && endpoint.is_healthy(now))
     }
 
