Keep an odd order in a list by its name

Cause: an item of a list that could not be decoded was left out, so its order counted as withdrawn; so did all that a partial list lacked.

Ruled out: to let the whole list fail, since one odd entry would then hide all orders.

Change: such an item is kept with an unreadable value, as in lists of other objects, which makes it a finding; a list with `more` is not complete.

--- a/crates/cicadagw-node/src/peering/platform.rs
+++ b/crates/cicadagw-node/src/peering/platform.rs
@@ -205,7 +205,7 @@
         let changes = self.client.tracked(Key::ROLLOUT_PREFIX, since).await?;
         let mut orders = Orders {
             at: changes.at,
-            is_complete: since.is_none(),
+            is_complete: since.is_none() && !changes.has_more,
             ..Orders::default()
         };
         for object in &changes.objects {
--- a/crates/cicadagw-platform/src/object.rs
+++ b/crates/cicadagw-platform/src/object.rs
@@ -62,11 +62,26 @@
     pub value: Bytes,
 }
 
+impl From<Object> for Tracked {
+    /// Returns the object without a status.
+    fn from(object: Object) -> Self {
+        Self {
+            is_deleted: false,
+            key: object.key,
+            revision: object.revision,
+            status: None,
+            value: object.value,
+        }
+    }
+}
+
 /// The tracked objects of a kind, or those that have changed.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Changes {
     /// The revision after which to continue.
     pub at: Revision,
+    /// Whether a list lacks objects that follow.
+    pub has_more: bool,
     /// The objects, each at most once.
     pub objects: Vec<Tracked>,
 }
