Judge a backend server's own fault by its share of failures

Cause: the server with more than 0.8 of all failures was left out, also if it had most of the calls, so a bad release could look good.

Ruled out: the average work time has no such fault; it is a share already.

Change: a server is left out if it fails four times as often as the other tested ones together, and these would have five failures at its share.

--- a/crates/cicadagw-rollout/src/judge.rs
+++ b/crates/cicadagw-rollout/src/judge.rs
@@ -39,10 +39,11 @@
 /// of the release.
 const TESTED_MIN: u64 = 5;
 
-/// The share of all failures above which those of one backend server are its own fault.
-const ALONE_SHARE: f64 = 0.8;
+/// How many times as often as the others a backend server fails that has a fault of its own.
+const ALONE_FACTOR: f64 = 4.0;
 
-/// How many failures of one backend server tell that.
+/// How many failures tell that: those of the one backend server, and those that the others would
+/// have if they failed as often.
 const ALONE_MIN: u64 = 5;
 
 /// What is wrong with a release.
@@ -79,19 +80,22 @@
     Bad(Fault),
 }
 
-/// Returns which of the backend servers of the target release has nearly all of its failures, if
-/// another one has been tested as well. Those are no fault of the release.
+/// Returns which of the backend servers of the target release fails several times as often as the
+/// other tested ones together, if these got enough calls to tell. That is no fault of the release.
 pub fn faulty(target: &[Sample]) -> Option<usize> {
     let is_tested = |sample: &&Sample| sample.total.ended >= TESTED_MIN;
-    if target.iter().filter(is_tested).count() < 2 {
-        return None;
-    }
-    let all: u64 = target.iter().map(|sample| sample.total.failed).sum();
+    let tested = target.iter().filter(is_tested);
+    let all = sum(tested.map(|sample| sample.total));
     let is_alone = |sample: &Sample| {
-        let failed = sample.total.failed;
-        failed >= ALONE_MIN && failed as f64 > all as f64 * ALONE_SHARE
+        let own = sample.total;
+        let others = all.since(own);
+        let expected = own.failed as f64 / own.ended.max(1) as f64 * others.ended as f64;
+        let is_certain = own.failed >= ALONE_MIN && expected >= ALONE_MIN as f64;
+        is_certain && others.failed as f64 * ALONE_FACTOR <= expected
     };
-    target.iter().position(is_alone)
+    target
+        .iter()
+        .position(|sample| is_tested(&sample) && is_alone(sample))
 }
 
 /// Compares the backend servers of the target release with those of the others.
