Add the counts of reports up without an overflow

Cause: counts come from datagrams and were added with plain sums.

Ruled out: to reject large counts, since there is no bound to name.

Change: the sums saturate, as those of a tally do.

Result: reports_with_the_largest_counts_are_added_up failed before (`attempt to add with overflow`) and passes now.

--- a/crates/cicadagw-rollout/src/leader.rs
+++ b/crates/cicadagw-rollout/src/leader.rs
@@ -132,7 +132,7 @@
         let sent = |is_counted: &dyn Fn(&Report) -> bool| {
             let hosts = self.reports.iter();
             let counted = hosts.filter(|host| is_counted(&host.last.1));
-            counted.map(Host::sent).sum()
+            counted.map(Host::sent).fold(0, u64::saturating_add)
         };
         let target = &self.order.target;
         (
@@ -146,7 +146,12 @@
     pub fn decide(&mut self, now: Timestamp, unix_ms: u64, records: &[Record]) -> Option<Decision> {
         let before = (self.status.phase, self.status.share);
         let (reached, exposed) = self.exposure();
-        self.due_milli += reached.saturating_sub(self.reached) * u64::from(self.status.share.get());
+        let (due, share) = (
+            reached.saturating_sub(self.reached),
+            self.status.share.get(),
+        );
+        let due_milli = due.saturating_mul(u64::from(share));
+        self.due_milli = self.due_milli.saturating_add(due_milli);
         self.reached = reached;
         if reached > 0 {
             self.counted_from.get_or_insert(now);
@@ -221,8 +226,7 @@
 
     /// Returns for how long calls have been reported to this leader.
     fn counted(&self, now: Timestamp) -> Span {
-        self.counted_from
-            .map_or(Span::new(0), |from| now.since(from))
+        now.since(self.counted_from.unwrap_or(now))
     }
 
     /// Returns which of the releases accept calls, unless that must first be seen for longer.
@@ -353,8 +357,9 @@
             let group = self.group(report.release.as_ref());
             group == Group::Target
         });
-        let ended: u64 = target.0.iter().map(|sample| sample.total.ended).sum();
-        let due = self.due_milli / 1_000 * PROOF_PERMILLE / 1_000;
+        let ended = target.0.iter().map(|sample| sample.total.ended);
+        let ended = ended.fold(0, u64::saturating_add);
+        let due = (self.due_milli / 1_000).saturating_mul(PROOF_PERMILLE) / 1_000;
         ended >= due.min(PROOF_MIN)
     }
 
--- a/crates/cicadagw-rollout/tests/leader.rs
+++ b/crates/cicadagw-rollout/tests/leader.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use cicadagw_rollout::Phase;
+use cicadagw_rollout::{Phase, Report, Tally};
 use cicadagw_unit::time::Span;
 use support::{Behaviour, Service, leader};
 
@@ -145,3 +145,35 @@
     assert_eq!(phase, Phase::RolledBack);
     assert!(service.exposed <= service.allowance());
 }
+
+#[test]
+fn reports_with_the_largest_counts_are_added_up() {
+    let mut service = Service::new(DURATION, (3, 3), Behaviour::Good);
+    service.run_until(Span::seconds(3));
+    let started_ms = service.leader.status().started_ms;
+    for endpoint in ["new-0", "new-1", "old-0"] {
+        let tally = Tally::from((u64::MAX, u64::MAX, u64::MAX, u64::MAX, u64::MAX));
+        let report = Report {
+            endpoint: endpoint.parse().unwrap(),
+            in_flight: u32::MAX,
+            policies: std::iter::once(("read".parse().unwrap(), tally)).collect(),
+            refuses: false,
+            release: Some(
+                if endpoint == "old-0" { "v1" } else { "v2" }
+                    .parse()
+                    .unwrap(),
+            ),
+            service: "orders".parse().unwrap(),
+            started_ms,
+            total: tally,
+        };
+        service.leader.report(service.now, report);
+    }
+
+    let unix_ms = support::UNIX_MS + service.now.get();
+    service
+        .leader
+        .decide(service.now, unix_ms, &service.records);
+
+    assert_eq!(service.leader.exposure(), (u64::MAX, u64::MAX));
+}
