Wait after the platform has refused a status

Cause: after a conflict the node read the order and took it up at once, so a write that is refused for any other reason was repeated each tick.

Ruled out: a wait after each conflict, since a later revision may be written at once.

Change: an order is not taken up for 3 s at a revision at which a write of this node was refused.

--- a/crates/cicadagw-gossip/src/core/lead.rs
+++ b/crates/cicadagw-gossip/src/core/lead.rs
@@ -47,8 +47,12 @@
             let known = self.rollouts.get(&entry.service);
             // Another node has written since, which this one could not read.
             let is_outdated = known.is_some_and(|known| known.term > entry.term);
+            let refused = self.rollouts.refused.get(&entry.service);
+            let is_refused =
+                refused.is_some_and(|(at, term)| *term == entry.term && now.since(*at) < LEASE);
             entry.order.is_some()
                 && !is_outdated
+                && !is_refused
                 && status.is_none_or(Status::is_running)
                 && now.since(*seen) >= wait
         };
@@ -118,7 +122,7 @@
         };
         let Some(decision) = decision else { return };
         lead.retry_at = None;
-        lead.writing = Some(decision.status.clone());
+        lead.writing = Some((decision.status.clone(), lead.term));
         let call = Call::WriteRollout {
             service: service.clone(),
             status: Box::new(decision.status.clone()),
@@ -167,7 +171,7 @@
         let Some(lead) = self.rollouts.led.get_mut(service) else {
             return;
         };
-        let Some(status) = lead.writing.take() else {
+        let Some((status, condition)) = lead.writing.take() else {
             return;
         };
         match outcome {
@@ -191,6 +195,8 @@
             }
             Err(Error::Conflict) => {
                 self.cease_to_lead(service);
+                let refused = (now, condition);
+                self.rollouts.refused.insert(service.clone(), refused);
                 self.rollouts.follower.list_again();
             }
             Err(error) => {
--- a/crates/cicadagw-gossip/src/rollouts.rs
+++ b/crates/cicadagw-gossip/src/rollouts.rs
@@ -35,6 +35,8 @@
     pub(crate) entries: BTreeMap<id::Service, (Timestamp, Entry)>,
     /// The rollouts that this node leads.
     pub(crate) led: BTreeMap<id::Service, Lead>,
+    /// The revisions at which the platform last refused a write of this node, and when.
+    pub(crate) refused: BTreeMap<id::Service, (Timestamp, Term)>,
     directives: Arc<BTreeMap<id::Service, Arc<Directive>>>,
     digest: u64,
     /// Start time of the process, in milliseconds since the Unix epoch.
@@ -47,8 +49,8 @@
     pub(crate) leader: Leader,
     /// The revision of the order at which this node last knew it.
     pub(crate) term: Term,
-    /// The status that is being written.
-    pub(crate) writing: Option<Status>,
+    /// The status that is being written, and the revision that the order must have.
+    pub(crate) writing: Option<(Status, Term)>,
     /// Earliest time of the next write, after one that failed.
     pub(crate) retry_at: Option<Timestamp>,
 }
@@ -60,6 +62,7 @@
             follower: Follower::default(),
             entries: BTreeMap::new(),
             led: BTreeMap::new(),
+            refused: BTreeMap::new(),
             directives: Arc::default(),
             digest: 0,
             start_ms,
--- a/crates/cicadagw-gossip/tests/rollout.rs
+++ b/crates/cicadagw-gossip/tests/rollout.rs
@@ -211,3 +211,17 @@
 
     assert_eq!(load.exposed("v2"), exposed);
 }
+
+#[test]
+fn a_write_that_the_platform_refuses_is_not_repeated_without_a_wait() {
+    let (mut fleet, mut load) = ordered(Behaviour::Good);
+    load.run(&mut fleet, Span::seconds(2), has_ended);
+    let before = fleet.platform.rollout_writes;
+
+    fleet.platform.refuses_status = true;
+    load.run(&mut fleet, Span::seconds(6), has_ended);
+
+    // Six nodes watch; each may write twice in this time, and the leader once more.
+    let writes = fleet.platform.rollout_writes - before;
+    assert!(writes <= 13, "{writes} writes");
+}
--- a/crates/cicadagw-gossip/tests/support/platform.rs
+++ b/crates/cicadagw-gossip/tests/support/platform.rs
@@ -39,6 +39,8 @@
     pub rollout_writes: usize,
     /// Whether the responses to writes of the status of rollouts are lost.
     pub loses_responses: bool,
+    /// Whether writes of the status of rollouts are refused, whatever their condition.
+    pub refuses_status: bool,
     /// Whether watches of rollouts get no response.
     pub holds_rollout_watches: bool,
 }
--- a/crates/cicadagw-gossip/tests/support/rollout.rs
+++ b/crates/cicadagw-gossip/tests/support/rollout.rs
@@ -141,6 +141,7 @@
                 let revision = Term::new(self.platform.revision);
                 let entry = self.platform.orders.get_mut(service.as_str());
                 let entry = entry.filter(|entry| entry.order.is_some() && entry.term == term);
+                let entry = entry.filter(|_| !self.platform.refuses_status);
                 let written = entry.map(|entry| {
                     entry.status = Some(*status);
                     entry.term = revision;
