--- a/crates/cicadagw-rollout/src/leader.rs
+++ b/crates/cicadagw-rollout/src/leader.rs
@@ -37,6 +37,10 @@
 /// reach the backend server only through it.
 const SILENCE_MAX: Span = Span::seconds(4);
 
+/// How long only the target release, or none of its backend servers, must have been seen until that
+/// counts. Nothing that follows from it can be taken back.
+const HELD_MIN: Span = Span::seconds(2);
+
 /// A decision, to be written to the platform under the condition that nobody has changed the order.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Decision {
@@ -51,12 +55,16 @@
 pub struct Leader {
     order: Order,
     schedule: Schedule,
-    /// When the order was noticed.
-    began: Timestamp,
     status: Status,
     reports: Reports,
-    /// When the current share came into force.
+    /// When the first calls were reported to this leader.
+    counted_from: Option<Timestamp>,
+    /// Which of the releases have been seen, and since when.
+    presence: Option<(Event, Timestamp)>,
+    /// When the current share was written, which brings it into force; when it was decided until then.
     stepped: Timestamp,
+    /// Whether the current share was written.
+    is_written: bool,
     /// When the last decision was taken; `None` before the first one, by which this node takes up the
     /// order.
     decided: Option<Timestamp>,
@@ -80,12 +88,10 @@
             0 => unix_ms,
             started_ms => started_ms,
         };
-        let age = Span::new(unix_ms.saturating_sub(started_ms));
         let is_new = status.started_ms == 0;
         Self {
             schedule: Schedule::new(order.duration),
             order,
-            began: now.before(age),
             status: Status {
                 leader: Some(node.clone()),
                 started_ms,
@@ -93,7 +99,10 @@
                 ..status
             },
             reports: Reports::default(),
+            counted_from: None,
+            presence: None,
             stepped: now,
+            is_written: true,
             decided: None,
             due_milli: 0,
             reached: 0,
@@ -123,7 +132,7 @@
         let sent = |is_counted: &dyn Fn(&Report) -> bool| {
             let hosts = self.reports.iter();
             let counted = hosts.filter(|host| is_counted(&host.last.1));
-            counted.map(Host::sent).sum()
+            counted.map(Host::sent).fold(0, u64::saturating_add)
         };
         let target = &self.order.target;
         (
@@ -137,8 +146,16 @@
     pub fn decide(&mut self, now: Timestamp, unix_ms: u64, records: &[Record]) -> Option<Decision> {
         let before = (self.status.phase, self.status.share);
         let (reached, exposed) = self.exposure();
-        self.due_milli += reached.saturating_sub(self.reached) * u64::from(self.status.share.get());
+        let (due, share) = (
+            reached.saturating_sub(self.reached),
+            self.status.share.get(),
+        );
+        let due_milli = due.saturating_mul(u64::from(share));
+        self.due_milli = self.due_milli.saturating_add(due_milli);
         self.reached = reached;
+        if reached > 0 {
+            self.counted_from.get_or_insert(now);
+        }
         let verdict = self.verdict();
         let mut fault = None;
         if let Verdict::Bad(found) = &verdict {
@@ -146,12 +163,15 @@
             self.step(now, unix_ms, Event::Bad);
         }
         // What has happened is judged anew after each step.
-        let mut events = self.events(now, &verdict, records).into_iter();
+        let presence = self.presence(now, records);
+        let others = self.events(now, unix_ms, &verdict, records);
+        let mut events = presence.into_iter().chain(others);
         events.find(|event| self.step(now, unix_ms, *event));
         if self.status.phase == Phase::Observing && now.since(self.stepped) >= TEST_STEP {
             self.stepped = now;
-            let age = now.since(self.began);
-            self.status.share = self.schedule.test_share(age, reached, exposed);
+            self.is_written = false;
+            let (age, counted) = (self.age(unix_ms), self.counted(now));
+            self.status.share = self.schedule.test_share(age, counted, reached, exposed);
         }
         let has_changed = before != (self.status.phase, self.status.share);
         let is_renewal = self
@@ -163,13 +183,24 @@
         Some(self.decision(now, fault))
     }
 
-    /// Stops the rollout if the target release is worse than the others, and decides nothing else.
+    /// Stops the rollout if the target release is worse than the others or the time is over, and
+    /// decides nothing else.
     pub fn decide_stop(&mut self, now: Timestamp, unix_ms: u64) -> Option<Decision> {
-        match self.verdict() {
-            Verdict::Bad(fault) if self.step(now, unix_ms, Event::Bad) => {
-                Some(self.decision(now, Some(fault)))
-            }
-            _ => None,
+        let (event, fault) = match self.verdict() {
+            Verdict::Bad(fault) => (Event::Bad, Some(fault)),
+            verdict if self.is_overdue(unix_ms, &verdict) => (Event::Overdue, None),
+            _ => return None,
+        };
+        let stops = self.step(now, unix_ms, event);
+        stops.then(|| self.decision(now, fault))
+    }
+
+    /// Notes that `status` has been written to the platform.
+    pub fn acknowledge(&mut self, now: Timestamp, status: &Status) {
+        let is_current = (status.phase, status.share) == (self.status.phase, self.status.share);
+        if is_current && !self.is_written {
+            self.is_written = true;
+            self.stepped = now;
         }
     }
 
@@ -187,23 +218,51 @@
         }
     }
 
-    /// Returns what has happened, in the order in which it counts.
+    /// Returns the time since the order was noticed. It is kept as wall clock time, since the clock of
+    /// the timestamps begins anew with each process.
+    const fn age(&self, unix_ms: u64) -> Span {
+        Span::new(unix_ms.saturating_sub(self.status.started_ms))
+    }
+
+    /// Returns for how long calls have been reported to this leader.
+    fn counted(&self, now: Timestamp) -> Span {
+        now.since(self.counted_from.unwrap_or(now))
+    }
+
+    /// Returns which of the releases accept calls, unless that must first be seen for longer.
+    fn presence(&mut self, now: Timestamp, records: &[Record]) -> Option<Event> {
+        let group = |record: &Record| self.group(record.release.as_ref());
+        let has_target = records.iter().any(|record| group(record) == Group::Target);
+        let has_base = records.iter().any(|record| group(record) == Group::Base);
+        // A node that still reports is there, whatever this one knows of its endpoint.
+        let is_reporting = |host: &Host| {
+            let (at, report) = &host.last;
+            self.group(report.release.as_ref()) == Group::Base && now.since(*at) < SILENCE_MAX
+        };
+        let event = match (has_target, has_base) {
+            (false, _) => Event::Absent,
+            (true, false) if !self.reports.iter().any(is_reporting) => Event::Alone,
+            (true, _) => Event::Present,
+        };
+        let since = match self.presence {
+            Some((known, since)) if known == event => since,
+            _ => now,
+        };
+        self.presence = Some((event, since));
+        let is_certain = event == Event::Present || now.since(since) >= HELD_MIN;
+        is_certain.then_some(event)
+    }
+
+    /// Returns what else has happened, in the order in which it counts.
     fn events(
         &self,
         now: Timestamp,
+        unix_ms: u64,
         verdict: &Verdict,
         records: &[Record],
     ) -> SmallVec<[Event; 4]> {
-        let group = |record: &Record| self.group(record.release.as_ref());
-        let has_target = records.iter().any(|record| group(record) == Group::Target);
-        let has_base = records.iter().any(|record| group(record) == Group::Base);
-        let age = now.since(self.began);
+        let age = self.age(unix_ms);
         let mut events = SmallVec::new();
-        events.push(match (has_target, has_base) {
-            (false, _) => Event::Absent,
-            (true, true) => Event::Present,
-            (true, false) => Event::Alone,
-        });
         let is_clear = *verdict == Verdict::Clear;
         let is_clear = is_clear && self.is_informed(now, records);
         if is_clear && age >= self.schedule.raise_at() && self.is_proven() {
@@ -215,15 +274,20 @@
         if self.is_quiet(now, records) {
             events.push(Event::Quiet);
         }
-        // A release that has been proven is given some more time, such as for another leader to take over.
-        let is_proven = *verdict == Verdict::Clear && self.status.phase == Phase::Raising;
-        let more = if is_proven { OVERDUE_MAX } else { Span::new(0) };
-        if age >= self.order.duration.plus(more) {
+        if self.is_overdue(unix_ms, verdict) {
             events.push(Event::Overdue);
         }
         events
     }
 
+    /// Returns whether the time is over. A release that has been proven is given some more, such as
+    /// for another leader to take over.
+    fn is_overdue(&self, unix_ms: u64, verdict: &Verdict) -> bool {
+        let is_proven = *verdict == Verdict::Clear && self.status.phase == Phase::Raising;
+        let more = if is_proven { OVERDUE_MAX } else { Span::new(0) };
+        self.age(unix_ms) >= self.order.duration.plus(more)
+    }
+
     /// Takes a step of the chart; returns whether it does anything.
     fn step(&mut self, now: Timestamp, unix_ms: u64, event: Event) -> bool {
         let is_whole = self.status.share >= Permille::WHOLE;
@@ -236,11 +300,12 @@
         self.status.phase = step.to;
         for action in step.actions {
             self.stepped = now;
+            self.is_written = false;
             self.status.share = match action {
                 Action::Observe => {
-                    let age = now.since(self.began);
+                    let (age, counted) = (self.age(unix_ms), self.counted(now));
                     let (reached, exposed) = self.exposure();
-                    self.schedule.test_share(age, reached, exposed)
+                    self.schedule.test_share(age, counted, reached, exposed)
                 }
                 Action::Raise => Schedule::next_share(self.status.share),
                 Action::Close | Action::Finish => Permille::WHOLE,
@@ -292,8 +357,9 @@
             let group = self.group(report.release.as_ref());
             group == Group::Target
         });
-        let ended: u64 = target.0.iter().map(|sample| sample.total.ended).sum();
-        let due = self.due_milli / 1_000 * PROOF_PERMILLE / 1_000;
+        let ended = target.0.iter().map(|sample| sample.total.ended);
+        let ended = ended.fold(0, u64::saturating_add);
+        let due = (self.due_milli / 1_000).saturating_mul(PROOF_PERMILLE) / 1_000;
         ended >= due.min(PROOF_MIN)
     }
 
