Confirm the configuration only from a read's own reply

Cause: a response to a read or a watch carried neither its kind nor the time at which it was sent. After a check that found no history, the source is `reading` while the old watch is still in flight; the watch's answer then counted with the time of the read. The answer of an earlier read counted with the time of a later one. A revoked key could so be accepted longer than the limit. Ruled out: deciding by the state of the source, which does not tell which of two requests is answered; cancelling the old watch, whose answer may be in the ring already. Change: the read carries the time at which it was sent, and `Reply::Read` returns it; `Reply::Watched` confirms nothing. `Core::read_at` is gone.

--- a/crates/cicadagw-gossip/src/core/configuration.rs
+++ b/crates/cicadagw-gossip/src/core/configuration.rs
@@ -9,9 +9,8 @@
 
 use super::Core;
 use crate::freshness::Confirmation;
-use crate::source::State;
 use crate::watchers;
-use crate::{Call, Effect, Notice};
+use crate::{Effect, Notice};
 
 impl Core {
     /// Updates whether this node watches the platform.
@@ -45,6 +44,29 @@
         }
     }
 
+    /// Processes the response to a read of the configuration that was sent at `at`, and takes in what
+    /// it confirms. The response to a watch confirms nothing: it only tells of the time at which the
+    /// watch began, which is long past.
+    pub(super) fn handle_read(
+        &mut self,
+        now: Timestamp,
+        at: Timestamp,
+        outcome: Result<(Revision, Option<Arc<Snapshot>>), Error>,
+    ) {
+        let confirmation = match &outcome {
+            Ok((revision, Some(snapshot))) => Some(Confirmation {
+                as_of: self.host_time(at),
+                revision: *revision,
+                version: snapshot.stamp.version,
+            }),
+            _ => None,
+        };
+        self.handle_configuration(now, outcome);
+        if let Some(confirmation) = confirmation {
+            self.confirm(confirmation);
+        }
+    }
+
     /// Processes the response to a read or watch of the configuration.
     pub(super) fn handle_configuration(
         &mut self,
@@ -55,43 +77,16 @@
         if outcome.is_ok() {
             self.confirmed_at = now;
         }
-        let confirmation = self.confirmation_of_read(&outcome);
         let (revision, snapshot) = match outcome {
             Ok((revision, snapshot)) => (Ok(revision), snapshot),
             Err(error) => (Err(error), None),
         };
         if let Some(call) = self.source.answered(now, &revision, &mut self.rng) {
-            self.watch(now, call);
+            self.effects.push(Effect::Call(call));
         }
         if let Some(snapshot) = snapshot {
             self.adopt(snapshot, false);
         }
-        if let Some(confirmation) = confirmation {
-            self.confirm(confirmation);
-        }
-    }
-
-    /// Makes a request of the source.
-    pub(super) fn watch(&mut self, now: Timestamp, call: Call) {
-        if call == Call::ReadConfiguration {
-            self.read_at = now;
-        }
-        self.effects.push(Effect::Call(call));
-    }
-
-    /// Returns what the response to a read confirms. That to a watch only tells of the time at which
-    /// the watch began, which is long past.
-    fn confirmation_of_read(
-        &self,
-        outcome: &Result<(Revision, Option<Arc<Snapshot>>), Error>,
-    ) -> Option<Confirmation> {
-        let (revision, snapshot) = outcome.as_ref().ok()?;
-        let snapshot = snapshot.as_ref()?;
-        (self.source.state() == State::Reading).then(|| Confirmation {
-            as_of: self.host_time(self.read_at),
-            revision: *revision,
-            version: snapshot.stamp.version,
-        })
     }
 
     /// Processes the response to a check of the configuration.
@@ -109,7 +104,7 @@
             Err(error) => (Err(error), None),
         };
         if let Some(call) = self.source.checked(now, &revision, &mut self.rng) {
-            self.watch(now, call);
+            self.effects.push(Effect::Call(call));
         }
         if let Some(snapshot) = snapshot {
             self.adopt(snapshot, false);
--- a/crates/cicadagw-gossip/src/core/reply.rs
+++ b/crates/cicadagw-gossip/src/core/reply.rs
@@ -21,7 +21,8 @@
                 self.registration
                     .listed(now, is_answered, others, &mut self.rng);
             }
-            Reply::Configuration(outcome) => self.handle_configuration(now, outcome),
+            Reply::Read(at, outcome) => self.handle_read(now, at, outcome),
+            Reply::Watched(outcome) => self.handle_configuration(now, outcome),
             Reply::Checked(outcome) => self.handle_check(now, outcome),
             Reply::Confirmed(inquiry, outcome) => self.handle_inquiry(now, inquiry, outcome),
             Reply::Rollouts(outcome) => self.handle_orders(now, outcome),
--- a/crates/cicadagw-gossip/src/core/step.rs
+++ b/crates/cicadagw-gossip/src/core/step.rs
@@ -95,8 +95,6 @@
     /// The record that this node publishes about itself.
     pub(super) own: Member,
     pub(super) quotas: Quotas,
-    /// When the last read of the configuration was sent.
-    pub(super) read_at: Timestamp,
     pub(super) registration: Registration,
     pub(super) rng: StdRng,
     pub(super) rollouts: Rollouts,
@@ -140,7 +138,6 @@
             outbound: Outbound::default(),
             own,
             quotas: Quotas::default(),
-            read_at: Timestamp::default(),
             registration: Registration::new(setup.first_start),
             rng: StdRng::seed_from_u64(setup.seed),
             rollouts: Rollouts::new(setup.rollouts, setup.start_ms),
@@ -208,7 +205,7 @@
         self.update_watching(now);
         if self.is_watcher {
             for call in self.source.tick(now, &mut self.rng) {
-                self.watch(now, call);
+                self.effects.push(Effect::Call(call));
             }
         }
         self.seek_confirmation(now);
--- a/crates/cicadagw-gossip/src/event.rs
+++ b/crates/cicadagw-gossip/src/event.rs
@@ -47,7 +47,10 @@
     /// List the nodes registered at the platform; the list may be seconds old.
     ListMembers,
     /// Read the current configuration from the platform, without waiting for a change.
-    ReadConfiguration,
+    ReadConfiguration {
+        /// When the read was sent, on the clock of events.
+        at: Timestamp,
+    },
     /// Wait until the platform has a configuration newer than the revision `after`.
     WatchConfiguration {
         /// Revision up to which all changes are known.
@@ -105,9 +108,12 @@
     Registered(Result<(), Error>),
     /// Response to [`Call::ListMembers`].
     Members(Result<Vec<Member>, Error>),
-    /// Response to [`Call::ReadConfiguration`] and [`Call::WatchConfiguration`]: the revision to
-    /// continue from, and the configuration if it has changed.
-    Configuration(Result<(Revision, Option<Arc<Snapshot>>), Error>),
+    /// Response to [`Call::ReadConfiguration`], with the time at which the read was sent: the revision
+    /// to continue from, and the configuration.
+    Read(Timestamp, Result<(Revision, Option<Arc<Snapshot>>), Error>),
+    /// Response to [`Call::WatchConfiguration`]: the revision to continue from, and the configuration
+    /// if it has changed.
+    Watched(Result<(Revision, Option<Arc<Snapshot>>), Error>),
     /// Response to [`Call::CheckConfiguration`]: the revision of the last known configuration, and
     /// the configuration if it has changed.
     Checked(Result<(Revision, Option<Arc<Snapshot>>), Error>),
--- a/crates/cicadagw-gossip/src/source.rs
+++ b/crates/cicadagw-gossip/src/source.rs
@@ -222,7 +222,7 @@
         let mut call = None;
         for action in step.actions {
             match action {
-                Action::Read => call = Some(Call::ReadConfiguration),
+                Action::Read => call = Some(Call::ReadConfiguration { at: now }),
                 Action::Watch => {
                     call = Some(Call::WatchConfiguration {
                         after: self.after,
--- a/crates/cicadagw-gossip/tests/confirmation.rs
+++ b/crates/cicadagw-gossip/tests/confirmation.rs
@@ -5,8 +5,8 @@
 
 use std::collections::BTreeMap;
 
-use cicadagw_gossip::{Effect, Event, Message, Reply, Stamp};
-use cicadagw_platform::Revision;
+use cicadagw_gossip::{Call, Core, Effect, Event, Message, Reply, Stamp};
+use cicadagw_platform::{Error, Revision};
 use cicadagw_unit::Version;
 use cicadagw_unit::time::{Span, Timestamp};
 use support::{Fleet, REVOCATION, TICK, address, new_strict_core, origin};
@@ -315,3 +315,76 @@
             .all(|node| node.view.confirmed_at.is_none())
     );
 }
+
+/// Advances a node without peers tick by tick until it makes a call for which `select` returns
+/// something.
+fn tick_until<T>(core: &mut Core, now: &mut Timestamp, select: fn(&Call) -> Option<T>) -> T {
+    for _ in 0..200 {
+        *now = now.after(TICK);
+        let effects = core.step(*now, Event::Tick);
+        let calls = effects.iter().filter_map(|effect| match effect {
+            Effect::Call(call) => select(call),
+            _ => None,
+        });
+        if let Some(found) = { calls }.next() {
+            return found;
+        }
+    }
+    panic!("the call was not made within 10 s");
+}
+
+/// Returns a node that watches the platform, the time, and when it sent its read.
+fn watching_core() -> (Core, Timestamp, Timestamp) {
+    let mut core = new_strict_core(0, 1);
+    let mut now = Timestamp::new(0);
+    let read_at = tick_until(&mut core, &mut now, sent_at);
+    let read = Ok((Revision(3), Some(support::snapshot_with_quota(1))));
+    core.step(now, Event::Reply(Reply::Read(read_at, read)));
+    tick_until(&mut core, &mut now, |call| {
+        matches!(call, Call::WatchConfiguration { .. }).then_some(())
+    });
+    (core, now, read_at)
+}
+
+/// Returns when a read was sent, if `call` is one.
+fn sent_at(call: &Call) -> Option<Timestamp> {
+    match call {
+        Call::ReadConfiguration { at } => Some(*at),
+        _ => None,
+    }
+}
+
+#[test]
+fn an_answer_to_a_watch_confirms_nothing_while_a_read_is_in_flight() {
+    let (mut core, mut now, read_at) = watching_core();
+    tick_until(&mut core, &mut now, |call| {
+        matches!(call, Call::CheckConfiguration { .. }).then_some(())
+    });
+    let effects = core.step(now, Event::Reply(Reply::Checked(Err(Error::Compacted))));
+    let reads = |effect: &Effect| matches!(effect, Effect::Call(call) if sent_at(call).is_some());
+    assert!(effects.iter().any(reads), "{effects:?}");
+
+    let watched = Ok((Revision(4), Some(support::snapshot_with_quota(1))));
+    core.step(now, Event::Reply(Reply::Watched(watched)));
+
+    assert_eq!(core.confirmed_age(now), now.since(read_at));
+}
+
+#[test]
+fn an_answer_to_a_read_counts_from_that_read_although_a_later_one_was_sent() {
+    let (mut core, mut now, _) = watching_core();
+    tick_until(&mut core, &mut now, |call| {
+        matches!(call, Call::CheckConfiguration { .. }).then_some(())
+    });
+    core.step(now, Event::Reply(Reply::Checked(Err(Error::Compacted))));
+    let first_at = now;
+    let failed = Err(Error::Unavailable("watch".to_owned()));
+    core.step(now, Event::Reply(Reply::Watched(failed)));
+    let second_at = tick_until(&mut core, &mut now, sent_at);
+
+    let read = Ok((Revision(4), Some(support::snapshot_with_quota(1))));
+    core.step(now, Event::Reply(Reply::Read(first_at, read)));
+
+    assert!(second_at > first_at);
+    assert_eq!(core.confirmed_age(now), now.since(first_at));
+}
--- a/crates/cicadagw-gossip/tests/support/platform.rs
+++ b/crates/cicadagw-gossip/tests/support/platform.rs
@@ -56,7 +56,7 @@
             return self.step(index, Event::Reply(Reply::Fetched(fetched)));
         }
         self.nodes[index].requests += 1;
-        self.config_reads += usize::from(matches!(call, Call::ReadConfiguration));
+        self.config_reads += usize::from(matches!(call, Call::ReadConfiguration { .. }));
         let is_unavailable = self.platform.unavailable_to.contains(&index);
         let unavailable = || Error::Unavailable("unavailable".to_owned());
         if self.platform.silent_to.contains(&index) {
@@ -65,9 +65,8 @@
         let reply = match call {
             Call::Register { .. } if is_unavailable => Reply::Registered(Err(unavailable())),
             Call::ListMembers if is_unavailable => Reply::Members(Err(unavailable())),
-            Call::ReadConfiguration | Call::WatchConfiguration { .. } if is_unavailable => {
-                Reply::Configuration(Err(unavailable()))
-            }
+            Call::ReadConfiguration { at } if is_unavailable => Reply::Read(at, Err(unavailable())),
+            Call::WatchConfiguration { .. } if is_unavailable => Reply::Watched(Err(unavailable())),
             Call::CheckConfiguration { .. } if is_unavailable => Reply::Checked(Err(unavailable())),
             Call::CheckConfiguration { .. } if self.platform.checks_find_no_history => {
                 Reply::Checked(Err(Error::Compacted))
@@ -94,10 +93,13 @@
             Call::ListMembers => {
                 Reply::Members(Ok(self.platform.members.values().cloned().collect()))
             }
-            Call::ReadConfiguration => Reply::Configuration(match &self.platform.config {
-                Some((revision, snapshot)) => Ok((*revision, Some(snapshot.clone()))),
-                None => Err(Error::Compacted),
-            }),
+            Call::ReadConfiguration { at } => Reply::Read(
+                at,
+                match &self.platform.config {
+                    Some((revision, snapshot)) => Ok((*revision, Some(snapshot.clone()))),
+                    None => Err(Error::Compacted),
+                },
+            ),
             Call::WatchConfiguration { after, wait } => {
                 self.nodes[index].pending_watch = Some((after, self.now.after(wait)));
                 return;
@@ -129,9 +131,9 @@
         let (timeout, reply) = match call {
             Call::Register { .. } => (CALL_TIMEOUT, Reply::Registered(Err(error()))),
             Call::ListMembers => (CALL_TIMEOUT, Reply::Members(Err(error()))),
-            Call::ReadConfiguration => (CALL_TIMEOUT, Reply::Configuration(Err(error()))),
+            Call::ReadConfiguration { at } => (CALL_TIMEOUT, Reply::Read(*at, Err(error()))),
             Call::WatchConfiguration { wait, .. } => {
-                (wait.plus(CALL_TIMEOUT), Reply::Configuration(Err(error())))
+                (wait.plus(CALL_TIMEOUT), Reply::Watched(Err(error())))
             }
             Call::CheckConfiguration { timeout, .. } => (*timeout, Reply::Checked(Err(error()))),
             Call::ConfirmConfiguration(inquiry) => {
@@ -188,6 +190,6 @@
             return;
         };
         self.nodes[index].pending_watch = None;
-        self.step(index, Event::Reply(Reply::Configuration(reply)));
+        self.step(index, Event::Reply(Reply::Watched(reply)));
     }
 }
--- a/crates/cicadagw-node/src/peering/gossip.rs
+++ b/crates/cicadagw-node/src/peering/gossip.rs
@@ -156,9 +156,8 @@
         Some(match call {
             Call::Register { .. } => Reply::Registered(Err(error())),
             Call::ListMembers => Reply::Members(Err(error())),
-            Call::ReadConfiguration | Call::WatchConfiguration { .. } => {
-                Reply::Configuration(Err(error()))
-            }
+            Call::ReadConfiguration { at } => Reply::Read(at, Err(error())),
+            Call::WatchConfiguration { .. } => Reply::Watched(Err(error())),
             Call::CheckConfiguration { .. } => Reply::Checked(Err(error())),
             Call::ConfirmConfiguration(inquiry) => Reply::Confirmed(inquiry, Err(error())),
             Call::ListRollouts | Call::WatchRollouts { .. } => Reply::Rollouts(Err(error())),
--- a/crates/cicadagw-node/src/peering/platform.rs
+++ b/crates/cicadagw-node/src/peering/platform.rs
@@ -85,12 +85,12 @@
                 Reply::Registered(self.observe(Operation::Put, registering).await)
             }
             Call::ListMembers => Reply::Members(self.observe(Operation::Get, self.members()).await),
-            Call::ReadConfiguration => {
-                Reply::Configuration(self.observe(Operation::Get, self.read()).await)
+            Call::ReadConfiguration { at } => {
+                Reply::Read(at, self.observe(Operation::Get, self.read()).await)
             }
             Call::WatchConfiguration { after, wait } => {
                 let watching = self.watch(after, wait);
-                Reply::Configuration(self.observe(Operation::Watch, watching).await)
+                Reply::Watched(self.observe(Operation::Watch, watching).await)
             }
             Call::CheckConfiguration { after, timeout } => {
                 let checking = self.check(after, timeout);
