Deliver the simulated platform's answers late, as computed before

Cause: the simulated platform answered in the tick of the question, so no test could fail if an answer was dated by its arrival, and the schedule of faults contained no lost history. Change: an answer is computed when the request arrives and delivered after a random delay, after the freeze for a node that is frozen meanwhile. Several watches of a node may be pending. The random schedule has 24 steps instead of 12, with both faults of lost history among them.

--- a/crates/cicadagw-gossip/tests/confirmation.rs
+++ b/crates/cicadagw-gossip/tests/confirmation.rs
@@ -179,9 +179,10 @@
         let mut run = Run::new(20);
         run.fleet.loss_permille = 150;
         run.fleet.delay_ticks = 40;
-        for step in 0..12_usize {
+        run.fleet.platform.delay_ticks = 18;
+        for step in 0..24_usize {
             let node = (seed * 7 + step * 5) % 20;
-            match (seed + step) % 6 {
+            match (seed + step) % 8 {
                 0 => {
                     run.fleet.frozen.insert(node);
                 }
@@ -193,9 +194,13 @@
                 4 => {
                     run.fleet.platform.unavailable_to.insert(node);
                 }
+                5 => run.fleet.platform.checks_find_no_history = true,
+                6 => run.fleet.platform.has_compacted = true,
                 _ => {
                     run.fleet.isolated.clear();
                     run.fleet.platform.unavailable_to.clear();
+                    run.fleet.platform.checks_find_no_history = false;
+                    run.fleet.platform.has_compacted = false;
                 }
             }
             run.publish(step as u64 + 2);
@@ -204,8 +209,11 @@
         run.fleet.frozen.clear();
         run.fleet.isolated.clear();
         run.fleet.platform.unavailable_to.clear();
+        run.fleet.platform.checks_find_no_history = false;
+        run.fleet.platform.has_compacted = false;
         run.fleet.loss_permille = 20;
         run.fleet.delay_ticks = 1;
+        run.fleet.platform.delay_ticks = 1;
         run.advance(Span::seconds(6));
         let nodes: Vec<_> = (0..20).collect();
         let oldest = run.oldest(&nodes, Span::seconds(5));
--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -44,8 +44,8 @@
     pub grants: Vec<Grant>,
     /// Number of requests that the platform has received from the node.
     pub requests: usize,
-    /// The watch that waits for a change, if one does: its revision, and when its wait is over.
-    pending_watch: Option<(Revision, Timestamp)>,
+    /// The watches that wait for a change: their revisions, and when their waits are over.
+    pending_watches: Vec<(Revision, Timestamp)>,
     /// The watch of rollouts that waits for a change, if one does: its revision, and when its wait is
     /// over.
     pending_rollout_watch: Option<(Revision, Timestamp)>,
@@ -136,7 +136,7 @@
                 if self.frozen.contains(&index) {
                     continue;
                 }
-                self.respond_to_watch(index);
+                self.respond_to_watches(index);
                 self.respond_to_rollout_watch(index);
                 self.respond_late(index);
                 self.step(index, Event::Tick);
@@ -235,7 +235,7 @@
             notices: Vec::new(),
             grants: Vec::new(),
             requests: 0,
-            pending_watch: None,
+            pending_watches: Vec::new(),
             pending_rollout_watch: None,
             delayed: Vec::new(),
         }
--- a/crates/cicadagw-gossip/tests/support/platform.rs
+++ b/crates/cicadagw-gossip/tests/support/platform.rs
@@ -8,8 +8,9 @@
 use cicadagw_platform::{Error, Revision};
 use cicadagw_rollout::Entry;
 use cicadagw_unit::time::{Span, Timestamp};
+use rand::RngExt;
 
-use super::Fleet;
+use super::{Fleet, TICK};
 
 /// Timeout of a request to the platform; the wait of a watch is added to it.
 const CALL_TIMEOUT: Span = Span::seconds(2);
@@ -27,6 +28,9 @@
     pub unavailable_to: BTreeSet<usize>,
     /// Nodes whose requests get no response, so that they time out.
     pub silent_to: BTreeSet<usize>,
+    /// The longest time until an answer arrives, in ticks. It is computed when the request arrives at
+    /// the platform.
+    pub delay_ticks: u64,
     /// Whether watches stay open without delivering any change.
     pub is_deaf: bool,
     /// Whether checks fail because the history that they need was compacted.
@@ -101,7 +105,8 @@
                 },
             ),
             Call::WatchConfiguration { after, wait } => {
-                self.nodes[index].pending_watch = Some((after, self.now.after(wait)));
+                let until = self.now.after(wait);
+                self.nodes[index].pending_watches.push((after, until));
                 return;
             }
             Call::ConfirmConfiguration(inquiry) if is_unavailable => {
@@ -122,7 +127,17 @@
             }
             Call::FetchConfiguration(_) => unreachable!("a fetch returns above"),
         };
-        self.step(index, Event::Reply(reply));
+        self.answer(index, reply);
+    }
+
+    /// Delivers an answer of the platform, which may arrive later.
+    fn answer(&mut self, index: usize, reply: Reply) {
+        if self.platform.delay_ticks == 0 {
+            return self.step(index, Event::Reply(reply));
+        }
+        let ticks = self.rng.random_range(0..=self.platform.delay_ticks);
+        let at = self.now.after(TICK.times(ticks));
+        self.nodes[index].delayed.push((at, reply));
     }
 
     /// Lets a request end with a timeout.
@@ -164,12 +179,23 @@
         }
     }
 
-    /// Responds to a pending watch if the configuration has changed, the platform fails, or the
+    /// Responds to the pending watches of a node; see [`Self::reply_to_watch`].
+    pub(super) fn respond_to_watches(&mut self, index: usize) {
+        for watch in std::mem::take(&mut self.nodes[index].pending_watches) {
+            match self.reply_to_watch(index, watch) {
+                Some(reply) => self.answer(index, Reply::Watched(reply)),
+                None => self.nodes[index].pending_watches.push(watch),
+            }
+        }
+    }
+
+    /// Returns the response to a pending watch if the configuration has changed, the platform fails, or the
     /// wait is over. A watch of a node to which the platform has fallen silent ends with a timeout.
-    pub(super) fn respond_to_watch(&mut self, index: usize) {
-        let Some((after, until)) = self.nodes[index].pending_watch else {
-            return;
-        };
+    fn reply_to_watch(
+        &self,
+        index: usize,
+        (after, until): (Revision, Timestamp),
+    ) -> Option<Result<(Revision, Option<Arc<Snapshot>>), Error>> {
         let is_silent = self.platform.silent_to.contains(&index);
         let change = match &self.platform.config {
             Some((revision, snapshot)) if *revision > after && !self.platform.is_deaf => {
@@ -178,18 +204,14 @@
             _ if self.now >= until => Some((after, None)),
             _ => None,
         };
-        let reply = if is_silent && self.now < until.after(CALL_TIMEOUT) {
-            return;
+        if is_silent && self.now < until.after(CALL_TIMEOUT) {
+            None
         } else if is_silent || self.platform.unavailable_to.contains(&index) {
-            Err(Error::Unavailable("unavailable".to_owned()))
+            Some(Err(Error::Unavailable("unavailable".to_owned())))
         } else if self.platform.has_compacted {
-            Err(Error::Compacted)
-        } else if let Some(change) = change {
-            Ok(change)
+            Some(Err(Error::Compacted))
         } else {
-            return;
-        };
-        self.nodes[index].pending_watch = None;
-        self.step(index, Event::Reply(Reply::Watched(reply)));
+            change.map(Ok)
+        }
     }
 }
