--- a/crates/cicadagw-gossip/tests/support/platform.rs
+++ b/crates/cicadagw-gossip/tests/support/platform.rs
@@ -183,7 +183,7 @@
     pub(super) fn respond_to_watches(&mut self, index: usize) {
         for watch in std::mem::take(&mut self.nodes[index].pending_watches) {
             match self.reply_to_watch(index, watch) {
-                Some(reply) => self.answer(index, Reply::Watched(reply)),
+                Some(reply) => self.answer(index, reply),
                 None => self.nodes[index].pending_watches.push(watch),
             }
         }
@@ -191,11 +191,7 @@
 
     /// Returns the response to a pending watch if the configuration has changed, the platform fails, or the
     /// wait is over. A watch of a node to which the platform has fallen silent ends with a timeout.
-    fn reply_to_watch(
-        &self,
-        index: usize,
-        (after, until): (Revision, Timestamp),
-    ) -> Option<Result<(Revision, Option<Arc<Snapshot>>), Error>> {
+    fn reply_to_watch(&self, index: usize, (after, until): (Revision, Timestamp)) -> Option<Reply> {
         let is_silent = self.platform.silent_to.contains(&index);
         let change = match &self.platform.config {
             Some((revision, snapshot)) if *revision > after && !self.platform.is_deaf => {
@@ -207,11 +203,12 @@
         if is_silent && self.now < until.after(CALL_TIMEOUT) {
             None
         } else if is_silent || self.platform.unavailable_to.contains(&index) {
-            Some(Err(Error::Unavailable("unavailable".to_owned())))
+            let error = Error::Unavailable("unavailable".to_owned());
+            Some(Reply::Watched(Err(error)))
         } else if self.platform.has_compacted {
-            Some(Err(Error::Compacted))
+            Some(Reply::Watched(Err(Error::Compacted)))
         } else {
-            change.map(Ok)
+            change.map(|change| Reply::Watched(Ok(change)))
         }
     }
 }
