Require keys where accounts are declared but none is left

Cause: whether calls need a key was derived from there being an account, so a version that takes the last account away opened every route, also to the keys just taken away. Ruled out: an optional table of accounts in the configuration, which changes every reader of the accounts for the same result. It is serialized only then, so other configurations keep their form and digest; nodes of before reject such a configuration as a whole. Nodes ask for its confirmation as for any with accounts.

--- a/crates/cicadagw-call/src/access.rs
+++ b/crates/cicadagw-call/src/access.rs
@@ -36,7 +36,7 @@
     /// Indexes the accounts of `config`.
     pub fn new(config: &Config) -> Self {
         let mut access = Self {
-            needs_key: !config.accounts.is_empty(),
+            needs_key: config.needs_key(),
             ..Self::default()
         };
         for (name, account) in &config.accounts {
--- a/crates/cicadagw-call/tests/access.rs
+++ b/crates/cicadagw-call/tests/access.rs
@@ -100,3 +100,17 @@
     }
     assert!(is_stale(now, None, limit));
 }
+
+#[test]
+fn calls_need_keys_where_accounts_are_declared_even_if_there_is_none() {
+    let config = Config {
+        requires_keys: true,
+        ..Config::default()
+    };
+    let access = Access::new(&config);
+
+    let refused = account(&access, false, Some("one"), false);
+    let public = account(&access, true, Some("one"), false);
+
+    assert_eq!((refused, public), (Err(Reason::Unauthorized), Ok(None)));
+}
--- a/crates/cicadagw-config/src/config.rs
+++ b/crates/cicadagw-config/src/config.rs
@@ -10,7 +10,7 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Config {
-    /// The client accounts; if there are none, calls need no key.
+    /// The client accounts.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub accounts: BTreeMap<id::Account, Account>,
     /// The sets of endpoints that are the targets of routes.
@@ -22,6 +22,10 @@
     pub policies: BTreeMap<id::Policy, Policy>,
     /// The sets of policy overrides, of which one is active.
     pub presets: BTreeMap<id::Preset, Preset>,
+    /// Whether calls need a key although there is no client account: accounts are declared, but none
+    /// is left.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub requires_keys: bool,
     /// The rules that map calls to clusters and policies.
     pub routes: BTreeMap<id::Route, Route>,
     /// The credentials that calls present to backend servers.
@@ -29,6 +33,11 @@
 }
 
 impl Config {
+    /// Returns whether accounts are declared, so that calls need a key unless their route is public.
+    pub fn needs_key(&self) -> bool {
+        self.requires_keys || !self.accounts.is_empty()
+    }
+
     /// Returns the digest of the configuration with the active preset `preset`.
     pub fn digest(&self, preset: &id::Preset) -> Digest {
         let mut hasher = blake3::Hasher::new();
--- a/crates/cicadagw-config/src/delta.rs
+++ b/crates/cicadagw-config/src/delta.rs
@@ -32,6 +32,9 @@
     /// The changed and removed presets.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub presets: Changes<id::Preset, Preset>,
+    /// Whether calls need a key without any client account in the later snapshot, if that changed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub requires_keys: Option<bool>,
     /// The changed and removed routes.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub routes: Changes<id::Route, Route>,
@@ -76,6 +79,8 @@
             edge: (from.config.edge != to.config.edge).then_some(to.config.edge),
             policies: changes(&from.config.policies, &to.config.policies),
             presets: changes(&from.config.presets, &to.config.presets),
+            requires_keys: (from.config.requires_keys != to.config.requires_keys)
+                .then_some(to.config.requires_keys),
             routes: changes(&from.config.routes, &to.config.routes),
             secrets: changes(&from.config.secrets, &to.config.secrets),
         }
@@ -97,6 +102,7 @@
         config.edge = self.edge.unwrap_or(config.edge);
         merge(&mut config.policies, self.policies);
         merge(&mut config.presets, self.presets);
+        config.requires_keys = self.requires_keys.unwrap_or(config.requires_keys);
         merge(&mut config.routes, self.routes);
         merge(&mut config.secrets, self.secrets);
         let snapshot = Snapshot {
--- a/crates/cicadagw-config/src/load.rs
+++ b/crates/cicadagw-config/src/load.rs
@@ -27,8 +27,10 @@
     let mut locations = Locations::new();
     let config = cicadagw_jsonc::read(source, text, |document| {
         let root = document.object()?;
+        let accounts = objects(&root, "accounts", &mut locations, account);
         let config = Config {
-            accounts: objects(&root, "accounts", &mut locations, account),
+            requires_keys: accounts.is_empty() && root.get("accounts").is_some(),
+            accounts,
             clusters: objects(&root, "clusters", &mut locations, cluster),
             edge: root
                 .get("edge")
--- a/crates/cicadagw-config/src/render.rs
+++ b/crates/cicadagw-config/src/render.rs
@@ -19,7 +19,7 @@
         "routes": objects(&config.routes, route),
         "secrets": config.secrets,
     });
-    if !config.accounts.is_empty() {
+    if config.needs_key() {
         rendered["accounts"] = objects(&config.accounts, account);
     }
     if !config.edge.is_default() {
--- a/crates/cicadagw-config/tests/delta.rs
+++ b/crates/cicadagw-config/tests/delta.rs
@@ -84,3 +84,16 @@
 
     insta::assert_snapshot!(findings.to_string());
 }
+
+#[test]
+fn a_delta_tells_whether_calls_need_keys_without_any_account() {
+    let open = first();
+    let mut config = shop();
+    config.requires_keys = true;
+    let closed = Snapshot::new(Version::new(2), "ordinary".parse().unwrap(), config);
+
+    let to_closed = Delta::between(&open, &closed).apply(&open);
+    let to_open = Delta::between(&closed, &open).apply(&closed);
+
+    assert_eq!((to_closed, to_open), (Ok(closed), Ok(open)));
+}
--- a/crates/cicadagw-config/tests/render.rs
+++ b/crates/cicadagw-config/tests/render.rs
@@ -43,3 +43,16 @@
 
     assert_eq!(load("rendered.jsonc", &text), Ok(config));
 }
+
+#[test]
+fn accounts_that_are_declared_without_any_stay_declared() {
+    let mut config = full();
+    config.accounts.clear();
+    let undeclared = serde_json::to_string(&config).unwrap();
+    config.requires_keys = true;
+
+    let text = render(&config).to_string();
+
+    assert!(!undeclared.contains("requires_keys"), "{undeclared}");
+    assert_eq!(load("rendered.jsonc", &text), Ok(config));
+}
--- a/crates/cicadagw-gossip/src/core/confirmation.rs
+++ b/crates/cicadagw-gossip/src/core/confirmation.rs
@@ -29,8 +29,8 @@
             .then(|| self.watchers.rank(now, &self.table, &self.own));
         let version = self.version();
         // A node without a configuration reads it first, which confirms it as well.
-        let has_accounts = |snapshot: &Arc<Snapshot>| !snapshot.config.accounts.is_empty();
-        if !self.snapshot.as_ref().is_some_and(has_accounts) {
+        let needs_key = |snapshot: &Arc<Snapshot>| snapshot.config.needs_key();
+        if !self.snapshot.as_ref().is_some_and(needs_key) {
             return;
         }
         let Some(freshness) = &mut self.freshness else {
