Test the spacing of callers over the quota

Cause: without any token the rate of a share is so low that all waits were cut to 2 s, and equal waits passed the test. Change: the share gets four tokens first, and the waits must grow. Measured: with a constant wait of 500 ms instead of the order the test fails; it passes on the code as it stands.

--- a/crates/cicadagw-call/tests/quota/share.rs
+++ b/crates/cicadagw-call/tests/quota/share.rs
@@ -66,17 +66,25 @@
 #[test]
 fn callers_over_the_quota_are_asked_to_come_back_one_after_the_other() {
     let mut shares = Shares::new(0);
-    arrive(&mut shares, 0);
-    answer(&mut shares, 0, 0);
+    (0..4).for_each(|time| assert_eq!(arrive(&mut shares, time), Decision::Wait));
+    answer(&mut shares, 4, 4);
+    for time in 0..4 {
+        let decision = shares.wait(at(5), &account(), at(time));
+        assert!(matches!(decision, Decision::Taken(_)), "{decision:?}");
+    }
+    assert_eq!(arrive(&mut shares, 110), Decision::Wait);
+    answer(&mut shares, 110, 0);
+    let first = shares.wait(at(112), &account(), at(110));
+    assert!(matches!(first, Decision::Refused { .. }), "{first:?}");
 
-    let waits: Vec<_> = (2..5)
+    let waits: Vec<_> = (113..116)
         .map(|time| match arrive(&mut shares, time) {
             Decision::Refused { retry_in, .. } => retry_in.unwrap(),
             decision => panic!("{decision:?}"),
         })
         .collect();
 
-    assert!(waits.windows(2).all(|pair| pair[0] <= pair[1]), "{waits:?}");
+    assert!(waits.windows(2).all(|pair| pair[0] < pair[1]), "{waits:?}");
 }
 
 #[test]
