Drop the tokens of parts whose number has changed

Cause: what a share holds belongs to an index of the parts. When their number changes the owners change as well, so tokens, requests under way and states of one owner were taken for those of another, which did not count them. Change: another number of parts clears the share's holdings; a token that was taken before the change is not given back. Losing tokens is safe.

--- a/crates/cicadagw-call/src/quota/share/core.rs
+++ b/crates/cicadagw-call/src/quota/share/core.rs
@@ -42,6 +42,8 @@
     pub(super) asked: Timestamp,
     /// The calls that arrive.
     pub(super) demand: Demand,
+    /// When the number of parts changed last, if it has.
+    divided: Option<Timestamp>,
     /// What the node holds of each part, nearest owner first.
     pub(super) holdings: SmallVec<[Holding; 4]>,
     /// When a change of the state was reported last.
@@ -63,6 +65,7 @@
         Self {
             asked: Timestamp::default(),
             demand: Demand::default(),
+            divided: None,
             holdings: SmallVec::from_elem(Holding::default(), usize::from(parts)),
             reported: Timestamp::default(),
             reported_state: chart().initial(),
@@ -102,9 +105,14 @@
         self.waiting == 0 && now.since(self.used) >= IDLE_MAX
     }
 
-    /// Adapts the share to another number of parts.
-    pub(in crate::quota) fn set_parts(&mut self, parts: u16) {
-        self.holdings.resize(usize::from(parts), Holding::default());
+    /// Adapts the share to another number of parts. The owners of parts change with their number, so
+    /// what was held of them is lost.
+    pub(in crate::quota) fn set_parts(&mut self, now: Timestamp, parts: u16) {
+        let parts = usize::from(parts);
+        if parts != self.holdings.len() {
+            self.holdings = SmallVec::from_elem(Holding::default(), parts);
+            self.divided = Some(now);
+        }
     }
 
     /// Decides about a call that has just arrived. While the account is short of tokens, they go to
@@ -156,8 +164,10 @@
 
     /// Puts back the token of a call that has not run; returns whether it can be spent again.
     pub fn give_back(&mut self, now: Timestamp, ticket: Ticket) -> bool {
+        let is_of_part = self.divided.is_none_or(|divided| ticket.taken > divided);
         let holding = self.holdings.get_mut(ticket.part);
-        now.since(ticket.taken) < GIVE_BACK_MAX
+        is_of_part
+            && now.since(ticket.taken) < GIVE_BACK_MAX
             && holding.is_some_and(|holding| holding.give_back(now))
     }
 
--- a/crates/cicadagw-call/src/quota/shares.rs
+++ b/crates/cicadagw-call/src/quota/shares.rs
@@ -60,7 +60,7 @@
         let Some(share) = self.by_account.get_mut(account) else {
             unreachable!("the share was inserted if it was missing");
         };
-        share.set_parts(parts);
+        share.set_parts(now, parts);
         share.arrive(now, is_late)
     }
 
--- a/crates/cicadagw-call/tests/quota/share.rs
+++ b/crates/cicadagw-call/tests/quota/share.rs
@@ -104,3 +104,32 @@
     assert!(matches!(late, Decision::Refused { .. }), "{late:?}");
     assert!(matches!(in_time, Decision::Taken(_)), "{in_time:?}");
 }
+
+#[test]
+fn what_was_held_is_dropped_when_the_number_of_parts_changes() {
+    let mut shares = Shares::new(0);
+    arrive(&mut shares, 0);
+    answer(&mut shares, 0, 5);
+
+    let decision = shares.arrive(at(2), &account(), 2, false);
+
+    // The parts have other owners now, which have not granted these tokens.
+    assert_eq!(decision, Decision::Wait);
+}
+
+#[test]
+fn a_token_of_a_part_as_it_was_before_is_not_given_back() {
+    let mut shares = Shares::new(0);
+    arrive(&mut shares, 0);
+    answer(&mut shares, 0, 1);
+    let Decision::Taken(ticket) = shares.wait(at(1), &account(), at(0)) else {
+        panic!("the token was not taken");
+    };
+    shares.arrive(at(2), &account(), 2, false);
+    answer(&mut shares, 3, 1);
+    shares.wait(at(4), &account(), at(2));
+
+    shares.give_back(at(5), &account(), ticket);
+
+    assert_eq!(shares.counts().returned, 0);
+}
