Number quota requests from a random number on

Cause: each process numbered its requests for tokens from 1 on, so a late answer to the process before a restart matched a request of the new one, and its token was spent although the owner had written it off. Change: the numbers begin at a random one of 48 bits. Measured: the new test fails before (the call is served with the token for the former process); after, the quota and access tests of cicadagw-proxy pass and clippy has no warnings.

--- a/crates/cicadagw-proxy/src/quotas.rs
+++ b/crates/cicadagw-proxy/src/quotas.rs
@@ -13,6 +13,10 @@
 use crate::clock::Clock;
 use crate::node::Node;
 
+/// The requests of a process are numbered from a random number on, so that a late answer to the process
+/// before a restart matches none of them. The shift leaves room for the numbers that follow.
+const NUMBER_SHIFT: u32 = 16;
+
 /// The rings to the duty that exchanges tokens with other nodes.
 pub struct Quota {
     /// The answers of the owners.
@@ -49,7 +53,7 @@
             clock,
             answered: Notify::new(),
             requests,
-            shares: RefCell::new(Shares::new(0)),
+            shares: RefCell::new(Shares::new(rand::random::<u64>() >> NUMBER_SHIFT)),
         }
     }
 
--- a/crates/cicadagw-proxy/tests/quota.rs
+++ b/crates/cicadagw-proxy/tests/quota.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use cicadagw_call::quota::{Answer, Grant};
+use cicadagw_call::quota::{Answer, Grant, Request};
 use cicadagw_config::account::KeyDigest;
 use cicadagw_unit::rate::Tokens;
 use cicadagw_unit::time::Span;
@@ -62,6 +62,11 @@
     /// Answers the next request for tokens with `tokens`.
     async fn answer(&self, tokens: u32) {
         let request = self.node.requests.recv().await.unwrap();
+        self.grant(request, tokens);
+    }
+
+    /// Answers `request` with `tokens`.
+    fn grant(&self, request: Request, tokens: u32) {
         let answer = Answer::Granted {
             is_dry: tokens == 0,
             pace: Span::seconds(1),
@@ -136,3 +141,19 @@
     assert_eq!((refused.status, refused.reason()), (503, "no-endpoint"));
     assert_eq!(response.status, 200);
 }
+
+#[tokio::test]
+async fn late_answer_to_the_process_before_a_restart_is_ignored() {
+    let former = Fixture::new().await;
+    let (_, request) = tokio::join!(former.call("/orders", "north"), former.node.requests.recv());
+    let restarted = Fixture::new().await;
+    let answer_late = async {
+        restarted.node.requests.recv().await.unwrap();
+        restarted.grant(request.unwrap(), 1);
+    };
+
+    let (response, ()) = tokio::join!(restarted.call("/orders", "north"), answer_late);
+
+    assert_eq!(response.status, 503);
+    assert_eq!(response.reason(), "quota-unknown");
+}
