Recognize a retry by its key as well

Cause: a retry was recognized by host, method, target and deadline, so a call of one account could take over the first arrival of another account's refused call and count as late. Change: the identity of a request contains the digest of the key that its caller presents. The digest is computed in cicadagw-call, beside the history.

--- a/crates/cicadagw-call/src/refusal.rs
+++ b/crates/cicadagw-call/src/refusal.rs
@@ -2,7 +2,9 @@
 //! retry keeps the time of its first arrival.
 
 use std::collections::VecDeque;
+use std::hash::{DefaultHasher, Hash, Hasher};
 
+use cicadagw_config::account::KeyDigest;
 use cicadagw_unit::time::{Span, Timestamp};
 
 use crate::Reason;
@@ -34,6 +36,28 @@
 /// a request.
 const DEADLINE_TOLERANCE: Span = Span::new(60);
 
+/// The parts of a request by which a retry is recognized.
+#[derive(Clone, Copy, Debug, Hash)]
+pub struct Identity<'r> {
+    /// The requested host.
+    pub host: &'r str,
+    /// The digest of the key that the caller presents: another account's call is no retry.
+    pub key: Option<&'r KeyDigest>,
+    /// The method.
+    pub method: &'r [u8],
+    /// The path and query.
+    pub target: &'r [u8],
+}
+
+impl Identity<'_> {
+    /// Returns a hash that has no meaning in other processes.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.hash(&mut hasher);
+        hasher.finish()
+    }
+}
+
 /// Returns how long the caller of a call that was refused for `reason` is asked to wait before it
 /// retries. `uptime` is the time since the start of the node.
 ///
--- a/crates/cicadagw-call/tests/refusal.rs
+++ b/crates/cicadagw-call/tests/refusal.rs
@@ -1,7 +1,8 @@
 //! A retry of a refused call is recognized by its digest and its deadline.
 
 use cicadagw_call::Reason;
-use cicadagw_call::refusal::{History, Prospect, retry_after};
+use cicadagw_call::refusal::{History, Identity, Prospect, retry_after};
+use cicadagw_config::account::KeyDigest;
 use cicadagw_unit::time::{Span, Timestamp};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -187,3 +188,21 @@
 
     assert_eq!(prospect.return_wait(at(0), 7), Span::new(200));
 }
+
+#[test]
+fn call_of_another_account_is_no_retry() {
+    let digest = |key: Option<&[u8]>| {
+        let key = key.map(KeyDigest::of);
+        let identity = Identity {
+            host: "shop.example",
+            key: key.as_ref(),
+            method: b"GET",
+            target: b"/orders",
+        };
+        identity.digest()
+    };
+
+    assert_eq!(digest(Some(b"north")), digest(Some(b"north")));
+    assert_ne!(digest(Some(b"north")), digest(Some(b"south")));
+    assert_ne!(digest(Some(b"north")), digest(None));
+}
--- a/crates/cicadagw-proxy/src/request.rs
+++ b/crates/cicadagw-proxy/src/request.rs
@@ -1,12 +1,12 @@
 //! A parsed incoming call.
 
 use std::cell::Cell;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::str::FromStr;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use cicadagw_call::Reason;
+use cicadagw_call::refusal::Identity;
 use cicadagw_call::route::RequestLine;
 use cicadagw_config::account::KeyDigest;
 use cicadagw_dialect::HeaderNames;
@@ -161,11 +161,15 @@
         self.attempt.as_deref().map_or("-", text)
     }
 
-    /// Returns a hash of host, method and target.
+    /// Returns a hash by which a retry of the request is recognized.
     pub(crate) fn digest(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        (&self.host, &self.method, &self.target).hash(&mut hasher);
-        hasher.finish()
+        let identity = Identity {
+            host: &self.host,
+            key: self.key.as_ref(),
+            method: &self.method,
+            target: &self.target,
+        };
+        identity.digest()
     }
 
     /// Returns the caller's deadline, if the caller states it.
