--- a/crates/cicadagw-gossip/tests/support/platform.rs
+++ b/crates/cicadagw-gossip/tests/support/platform.rs
@@ -8,8 +8,9 @@
 use cicadagw_platform::{Error, Revision};
 use cicadagw_rollout::Entry;
 use cicadagw_unit::time::{Span, Timestamp};
+use rand::RngExt;
 
-use super::Fleet;
+use super::{Fleet, TICK};
 
 /// Timeout of a request to the platform; the wait of a watch is added to it.
 const CALL_TIMEOUT: Span = Span::seconds(2);
@@ -27,6 +28,9 @@
     pub unavailable_to: BTreeSet<usize>,
     /// Nodes whose requests get no response, so that they time out.
     pub silent_to: BTreeSet<usize>,
+    /// The longest time until an answer arrives, in ticks. It is computed when the request arrives at
+    /// the platform.
+    pub delay_ticks: u64,
     /// Whether watches stay open without delivering any change.
     pub is_deaf: bool,
     /// Whether checks fail because the history that they need was compacted.
@@ -60,7 +64,7 @@
             return self.step(index, Event::Reply(Reply::Fetched(fetched)));
         }
         self.nodes[index].requests += 1;
-        self.config_reads += usize::from(matches!(call, Call::ReadConfiguration));
+        self.config_reads += usize::from(matches!(call, Call::ReadConfiguration { .. }));
         let is_unavailable = self.platform.unavailable_to.contains(&index);
         let unavailable = || Error::Unavailable("unavailable".to_owned());
         if self.platform.silent_to.contains(&index) {
@@ -69,9 +73,8 @@
         let reply = match call {
             Call::Register { .. } if is_unavailable => Reply::Registered(Err(unavailable())),
             Call::ListMembers if is_unavailable => Reply::Members(Err(unavailable())),
-            Call::ReadConfiguration | Call::WatchConfiguration { .. } if is_unavailable => {
-                Reply::Configuration(Err(unavailable()))
-            }
+            Call::ReadConfiguration { at } if is_unavailable => Reply::Read(at, Err(unavailable())),
+            Call::WatchConfiguration { .. } if is_unavailable => Reply::Watched(Err(unavailable())),
             Call::CheckConfiguration { .. } if is_unavailable => Reply::Checked(Err(unavailable())),
             Call::CheckConfiguration { .. } if self.platform.checks_find_no_history => {
                 Reply::Checked(Err(Error::Compacted))
@@ -98,12 +101,16 @@
             Call::ListMembers => {
                 Reply::Members(Ok(self.platform.members.values().cloned().collect()))
             }
-            Call::ReadConfiguration => Reply::Configuration(match &self.platform.config {
-                Some((revision, snapshot)) => Ok((*revision, Some(snapshot.clone()))),
-                None => Err(Error::Compacted),
-            }),
+            Call::ReadConfiguration { at } => Reply::Read(
+                at,
+                match &self.platform.config {
+                    Some((revision, snapshot)) => Ok((*revision, Some(snapshot.clone()))),
+                    None => Err(Error::Compacted),
+                },
+            ),
             Call::WatchConfiguration { after, wait } => {
-                self.nodes[index].pending_watch = Some((after, self.now.after(wait)));
+                let until = self.now.after(wait);
+                self.nodes[index].pending_watches.push((after, until));
                 return;
             }
             Call::ConfirmConfiguration(inquiry) if is_unavailable => {
@@ -124,7 +131,17 @@
             }
             Call::FetchConfiguration(_) => unreachable!("a fetch returns above"),
         };
-        self.step(index, Event::Reply(reply));
+        self.answer(index, reply);
+    }
+
+    /// Delivers an answer of the platform, which may arrive later.
+    fn answer(&mut self, index: usize, reply: Reply) {
+        if self.platform.delay_ticks == 0 {
+            return self.step(index, Event::Reply(reply));
+        }
+        let ticks = self.rng.random_range(0..=self.platform.delay_ticks);
+        let at = self.now.after(TICK.times(ticks));
+        self.nodes[index].delayed.push((at, reply));
     }
 
     /// Lets a request end with a timeout.
@@ -133,9 +150,9 @@
         let (timeout, reply) = match call {
             Call::Register { .. } => (CALL_TIMEOUT, Reply::Registered(Err(error()))),
             Call::ListMembers => (CALL_TIMEOUT, Reply::Members(Err(error()))),
-            Call::ReadConfiguration => (CALL_TIMEOUT, Reply::Configuration(Err(error()))),
+            Call::ReadConfiguration { at } => (CALL_TIMEOUT, Reply::Read(*at, Err(error()))),
             Call::WatchConfiguration { wait, .. } => {
-                (wait.plus(CALL_TIMEOUT), Reply::Configuration(Err(error())))
+                (wait.plus(CALL_TIMEOUT), Reply::Watched(Err(error())))
             }
             Call::CheckConfiguration { timeout, .. } => (*timeout, Reply::Checked(Err(error()))),
             Call::ConfirmConfiguration(inquiry) => {
@@ -166,12 +183,19 @@
         }
     }
 
-    /// Responds to a pending watch if the configuration has changed, the platform fails, or the
+    /// Responds to the pending watches of a node; see [`Self::reply_to_watch`].
+    pub(super) fn respond_to_watches(&mut self, index: usize) {
+        for watch in std::mem::take(&mut self.nodes[index].pending_watches) {
+            match self.reply_to_watch(index, watch) {
+                Some(reply) => self.answer(index, reply),
+                None => self.nodes[index].pending_watches.push(watch),
+            }
+        }
+    }
+
+    /// Returns the response to a pending watch if the configuration has changed, the platform fails, or the
     /// wait is over. A watch of a node to which the platform has fallen silent ends with a timeout.
-    pub(super) fn respond_to_watch(&mut self, index: usize) {
-        let Some((after, until)) = self.nodes[index].pending_watch else {
-            return;
-        };
+    fn reply_to_watch(&self, index: usize, (after, until): (Revision, Timestamp)) -> Option<Reply> {
         let is_silent = self.platform.silent_to.contains(&index);
         let change = match &self.platform.config {
             Some((revision, snapshot)) if *revision > after && !self.platform.is_deaf => {
@@ -180,18 +204,15 @@
             _ if self.now >= until => Some((after, None)),
             _ => None,
         };
-        let reply = if is_silent && self.now < until.after(CALL_TIMEOUT) {
-            return;
+        if is_silent && self.now < until.after(CALL_TIMEOUT) {
+            None
         } else if is_silent || self.platform.unavailable_to.contains(&index) {
-            Err(Error::Unavailable("unavailable".to_owned()))
+            let error = Error::Unavailable("unavailable".to_owned());
+            Some(Reply::Watched(Err(error)))
         } else if self.platform.has_compacted {
-            Err(Error::Compacted)
-        } else if let Some(change) = change {
-            Ok(change)
+            Some(Reply::Watched(Err(Error::Compacted)))
         } else {
-            return;
-        };
-        self.nodes[index].pending_watch = None;
-        self.step(index, Event::Reply(Reply::Configuration(reply)));
+            change.map(|change| Reply::Watched(Ok(change)))
+        }
     }
 }
