Check memory while a request is still being read

Cause: the level of memory was looked at only once a head was complete, so connections that each hold a half head, or a buffered body that is not yet complete, passed the budget unseen.

Ruled out: closing such a connection without a response. A refusal costs no more, and says that the request has not run, which is so: it is given only before the dispatch.

Change: the reader makes room, or refuses, after each part of a head or of a buffered body that leaves the request incomplete. Bodies are buffered up to what the ledger allows. A connection whose last request was refused no longer keeps the buffer that its input had grown to.

The crowd tests have not been run on this commit.

--- a/crates/cicadagw-http/src/server/reader.rs
+++ b/crates/cicadagw-http/src/server/reader.rs
@@ -115,13 +115,13 @@
                     parse::request(&mut self.buffer, limits.head).map_err(refused)?
             {
                 self.queue.entry.set_reading(Standing::Idle);
-                return if self.open.admit() {
-                    Ok(head)
-                } else {
-                    Err(NoRequest::Refused(Refusal::Overloaded))
-                };
+                self.admit()?;
+                return Ok(head);
             }
             let has_started = !self.buffer.is_empty();
+            if has_started {
+                self.admit()?;
+            }
             let limit = if has_started {
                 limits.header_timeout
             } else {
@@ -161,11 +161,12 @@
         if expects_continue(&head) && self.buffer.is_empty() && self.queue.in_flight.get() == 0 {
             self.queue.send_continue();
         }
+        let buffer_max = self.open.ledger().buffer_max(BUFFERED_BODY_BYTES_MAX);
         match head.framing {
             Framing::Empty | Framing::Close => {
                 Ok(self.dispatch(head, Body::Empty, Rc::default()) && keep_alive)
             }
-            Framing::Length(length) if length <= BUFFERED_BODY_BYTES_MAX => {
+            Framing::Length(length) if length <= buffer_max => {
                 let body = Body::Buffered(self.read_buffered_body(length).await?);
                 Ok(self.dispatch(head, body, Rc::default()) && keep_alive)
             }
@@ -178,6 +179,7 @@
         let begin = Instant::now();
         self.queue.entry.set_reading(Standing::Receiving);
         while self.buffer.len() < length {
+            self.admit()?;
             let left = self.service.limits().header_timeout;
             let left = left.saturating_sub(begin.elapsed());
             let filled = timeout(left, self.fill()).await;
@@ -262,17 +264,28 @@
 
     async fn fill(&mut self) -> Result<(), NoRequest> {
         self.buffer.reserve(READ_BYTES);
+        let received = self.half.read_buf(&mut self.buffer).await;
         self.held.set(self.buffer.len());
-        match self.half.read_buf(&mut self.buffer).await {
+        match received {
             Ok(1..) => Ok(()),
             Ok(0) | Err(_) => Err(NoRequest::Disconnected),
         }
     }
 
+    /// Makes room while memory is scarce. While it is full, refuses the request that is being read;
+    /// it must not have been dispatched.
+    fn admit(&self) -> Result<(), NoRequest> {
+        if self.open.admit() {
+            Ok(())
+        } else {
+            Err(NoRequest::Refused(Refusal::Overloaded))
+        }
+    }
+
     /// Waits until the client disconnects; input is discarded, not parsed.
     async fn wait_for_end(mut self) -> End {
         loop {
-            self.buffer.clear();
+            self.buffer = BytesMut::new();
             if self.fill().await.is_err() {
                 return End::Disconnected;
             }
