Count read buffers and long heads, and hold no buffer while idle

Cause: the ledger counted the bytes received so far before the read, not the space reserved for them, and each connection that waited for a request held a buffer that was not counted. A request in flight counted 16 KiB besides its body, although its head may be longer.

Ruled out: a fixed charge for each idle connection. It would use up the budget for memory that need not be held at all. Reading without tokio's budget for tasks: a client that sends without end would keep the others from running.

Change: while the buffer is empty the reader waits for input without one; from then on the buffer's capacity is counted. A request in flight counts its head where that is longer than 16 KiB.

Result: the new test of the read buffer failed before (not counted within 10 s) and passes. The test of long heads passed before because the count of the read buffer was stale; it fails without the new minimum for heads, and passes with it.

--- a/crates/cicadagw-http/src/server/accept.rs
+++ b/crates/cicadagw-http/src/server/accept.rs
@@ -109,6 +109,7 @@
             token: &token,
             open: &open,
             held: open.ledger().hold(0),
+            head_len: 0,
         };
         let writer = Writer {
             half: writer,
--- a/crates/cicadagw-http/src/server/reader.rs
+++ b/crates/cicadagw-http/src/server/reader.rs
@@ -1,12 +1,13 @@
 //! Reads the requests of a connection.
 
 use std::cell::Cell;
+use std::io;
 use std::pin::pin;
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
-use tokio::io::AsyncReadExt;
 use tokio::net::tcp::ReadHalf;
+use tokio::task::coop::consume_budget;
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
@@ -25,7 +26,7 @@
 /// The buffer space reserved for each read, in bytes.
 const READ_BYTES: usize = 4 << 10;
 
-/// The memory that is counted for a request in flight besides its body, in bytes.
+/// The memory that is counted at least for a request in flight besides its body, in bytes.
 const REQUEST_BYTES: usize = 16 << 10;
 
 /// The memory that is counted for a request body while it is streamed, in bytes.
@@ -42,6 +43,8 @@
     pub(super) open: &'c Connections,
     /// The memory of `buffer`.
     pub(super) held: Held,
+    /// The length of the head that was read last, in bytes.
+    pub(super) head_len: usize,
 }
 
 /// The reason why no further request is read.
@@ -110,10 +113,12 @@
         let mut begin = Instant::now();
         loop {
             let limits = self.service.limits();
+            let received = self.buffer.len();
             if !self.buffer.is_empty()
                 && let Some(head) =
                     parse::request(&mut self.buffer, limits.head).map_err(refused)?
             {
+                self.head_len = received - self.buffer.len();
                 self.queue.entry.set_reading(Standing::Idle);
                 self.admit()?;
                 return Ok(head);
@@ -250,7 +255,8 @@
         }
         let is_head = &head.method[..] == b"HEAD";
         let closes_after = !head.keep_alive;
-        let memory = self.open.ledger().hold(REQUEST_BYTES + body.buffered_len());
+        let head_bytes = REQUEST_BYTES.max(self.head_len);
+        let memory = self.open.ledger().hold(head_bytes + body.buffered_len());
         let task = Task::spawn(self.service.clone().handle(head, body));
         self.queue.push(Pending {
             reply: Source::Task(task),
@@ -262,13 +268,24 @@
         true
     }
 
+    /// Receives a few bytes. An empty buffer is released until there are some.
     async fn fill(&mut self) -> Result<(), NoRequest> {
-        self.buffer.reserve(READ_BYTES);
-        let received = self.half.read_buf(&mut self.buffer).await;
-        self.held.set(self.buffer.len());
-        match received {
-            Ok(1..) => Ok(()),
-            Ok(0) | Err(_) => Err(NoRequest::Disconnected),
+        loop {
+            if self.buffer.is_empty() {
+                self.buffer = BytesMut::new();
+                self.held.set(0);
+            }
+            let readable = self.half.readable().await;
+            readable.map_err(|_| NoRequest::Disconnected)?;
+            // A client that sends without end must not keep others from being served.
+            consume_budget().await;
+            self.buffer.reserve(READ_BYTES);
+            self.held.set(self.buffer.capacity());
+            match self.half.try_read_buf(&mut self.buffer) {
+                Ok(1..) => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Ok(0) | Err(_) => return Err(NoRequest::Disconnected),
+            }
         }
     }
 
