--- a/crates/cicadagw-proxy/src/room.rs
+++ b/crates/cicadagw-proxy/src/room.rs
@@ -55,8 +55,8 @@
         Rc::new(Ledger::new(number(budget), number(ahead)))
     }
 
-    /// Returns the maximum number of connections of a listener. Half of the descriptors remain for
-    /// the connections to other nodes, backend servers and the platform.
+    /// Returns the maximum number of connections of a listener. Of the descriptors that are not
+    /// for files, 36 in 100 remain for connections to other nodes, backend servers and the platform.
     pub(crate) fn connections(self, kind: ListenerKind) -> usize {
         let share = match kind {
             ListenerKind::Calls | ListenerKind::Callers => Permille::new(300),
