--- a/crates/cicadagw-http/src/server/reader.rs
+++ b/crates/cicadagw-http/src/server/reader.rs
@@ -1,12 +1,13 @@
 //! Reads the requests of a connection.
 
 use std::cell::Cell;
+use std::io;
 use std::pin::pin;
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
-use tokio::io::AsyncReadExt;
 use tokio::net::tcp::ReadHalf;
+use tokio::task::coop::consume_budget;
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
@@ -25,7 +26,7 @@
 /// The buffer space reserved for each read, in bytes.
 const READ_BYTES: usize = 4 << 10;
 
-/// The memory that is counted for a request in flight besides its body, in bytes.
+/// The memory that is counted at least for a request in flight besides its body, in bytes.
 const REQUEST_BYTES: usize = 16 << 10;
 
 /// The memory that is counted for a request body while it is streamed, in bytes.
@@ -42,6 +43,8 @@
     pub(super) open: &'c Connections,
     /// The memory of `buffer`.
     pub(super) held: Held,
+    /// The length of the head that was read last, in bytes.
+    pub(super) head_len: usize,
 }
 
 /// The reason why no further request is read.
@@ -110,18 +113,20 @@
         let mut begin = Instant::now();
         loop {
             let limits = self.service.limits();
+            let received = self.buffer.len();
             if !self.buffer.is_empty()
                 && let Some(head) =
                     parse::request(&mut self.buffer, limits.head).map_err(refused)?
             {
+                self.head_len = received - self.buffer.len();
                 self.queue.entry.set_reading(Standing::Idle);
-                return if self.open.admit() {
-                    Ok(head)
-                } else {
-                    Err(NoRequest::Refused(Refusal::Overloaded))
-                };
+                self.admit()?;
+                return Ok(head);
             }
             let has_started = !self.buffer.is_empty();
+            if has_started {
+                self.admit()?;
+            }
             let limit = if has_started {
                 limits.header_timeout
             } else {
@@ -161,11 +166,12 @@
         if expects_continue(&head) && self.buffer.is_empty() && self.queue.in_flight.get() == 0 {
             self.queue.send_continue();
         }
+        let buffer_max = self.open.ledger().buffer_max(BUFFERED_BODY_BYTES_MAX);
         match head.framing {
             Framing::Empty | Framing::Close => {
                 Ok(self.dispatch(head, Body::Empty, Rc::default()) && keep_alive)
             }
-            Framing::Length(length) if length <= BUFFERED_BODY_BYTES_MAX => {
+            Framing::Length(length) if length <= buffer_max => {
                 let body = Body::Buffered(self.read_buffered_body(length).await?);
                 Ok(self.dispatch(head, body, Rc::default()) && keep_alive)
             }
@@ -178,6 +184,7 @@
         let begin = Instant::now();
         self.queue.entry.set_reading(Standing::Receiving);
         while self.buffer.len() < length {
+            self.admit()?;
             let left = self.service.limits().header_timeout;
             let left = left.saturating_sub(begin.elapsed());
             let filled = timeout(left, self.fill()).await;
@@ -248,7 +255,8 @@
         }
         let is_head = &head.method[..] == b"HEAD";
         let closes_after = !head.keep_alive;
-        let memory = self.open.ledger().hold(REQUEST_BYTES + body.buffered_len());
+        let head_bytes = REQUEST_BYTES.max(self.head_len);
+        let memory = self.open.ledger().hold(head_bytes + body.buffered_len());
         let task = Task::spawn(self.service.clone().handle(head, body));
         self.queue.push(Pending {
             reply: Source::Task(task),
@@ -260,19 +268,41 @@
         true
     }
 
+    /// Receives a few bytes. An empty buffer is released until there are some.
     async fn fill(&mut self) -> Result<(), NoRequest> {
-        self.buffer.reserve(READ_BYTES);
-        self.held.set(self.buffer.len());
-        match self.half.read_buf(&mut self.buffer).await {
-            Ok(1..) => Ok(()),
-            Ok(0) | Err(_) => Err(NoRequest::Disconnected),
+        loop {
+            if self.buffer.is_empty() {
+                self.buffer = BytesMut::new();
+                self.held.set(0);
+            }
+            let readable = self.half.readable().await;
+            readable.map_err(|_| NoRequest::Disconnected)?;
+            // A client that sends without end must not keep others from being served.
+            consume_budget().await;
+            self.buffer.reserve(READ_BYTES);
+            self.held.set(self.buffer.capacity());
+            match self.half.try_read_buf(&mut self.buffer) {
+                Ok(1..) => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Ok(0) | Err(_) => return Err(NoRequest::Disconnected),
+            }
+        }
+    }
+
+    /// Makes room while memory is scarce. While it is full, refuses the request that is being read;
+    /// it must not have been dispatched.
+    fn admit(&self) -> Result<(), NoRequest> {
+        if self.open.admit() {
+            Ok(())
+        } else {
+            Err(NoRequest::Refused(Refusal::Overloaded))
         }
     }
 
     /// Waits until the client disconnects; input is discarded, not parsed.
     async fn wait_for_end(mut self) -> End {
         loop {
-            self.buffer.clear();
+            self.buffer = BytesMut::new();
             if self.fill().await.is_err() {
                 return End::Disconnected;
             }
