Count reports only about endpoints that a node has

Cause: a leader counted a report about any endpoint, so a stray datagram could stop a good release.

Ruled out: only endpoints that accept calls, since a draining one still reports its last calls.

Change: the endpoint must be in the table of nodes. The sum of the calls moves to the reports, which keeps the leader's file short.

Result: a_report_about_an_endpoint_that_no_node_has_does_not_count failed before (`RolledBack`) and passes now.

--- a/crates/cicadagw-gossip/src/core/rollouts.rs
+++ b/crates/cicadagw-gossip/src/core/rollouts.rs
@@ -193,7 +193,13 @@
     /// Takes a report to the leader of the rollout: to this node itself, or to another one.
     pub(super) fn handle_report(&mut self, now: Timestamp, report: Report) {
         if let Some(lead) = self.rollouts.led.get_mut(&report.service) {
-            lead.leader.report(now, report);
+            let mut backends = self
+                .table
+                .iter()
+                .filter_map(|member| member.backend.as_ref());
+            if backends.any(|backend| backend.endpoint == report.endpoint) {
+                lead.leader.report(now, report);
+            }
             return;
         }
         let directive = self.rollouts.get(&report.service);
--- a/crates/cicadagw-gossip/tests/rollout.rs
+++ b/crates/cicadagw-gossip/tests/rollout.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use cicadagw_gossip::Event;
-use cicadagw_rollout::{Phase, Schedule, State};
+use cicadagw_rollout::{Phase, Report, Schedule, State, Tally};
 use cicadagw_unit::time::Span;
 use support::{Behaviour, DURATION, Fleet, Load, TAKEOVER_MAX, has_ended, ordered, state};
 
@@ -225,3 +225,29 @@
     let writes = fleet.platform.rollout_writes - before;
     assert!(writes <= 13, "{writes} writes");
 }
+
+#[test]
+fn a_report_about_an_endpoint_that_no_node_has_does_not_count() {
+    let (mut fleet, mut load) = ordered(Behaviour::Good);
+    load.run(&mut fleet, Span::seconds(2), has_ended);
+    let started_ms = fleet.rollout_status().unwrap().started_ms;
+    let tally = Tally::from((100, 100, 100, 0, 0));
+    let report = |endpoint: &str| Report {
+        endpoint: endpoint.parse().unwrap(),
+        in_flight: 0,
+        policies: std::iter::once(("read".parse().unwrap(), tally)).collect(),
+        refuses: false,
+        release: Some("v2".parse().unwrap()),
+        service: "orders".parse().unwrap(),
+        started_ms,
+        total: tally,
+    };
+
+    let leader = fleet.leader().unwrap();
+    for endpoint in ["i-98", "i-99"] {
+        fleet.step(leader, Event::Report(Box::new(report(endpoint))));
+    }
+    load.run(&mut fleet, Span::seconds(2), has_ended);
+
+    assert_eq!(state(&fleet), Some(State::Running));
+}
--- a/crates/cicadagw-rollout/src/leader.rs
+++ b/crates/cicadagw-rollout/src/leader.rs
@@ -129,16 +129,9 @@
     /// Returns how many calls have reached the service since the order, and how many of them the
     /// target release got.
     pub fn exposure(&self) -> (u64, u64) {
-        let sent = |is_counted: &dyn Fn(&Report) -> bool| {
-            let hosts = self.reports.iter();
-            let counted = hosts.filter(|host| is_counted(&host.last.1));
-            counted.map(Host::sent).fold(0, u64::saturating_add)
-        };
-        let target = &self.order.target;
-        (
-            sent(&|_| true),
-            sent(&|report| report.release.as_ref() == Some(target)),
-        )
+        let target = Some(&self.order.target);
+        let is_target = |report: &Report| report.release.as_ref() == target;
+        (self.reports.sent(|_| true), self.reports.sent(is_target))
     }
 
     /// Decides what is due at `now`, while `records` are the endpoints of the service that accept
--- a/crates/cicadagw-rollout/src/reports.rs
+++ b/crates/cicadagw-rollout/src/reports.rs
@@ -59,7 +59,7 @@
 
 impl Host {
     /// Returns how many calls were sent to the backend server.
-    pub(crate) const fn sent(&self) -> u64 {
+    const fn sent(&self) -> u64 {
         self.forgotten.saturating_add(self.last.1.total.sent)
     }
 
@@ -120,6 +120,12 @@
         self.hosts.values()
     }
 
+    /// Returns how many calls were sent to the backend servers whose release `belongs`.
+    pub(crate) fn sent(&self, belongs: impl Fn(&Report) -> bool) -> u64 {
+        let hosts = self.hosts.values().filter(|host| belongs(&host.last.1));
+        hosts.map(Host::sent).fold(0, u64::saturating_add)
+    }
+
     /// Returns the counts of the backend servers whose release `belongs`: those since the beginning,
     /// and the recent ones.
     pub(crate) fn samples(
