Tie quota datagrams to known nodes and to what was asked

Cause: an owner answered whoever asked, and a node took in as many tokens as an answer named. Change: an owner answers only nodes of its table; a node takes at most what it asked for.

--- a/crates/cicadagw-call/src/quota/share/core.rs
+++ b/crates/cicadagw-call/src/quota/share/core.rs
@@ -194,7 +194,9 @@
                 pace,
                 tokens,
             } => {
-                let tokens = tokens.get();
+                // An answer never gives more than was asked for.
+                let wanted = asked.waiting.saturating_add(asked.ahead);
+                let tokens = tokens.get().min(wanted);
                 let supply = Supply {
                     is_dry,
                     pace,
--- a/crates/cicadagw-gossip/src/core/step.rs
+++ b/crates/cicadagw-gossip/src/core/step.rs
@@ -348,7 +348,8 @@
                     node: from,
                     start_ms,
                 };
-                if let Some(grant) = self.grant_tokens(now, &asker, parts, &ask) {
+                let is_known = self.table.get(&asker.node).is_some();
+                if is_known && let Some(grant) = self.grant_tokens(now, &asker, parts, &ask) {
                     let answer = Message::Grant(grant);
                     self.effects.push(Effect::Send(sender, answer));
                 }
--- a/crates/cicadagw-gossip/tests/quota.rs
+++ b/crates/cicadagw-gossip/tests/quota.rs
@@ -4,11 +4,11 @@
 
 use cicadagw_call::quota::{Answer, Ask, Request};
 use cicadagw_gossip::owners::PARTS_MIN;
-use cicadagw_gossip::{Event, Reply};
+use cicadagw_gossip::{Effect, Event, Message, Reply};
 use cicadagw_platform::Revision;
 use cicadagw_unit::rate::Tokens;
 use cicadagw_unit::time::Span;
-use support::{Fleet, snapshot, snapshot_with_quota};
+use support::{Fleet, address, snapshot, snapshot_with_quota};
 
 /// Returns a fleet whose nodes hold a configuration with a quota of 40 calls a second.
 fn fleet(count: usize) -> Fleet {
@@ -145,3 +145,31 @@
 fn owns(fleet: &Fleet, index: usize) -> bool {
     fleet.nodes[index].core.quotas_owned() > 0
 }
+
+#[test]
+fn node_that_is_not_known_gets_no_tokens() {
+    let mut fleet = fleet(12);
+    let ask = |from: &str| Message::Ask {
+        ask: Ask {
+            account: "club".parse().unwrap(),
+            ahead: Tokens::new(0),
+            held: Tokens::new(0),
+            number: 1,
+            waiting: Tokens::new(1),
+        },
+        from: from.parse().unwrap(),
+        parts: 4,
+        start_ms: 1,
+    };
+    let mut answers = |from: &str| -> usize {
+        let steps = (0..12).map(|index| {
+            let event = Event::Message(address(3), ask(from));
+            let effects = fleet.nodes[index].core.step(fleet.now, event);
+            let is_answer = |effect: &&Effect| matches!(effect, Effect::Send(_, Message::Grant(_)));
+            effects.iter().filter(is_answer).count()
+        });
+        steps.sum()
+    };
+
+    assert_eq!((answers("node-0003"), answers("stranger")), (12, 0));
+}
