--- a/crates/cicadagw-call/src/admission/core.rs
+++ b/crates/cicadagw-call/src/admission/core.rs
@@ -187,7 +187,9 @@
     /// Removes all calls from the queue and returns them. Later calls may be queued again.
     pub fn close(&mut self) -> Vec<Ticket> {
         let queue = std::mem::take(&mut self.queue);
-        queue.iter().for_each(|_| self.limit.give_back());
+        for _ in 0..queue.len() {
+            self.limit.give_back();
+        }
         queue.into_keys().map(|key| key.ticket).collect()
     }
 
@@ -265,8 +267,9 @@
                 self.queue.insert(key, call);
             }
         }
-        let refused = release.expired.iter().chain(&release.shed);
-        refused.for_each(|_| self.limit.give_back());
+        for _ in release.expired.iter().chain(&release.shed) {
+            self.limit.give_back();
+        }
         release
     }
 
