Review: show that an acknowledged leaving is forgotten in a kill right after

Cause: a deregistration is acknowledged before another node or the store has it. When all processes are killed within about 50 ms, the next one registers the instance again at a late heartbeat.

Nothing is fixed.

--- a/review/standins-2/drill.rs
+++ b/review/standins-2/drill.rs
@@ -133,8 +133,8 @@
                 "GET /a HTTP/1.1\r\nHost: moved.example\r\n",
                 b"",
             );
-            for service in site.record.runs(&id) {
-                if service == CATALOGUE {
+            for run in site.record.runs(&id) {
+                if run.service == CATALOGUE {
                     old += 1;
                 } else {
                     new += 1;
--- a/review/standins-2/instance.rs
+++ b/review/standins-2/instance.rs
@@ -40,6 +40,7 @@
     zone: String,
     control: SocketAddr,
     sequence: AtomicU64,
+    is_silent: AtomicBool,
     is_over: AtomicBool,
     record: Arc<Record>,
     streams: Mutex<Vec<TcpStream>>,
@@ -65,6 +66,7 @@
             zone: setup.zone.to_owned(),
             control: setup.control,
             sequence: AtomicU64::new(0),
+            is_silent: AtomicBool::new(false),
             is_over: AtomicBool::new(false),
             record: record.clone(),
             streams: Mutex::default(),
@@ -84,7 +86,9 @@
         let beating = instance.clone();
         thread::spawn(move || {
             while !beating.is_over.load(Ordering::SeqCst) {
-                beating.beat();
+                if !beating.is_silent.load(Ordering::SeqCst) {
+                    beating.beat();
+                }
                 thread::sleep(HEARTBEAT);
             }
         });
@@ -93,12 +97,21 @@
 
     /// Sends a heartbeat.
     fn beat(&self) {
+        post(self.control, &self.id, "heartbeat", &self.next_beat());
+    }
+
+    /// Returns the body of the next heartbeat.
+    pub fn next_beat(&self) -> String {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
-        let body = format!(
+        format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":9,\"state\":\"ready\",\"coldRemaining\":\"0ms\",\"sequence\":{sequence},\"born\":{}}}",
             self.service, self.address, self.zone, self.version, self.born
-        );
-        post(self.control, &self.id, "heartbeat", &body);
+        )
+    }
+
+    /// Sends no more heartbeats.
+    pub fn fall_silent(&self) {
+        self.is_silent.store(true, Ordering::SeqCst);
     }
 
     /// Ends the instance: its connections and its listener close.
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod instance;
 mod json;
+mod leave;
 mod log;
 mod node;
 mod record;
@@ -31,6 +32,7 @@
         "revoked" => drill::revoked(folder, has_trouble),
         "unread" => log::unread(folder, has_trouble),
         "odd" => beat::odd(folder, has_trouble),
+        "departed" => leave::departed(folder, has_trouble),
         _ => Verdict::CouldNotRun,
     };
     println!("{name}: {verdict:?}");
--- a/review/standins-2/record.rs
+++ b/review/standins-2/record.rs
@@ -5,12 +5,19 @@
 use std::sync::Mutex;
 use std::time::Instant;
 
+/// A run of a request.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub service: String,
+    pub instance: String,
+}
+
 /// The record of a case.
 pub struct Record {
     begin: Instant,
     lines: Mutex<String>,
-    /// The services that ran each request.
-    runs: Mutex<BTreeMap<String, Vec<String>>>,
+    /// The runs of each request.
+    runs: Mutex<BTreeMap<String, Vec<Run>>>,
 }
 
 impl Record {
@@ -32,14 +39,16 @@
     /// Notes that an instance began to work on a request.
     pub fn ran(&self, id: &str, service: &str, instance: &str) {
         self.note(&format!("{instance} ({service}) runs {id}"));
+        let run = Run {
+            service: service.to_owned(),
+            instance: instance.to_owned(),
+        };
         let mut runs = self.runs.lock().unwrap();
-        runs.entry(id.to_owned())
-            .or_default()
-            .push(service.to_owned());
+        runs.entry(id.to_owned()).or_default().push(run);
     }
 
-    /// Returns the service of each run of a request.
-    pub fn runs(&self, id: &str) -> Vec<String> {
+    /// Returns the runs of a request.
+    pub fn runs(&self, id: &str) -> Vec<Run> {
         self.runs
             .lock()
             .unwrap()
