Bind revisions to the era of the store, and read anew after a restore

Cause: a restored store gives out the revisions after the copy anew. The change got the revision up to which the watching nodes already knew everything, so the watch and the checks, which name that revision, reported no change. Nothing read the header Store-Era, and status 410 is only given while the revisions of the store are below the one in the request.

Change: a Revision contains its era and is ordered by it first, and a Term is made from a Revision. The HTTP client takes the era of each response from the field that the encoding names, and a call whose revision is of another era fails with Error::Restored, whatever the response says. Source reads the configuration anew then; a check notices it while the watch is pending, and in the pause before the next watch as well. The node logs the restore and counts cicadagw_platform_restores_total.

Why it works: no answer of one era can be taken as an answer about a revision of another, so the only way on is a read, which names no revision.

--- a/crates/cicadactl/tests/follow.rs
+++ b/crates/cicadactl/tests/follow.rs
@@ -70,7 +70,7 @@
 
     fn set(&self, key: &Key, value: Bytes) -> Revision {
         self.revisions.set(self.revisions.get() + 1);
-        let revision = Revision(self.revisions.get());
+        let revision = Revision::new(self.revisions.get());
         let object = Object {
             key: key.clone(),
             revision,
--- a/crates/cicadagw-accept/src/apply.rs
+++ b/crates/cicadagw-accept/src/apply.rs
@@ -55,6 +55,7 @@
         Effect::WriteParts(parts) => match parts::write(store, &parts).await {
             Ok(()) => Completion::Event(Event::Written),
             Err(Error::Unknown(reason)) => Completion::Event(Event::Lost(reason)),
+            Err(error @ Error::Restored) => Completion::Event(Event::Lost(error.to_string())),
             Err(error) => unavailable(&error),
         },
         Effect::UpdateHead { head, condition } => update_head(store, &head, condition).await,
@@ -82,6 +83,7 @@
         Ok(_) => Completion::Event(Event::HeadUpdated),
         Err(Error::Conflict) => Completion::Event(Event::Conflict),
         Err(Error::Unknown(reason)) => Completion::Event(Event::Lost(reason)),
+        Err(error @ Error::Restored) => Completion::Event(Event::Lost(error.to_string())),
         Err(error @ (Error::Compacted | Error::Unavailable(_) | Error::Refused(_))) => {
             unavailable(&error)
         }
--- a/crates/cicadagw-accept/tests/accept/store.rs
+++ b/crates/cicadagw-accept/tests/accept/store.rs
@@ -66,7 +66,7 @@
         self.revisions.set(self.revisions.get() + 1);
         let object = Object {
             key: key.clone(),
-            revision: Revision(self.revisions.get()),
+            revision: Revision::new(self.revisions.get()),
             value,
         };
         let revision = object.revision;
@@ -149,6 +149,7 @@
             Ok(_) => "written",
             Err(Error::Compacted) => "compacted",
             Err(Error::Conflict) => "conflict",
+            Err(Error::Restored) => "restored",
             Err(Error::Unavailable(_)) => "unavailable",
             Err(Error::Unknown(_)) => "answer lost",
             Err(Error::Refused(_)) => "refused",
--- a/crates/cicadagw-admin/src/metrics.rs
+++ b/crates/cicadagw-admin/src/metrics.rs
@@ -47,6 +47,7 @@
         instruments.add_versions();
         instruments.add_traffic();
         instruments.add_platform();
+        instruments.add_platform_restores();
         instruments.add_rings();
         instruments.add_endpoints();
         instruments.add_rollouts();
@@ -194,6 +195,17 @@
         );
     }
 
+    fn add_platform_restores(&self) {
+        self.counter(
+            "platform_restores",
+            "",
+            "Restores of the platform's store from a copy that this node has noticed",
+            |sources, instrument| {
+                instrument.observe(sources.meter.platform_restores(), &[]);
+            },
+        );
+    }
+
     fn add_rings(&self) {
         self.gauge(
             "ring_capacity",
--- a/crates/cicadagw-call/tests/release.rs
+++ b/crates/cicadagw-call/tests/release.rs
@@ -48,7 +48,7 @@
         service: order.service,
         status: Some(status),
         stopped: false,
-        term: Term::new(1),
+        term: Term::from(cicadagw_unit::Revision::new(1)),
     }
 }
 
--- a/crates/cicadagw-control/src/lease.rs
+++ b/crates/cicadagw-control/src/lease.rs
@@ -248,7 +248,8 @@
                 Event::Written
             }
             Err(Error::Conflict) => Event::Conflict,
-            Err(Error::Unknown(_)) => Event::LostResponse,
+            // What a write did to a store that has been restored is as uncertain as a lost response.
+            Err(Error::Restored | Error::Unknown(_)) => Event::LostResponse,
             Err(Error::Compacted | Error::Unavailable(_) | Error::Refused(_)) => Event::Failed,
         };
         self.step(now, event)
--- a/crates/cicadagw-control/tests/control/outage.rs
+++ b/crates/cicadagw-control/tests/control/outage.rs
@@ -117,7 +117,7 @@
     });
     let late = Object {
         key: Key::part(snapshot(9).stamp.digest),
-        revision: Revision(1),
+        revision: Revision::new(1),
         value: b"late".as_slice().to_vec().into(),
     };
     session.reply_to(Purpose::Part(1), Ok(Response::Object(Some(late))));
--- a/crates/cicadagw-control/tests/control/property.rs
+++ b/crates/cicadagw-control/tests/control/property.rs
@@ -161,12 +161,12 @@
         };
         Ok(Response::Object(Some(Object {
             key: Key::domain_lease(&claim.domain),
-            revision: Revision(u64::from(choice)),
+            revision: Revision::new(u64::from(choice)),
             value: serde_json::to_vec(&claim).unwrap().into(),
         })))
     };
     match (request, choice % 5) {
-        (Request::Put { .. }, 0 | 1) => Ok(Response::Written(Revision(u64::from(choice)))),
+        (Request::Put { .. }, 0 | 1) => Ok(Response::Written(Revision::new(u64::from(choice)))),
         (Request::Put { .. }, 2) => Err(Error::Conflict),
         (Request::Put { .. }, 3) => Err(Error::Unknown("connection reset".to_owned())),
         (_, 0) => Ok(Response::Object(None)),
--- a/crates/cicadagw-control/tests/control/render.rs
+++ b/crates/cicadagw-control/tests/control/render.rs
@@ -184,6 +184,7 @@
         Ok(Response::Written(revision)) => format!("written at {revision}"),
         Err(Error::Conflict) => "conflict".to_owned(),
         Err(Error::Compacted) => "compacted".to_owned(),
+        Err(Error::Restored) => "restored".to_owned(),
         Err(Error::Unavailable(_)) => "unavailable".to_owned(),
         Err(Error::Unknown(_)) => "response lost".to_owned(),
         Err(Error::Refused(_)) => "refused".to_owned(),
--- a/crates/cicadagw-control/tests/control/store.rs
+++ b/crates/cicadagw-control/tests/control/store.rs
@@ -142,7 +142,7 @@
 
     pub(crate) fn write(&mut self, key: Key, value: Vec<u8>) -> Revision {
         self.revision += 1;
-        let revision = Revision(self.revision);
+        let revision = Revision::new(self.revision);
         let object = Object {
             key: key.clone(),
             revision,
--- a/crates/cicadagw-dev/src/platform/handlers.rs
+++ b/crates/cicadagw-dev/src/platform/handlers.rs
@@ -86,7 +86,7 @@
         None => get_now(&state, &request, &key).await,
         Some(after) => {
             let wait = Duration::from_millis(watch.wait.unwrap_or_default());
-            long_poll(&state, &request, &key, Revision(after), wait).await
+            long_poll(&state, &request, &key, Revision::new(after), wait).await
         }
     }
 }
--- a/crates/cicadagw-dev/src/platform/objects.rs
+++ b/crates/cicadagw-dev/src/platform/objects.rs
@@ -69,7 +69,7 @@
         if !holds {
             return Err(PutError::Conflict);
         }
-        self.latest = Revision(self.latest.0 + 1);
+        self.latest = Revision::new(self.latest.number() + 1);
         let revision = self.latest;
         slot.insert_entry(Entry { revision, value });
         Ok(revision)
--- a/crates/cicadagw-dev/tests/platform.rs
+++ b/crates/cicadagw-dev/tests/platform.rs
@@ -248,7 +248,9 @@
     let platform = platform();
     let client = client(&[platform.address]);
 
-    let seen = client.watch(&Key::head(), Revision(0), Span::new(20)).await;
+    let seen = client
+        .watch(&Key::head(), Revision::new(0), Span::new(20))
+        .await;
 
     assert_eq!(seen, Ok(None));
 }
@@ -263,7 +265,7 @@
         ..Change::default()
     };
 
-    let (seen, ()) = tokio::join!(client.watch(&key, Revision(0), LONG), async {
+    let (seen, ()) = tokio::join!(client.watch(&key, Revision::new(0), LONG), async {
         platform.control(down);
     });
 
--- a/crates/cicadagw-gossip/src/core/reply.rs
+++ b/crates/cicadagw-gossip/src/core/reply.rs
@@ -1,5 +1,6 @@
 //! Responses to requests to the platform and to other nodes.
 
+use cicadagw_platform::Era;
 use cicadagw_unit::time::Timestamp;
 
 use super::Core;
@@ -29,6 +30,7 @@
             Reply::RolloutWritten(service, outcome) => {
                 self.handle_rollout_written(now, &service, outcome);
             }
+            Reply::Restored(era) => self.handle_restored(now, era),
             Reply::Fetched(outcome) => {
                 self.fetch_deadline = None;
                 match outcome {
@@ -42,6 +44,14 @@
         }
     }
 
+    /// Discards what revisions of earlier eras say about the store.
+    fn handle_restored(&mut self, now: Timestamp, era: Era) {
+        let notice = Notice::PlatformRestored(era);
+        self.effects.push(Effect::Log(notice));
+        let call = self.source.restart(now, &mut self.rng);
+        self.effects.extend(call.map(Effect::Call));
+    }
+
     /// Merges the nodes listed by the platform. The list may be older than the records that nodes
     /// send themselves, so only nodes that are not in the table yet are added.
     fn merge_listed(&mut self, now: Timestamp, members: Vec<Member>) {
--- a/crates/cicadagw-gossip/src/core/rollouts.rs
+++ b/crates/cicadagw-gossip/src/core/rollouts.rs
@@ -64,7 +64,7 @@
                     order: None,
                     service: directive.service.clone(),
                     status: None,
-                    term: Term::new(orders.at.0),
+                    term: Term::from(orders.at),
                 })
                 .collect();
             for entry in missing {
--- a/crates/cicadagw-gossip/src/event.rs
+++ b/crates/cicadagw-gossip/src/event.rs
@@ -7,7 +7,7 @@
 use cicadagw_call::quota::{Grant, Request};
 use cicadagw_config::Snapshot;
 use cicadagw_endpoint::{Departures, LocalUpdate};
-use cicadagw_platform::{Error, Revision};
+use cicadagw_platform::{Era, Error, Revision};
 use cicadagw_rollout::{Decision, Directive, Entry, Report, Status};
 use cicadagw_unit::time::{Span, Timestamp};
 use cicadagw_unit::{Term, Version, id};
@@ -126,6 +126,9 @@
     RolloutWritten(id::Service, Result<Term, Error>),
     /// Response to [`Call::FetchConfiguration`].
     Fetched(Result<Arc<Snapshot>, Error>),
+    /// No response to a call: a response has named a later era than those before. It precedes the
+    /// reply to its call.
+    Restored(Era),
 }
 
 /// The orders of rollouts, or those that have changed.
@@ -186,6 +189,8 @@
         /// of its region.
         confirmed_age: Span,
     },
+    /// The store of the platform has been restored from a copy; its new era.
+    PlatformRestored(Era),
     /// An order of a rollout was noticed, or withdrawn.
     RolloutOrdered(Directive),
     /// This node begins or ceases to lead the rollout of a service.
@@ -222,6 +227,7 @@
             Self::DeparturesRestored(_) => "departures from this host restored",
             Self::MemberChanged(_) => "member record changed",
             Self::PlatformAvailable => "platform available again",
+            Self::PlatformRestored(_) => "store of the platform restored from a copy",
             Self::PlatformUnavailable { .. } => "platform unavailable",
             Self::RolloutOrdered(directive) if directive.status.is_none() => "rollout withdrawn",
             Self::RolloutOrdered(_) => "rollout ordered",
--- a/crates/cicadagw-gossip/src/hash.rs
+++ b/crates/cicadagw-gossip/src/hash.rs
@@ -41,7 +41,7 @@
     hasher
         .update(directive.service.as_str().as_bytes())
         .update(&[0, u8::from(stopped)])
-        .update(&term.get().to_le_bytes());
+        .update(term.to_string().as_bytes());
     first_eight(&hasher.finalize()).max(1)
 }
 
--- a/crates/cicadagw-gossip/src/message.rs
+++ b/crates/cicadagw-gossip/src/message.rs
@@ -89,6 +89,7 @@
         /// The number of the question.
         number: u64,
         /// A revision of the store at which the version was the newest.
+        #[serde(flatten)]
         revision: Revision,
         /// The newest version at that time.
         version: Version,
--- a/crates/cicadagw-gossip/src/source.rs
+++ b/crates/cicadagw-gossip/src/source.rs
@@ -32,7 +32,8 @@
         Due = "due",
         /// The request succeeded.
         Answered = "answered",
-        /// The platform no longer has the history since the requested revision, or has no
+        /// The platform no longer has the history since the requested revision, because it has been
+    /// compacted or the platform restored from a copy, or it has no
         /// configuration yet.
         Compacted = "compacted",
         /// The request failed.
@@ -183,11 +184,19 @@
                 None
             }
             // The history that the pending watch needs is gone as well.
-            Err(Error::Compacted) => self.step(now, Event::Compacted, rng),
+            Err(Error::Compacted | Error::Restored) => self.restart(now, rng),
             Err(_) => None,
         }
     }
 
+    /// Returns a read of the configuration that replaces what is known up to a revision, unless one
+    /// is in flight or due anyway.
+    pub fn restart(&mut self, now: Timestamp, rng: &mut impl Rng) -> Option<Call> {
+        self.is_watched()
+            .then(|| self.step(now, Event::Compacted, rng))
+            .flatten()
+    }
+
     /// Returns whether all changes up to a revision are known.
     const fn is_watched(&self) -> bool {
         matches!(self.state, State::Synced | State::Watching)
@@ -208,7 +217,9 @@
                 self.check_due = now.after(CHECK_INTERVAL);
                 Event::Answered
             }
-            Err(Error::Compacted) => Event::Compacted,
+            // Only a watch names a revision, and a read in flight has replaced it.
+            Err(Error::Restored) if self.state == State::Reading => return None,
+            Err(Error::Compacted | Error::Restored) => Event::Compacted,
             Err(_) => Event::Failed,
         };
         self.is_doubted = outcome.is_err();
--- a/crates/cicadagw-gossip/tests/confirmation.rs
+++ b/crates/cicadagw-gossip/tests/confirmation.rs
@@ -268,7 +268,7 @@
         age: Span::new(age),
         from: "node-0000".parse().unwrap(),
         number,
-        revision: Revision(3),
+        revision: Revision::new(3),
         version: Version::new(1),
     };
     let number = number.expect("a question");
@@ -346,7 +346,7 @@
     let mut core = new_strict_core(0, 1);
     let mut now = Timestamp::new(0);
     let read_at = tick_until(&mut core, &mut now, sent_at);
-    let read = Ok((Revision(3), Some(support::snapshot_with_quota(1))));
+    let read = Ok((Revision::new(3), Some(support::snapshot_with_quota(1))));
     core.step(now, Event::Reply(Reply::Read(read_at, read)));
     tick_until(&mut core, &mut now, |call| {
         matches!(call, Call::WatchConfiguration { .. }).then_some(())
@@ -372,7 +372,7 @@
     let reads = |effect: &Effect| matches!(effect, Effect::Call(call) if sent_at(call).is_some());
     assert!(effects.iter().any(reads), "{effects:?}");
 
-    let watched = Ok((Revision(4), Some(support::snapshot_with_quota(1))));
+    let watched = Ok((Revision::new(4), Some(support::snapshot_with_quota(1))));
     core.step(now, Event::Reply(Reply::Watched(watched)));
 
     assert_eq!(core.confirmed_age(now), now.since(read_at));
@@ -390,7 +390,7 @@
     core.step(now, Event::Reply(Reply::Watched(failed)));
     let second_at = tick_until(&mut core, &mut now, sent_at);
 
-    let read = Ok((Revision(4), Some(support::snapshot_with_quota(1))));
+    let read = Ok((Revision::new(4), Some(support::snapshot_with_quota(1))));
     core.step(now, Event::Reply(Reply::Read(first_at, read)));
 
     assert!(second_at > first_at);
--- a/crates/cicadagw-gossip/tests/quota.rs
+++ b/crates/cicadagw-gossip/tests/quota.rs
@@ -21,7 +21,7 @@
 
 /// Gives a node the configuration with the quota.
 fn configure(fleet: &mut Fleet, index: usize) {
-    let configuration = (Revision(2), Some(snapshot_with_quota(2)));
+    let configuration = (Revision::new(2), Some(snapshot_with_quota(2)));
     let reply = Reply::Watched(Ok(configuration));
     fleet.step(index, Event::Reply(reply));
 }
--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -19,12 +19,12 @@
 use cicadagw_call::quota::Grant;
 use cicadagw_config::Snapshot;
 use cicadagw_gossip::{Call, Core, Effect, Event, Member, Message, Notice, Reply};
-use cicadagw_platform::{Error, Revision};
+use cicadagw_platform::{Era, Error, Revision};
 use cicadagw_rollout::Entry;
 use cicadagw_unit::time::{Span, Timestamp};
 use cicadagw_view::View;
 pub use load::{Behaviour, Load};
-pub use platform::Platform;
+pub use platform::{Copy, Platform};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 pub use record::{
@@ -54,6 +54,8 @@
     pending_rollout_watch: Option<(Revision, Timestamp)>,
     /// Responses that arrive later, and when.
     delayed: Vec<(Timestamp, Reply)>,
+    /// The era of the platform that the last response named.
+    era: Era,
 }
 
 /// The nodes, the network between them, and the platform.
@@ -69,6 +71,8 @@
     pub frozen: BTreeSet<usize>,
     /// The longest time that a message takes, in ticks.
     pub delay_ticks: u64,
+    /// Whether the first response of another era is preceded by a notice of the restore.
+    pub announces_restores: bool,
     /// Whether operators order rollouts.
     has_rollouts: bool,
     /// Nodes from which a fetch of the configuration gets no response.
@@ -97,6 +101,7 @@
             isolated: BTreeSet::new(),
             frozen: BTreeSet::new(),
             delay_ticks: 0,
+            announces_restores: true,
             has_rollouts: false,
             silent_to_fetches: BTreeSet::new(),
             bytes: 0,
@@ -111,7 +116,7 @@
     /// Stores a configuration of this version with a client account at the platform.
     pub fn publish_account(&mut self, version: u64) {
         self.publish_configuration(version);
-        let revision = Revision(self.platform.revision);
+        let revision = self.platform.at();
         self.platform.config = Some((revision, snapshot_with_quota(version)));
     }
 
@@ -126,7 +131,7 @@
     /// Stores a configuration of this version at the platform.
     pub fn publish_configuration(&mut self, version: u64) {
         self.platform.revision += 1;
-        let revision = Revision(self.platform.revision);
+        let revision = self.platform.at();
         self.platform.config = Some((revision, snapshot(version)));
     }
 
@@ -149,6 +154,17 @@
     }
 
     pub fn step(&mut self, index: usize, event: Event) {
+        if let Event::Reply(reply) = &event
+            && self.announces_restores
+            && is_response(reply)
+            && self.nodes[index].era != self.platform.era
+        {
+            let era = self.platform.era;
+            let known = std::mem::replace(&mut self.nodes[index].era, era);
+            if known > Era::default() {
+                self.step(index, Event::Reply(Reply::Restored(era)));
+            }
+        }
         let node = &mut self.nodes[index];
         let effects = node
             .core
@@ -244,6 +260,11 @@
     }
 }
 
+/// Returns whether a reply is a response of the platform.
+fn is_response(reply: &Reply) -> bool {
+    !matches!(reply, Reply::Fetched(_) | Reply::Restored(_))
+}
+
 impl Node {
     fn new(core: Core) -> Self {
         Self {
@@ -256,6 +277,7 @@
             pending_watches: Vec::new(),
             pending_rollout_watch: None,
             delayed: Vec::new(),
+            era: Era::default(),
         }
     }
 
--- a/crates/cicadagw-gossip/tests/support/platform.rs
+++ b/crates/cicadagw-gossip/tests/support/platform.rs
@@ -5,7 +5,7 @@
 
 use cicadagw_config::Snapshot;
 use cicadagw_gossip::{Call, Event, Member, Reply};
-use cicadagw_platform::{Error, Revision};
+use cicadagw_platform::{Era, Error, Revision};
 use cicadagw_rollout::Entry;
 use cicadagw_unit::time::{Span, Timestamp};
 use rand::RngExt;
@@ -15,6 +15,15 @@
 /// Timeout of a request to the platform; the wait of a watch is added to it.
 const CALL_TIMEOUT: Span = Span::seconds(2);
 
+/// What a copy of the platform's store contains.
+#[derive(Clone)]
+pub struct Copy {
+    config: Option<(Revision, Arc<Snapshot>)>,
+    members: BTreeMap<String, Member>,
+    orders: BTreeMap<String, Entry>,
+    revision: u64,
+}
+
 /// A simulated platform.
 #[derive(Default)]
 #[expect(clippy::struct_excessive_bools, reason = "each is a fault of its own")]
@@ -22,6 +31,8 @@
     pub members: BTreeMap<String, Member>,
     pub config: Option<(Revision, Arc<Snapshot>)>,
     pub revision: u64,
+    /// The number of restores.
+    pub era: Era,
     /// Number of member records written.
     pub writes: usize,
     /// Nodes whose requests fail.
@@ -49,6 +60,38 @@
     pub holds_rollout_watches: bool,
 }
 
+impl Platform {
+    /// Returns the revision of the last change.
+    pub fn at(&self) -> Revision {
+        Revision::new(self.revision).in_era(self.era)
+    }
+
+    /// Returns a copy of the store.
+    pub fn copy(&self) -> Copy {
+        Copy {
+            config: self.config.clone(),
+            members: self.members.clone(),
+            orders: self.orders.clone(),
+            revision: self.revision,
+        }
+    }
+
+    /// Restores the store from `copy`: the next writes get revisions that other writes had before.
+    pub fn restore(&mut self, copy: Copy) {
+        self.era = Era::new(self.era.get() + 1);
+        let era = self.era;
+        let anew = |revision: Revision| revision.in_era(era);
+        let config = copy.config;
+        self.config = config.map(|(revision, snapshot)| (anew(revision), snapshot));
+        self.members = copy.members;
+        self.orders = copy.orders;
+        for entry in self.orders.values_mut() {
+            entry.term = anew(Revision::from(entry.term)).into();
+        }
+        self.revision = copy.revision;
+    }
+}
+
 impl Fleet {
     /// Responds to a request of a node, except for a watch, which waits for a change.
     pub(super) fn call(&mut self, index: usize, call: Call) {
@@ -79,6 +122,9 @@
             Call::CheckConfiguration { .. } if self.platform.checks_find_no_history => {
                 Reply::Checked(Err(Error::Compacted))
             }
+            Call::CheckConfiguration { after, .. } if after.era() != self.platform.era => {
+                Reply::Checked(Err(Error::Restored))
+            }
             Call::CheckConfiguration { after, .. } => {
                 Reply::Checked(Ok(match &self.platform.config {
                     Some((revision, snapshot)) if *revision > after => {
@@ -116,9 +162,16 @@
             Call::ConfirmConfiguration(inquiry) if is_unavailable => {
                 Reply::Confirmed(inquiry, Err(unavailable()))
             }
+            Call::ConfirmConfiguration(inquiry)
+                if inquiry
+                    .after
+                    .is_some_and(|after| after.era() != self.platform.era) =>
+            {
+                Reply::Confirmed(inquiry, Err(Error::Restored))
+            }
             Call::ConfirmConfiguration(inquiry) => {
                 self.confirmations += 1;
-                let at = Revision(self.platform.revision);
+                let at = self.platform.at();
                 let config = self.platform.config.as_ref();
                 let newer = config.filter(|(revision, _)| Some(*revision) > inquiry.after);
                 Reply::Confirmed(
@@ -198,7 +251,10 @@
     fn reply_to_watch(&self, index: usize, (after, until): (Revision, Timestamp)) -> Option<Reply> {
         let is_silent = self.platform.silent_to.contains(&index);
         let change = match &self.platform.config {
-            Some((revision, snapshot)) if *revision > after && !self.platform.is_deaf => {
+            // The platform knows only the number of the revision.
+            Some((revision, snapshot))
+                if revision.number() > after.number() && !self.platform.is_deaf =>
+            {
                 Some((*revision, Some(snapshot.clone())))
             }
             _ if self.now >= until => Some((after, None)),
@@ -209,8 +265,10 @@
         } else if is_silent || self.platform.unavailable_to.contains(&index) {
             let error = Error::Unavailable("unavailable".to_owned());
             Some(Reply::Watched(Err(error)))
-        } else if self.platform.has_compacted {
+        } else if self.platform.has_compacted || after.number() > self.platform.revision {
             Some(Reply::Watched(Err(Error::Compacted)))
+        } else if after.era() != self.platform.era {
+            change.map(|_| Reply::Watched(Err(Error::Restored)))
         } else {
             change.map(|change| Reply::Watched(Ok(change)))
         }
--- a/crates/cicadagw-gossip/tests/support/rollout.rs
+++ b/crates/cicadagw-gossip/tests/support/rollout.rs
@@ -91,7 +91,7 @@
             status: status.filter(|_| order.is_some()),
             order,
             service: "orders".parse().unwrap(),
-            term: Term::new(self.platform.revision),
+            term: Term::from(self.platform.at()),
         };
         self.platform.orders.insert("orders".to_owned(), entry);
     }
@@ -118,7 +118,7 @@
                 let all = self.platform.orders.values();
                 let entries = all.filter(|entry| entry.order.is_some()).cloned();
                 Reply::Rollouts(Ok(Orders {
-                    at: Revision(self.platform.revision),
+                    at: self.platform.at(),
                     entries: entries.collect(),
                     is_complete: true,
                     unreadable: Vec::new(),
@@ -138,7 +138,7 @@
                 term,
             } => {
                 self.platform.revision += 1;
-                let revision = Term::new(self.platform.revision);
+                let revision = Term::from(self.platform.at());
                 let entry = self.platform.orders.get_mut(service.as_str());
                 let entry = entry.filter(|entry| entry.order.is_some() && entry.term == term);
                 let entry = entry.filter(|_| !self.platform.refuses_status);
@@ -172,18 +172,21 @@
         if self.platform.holds_rollout_watches {
             return;
         }
+        let is_restored = after.era() != self.platform.era;
         let changed = self.platform.orders.values();
         let entries: Vec<Entry> = changed
-            .filter(|entry| entry.term.get() > after.0)
+            .filter(|entry| Revision::from(entry.term).number() > after.number())
             .cloned()
             .collect();
         let reply = if self.platform.unavailable_to.contains(&index) {
             Err(Error::Unavailable("unavailable".to_owned()))
-        } else if self.platform.has_compacted {
+        } else if self.platform.has_compacted || after.number() > self.platform.revision {
             Err(Error::Compacted)
+        } else if is_restored && (!entries.is_empty() || self.now >= until) {
+            Err(Error::Restored)
         } else if !entries.is_empty() || self.now >= until {
             Ok(Orders {
-                at: Revision(self.platform.revision),
+                at: self.platform.at(),
                 entries,
                 is_complete: false,
                 unreadable: Vec::new(),
--- a/crates/cicadagw-meter/src/meter.rs
+++ b/crates/cicadagw-meter/src/meter.rs
@@ -33,6 +33,8 @@
     /// The highest version that the node has held.
     held: AtomicU64,
     platform: Counts<OPERATIONS>,
+    /// The number of restores of the platform's store that this node has noticed.
+    platform_restores: AtomicU64,
     /// The number of accounts of whose quotas this node owns a part that is in use.
     quotas_owned: AtomicU64,
     rollouts: Counts<ROLLOUT_STATES>,
@@ -92,6 +94,11 @@
     pub fn count_platform_call(&self, operation: Operation, outcome: PlatformOutcome) {
         self.0.platform.add(operation_index(operation, outcome), 1);
     }
+
+    /// Counts a restore of the platform's store from a copy.
+    pub fn count_platform_restore(&self) {
+        self.0.platform_restores.fetch_add(1, Ordering::Relaxed);
+    }
 }
 
 /// The reading side, for the admin duty.
@@ -116,6 +123,11 @@
         self.0.platform.get(operation_index(operation, outcome))
     }
 
+    /// Returns the number of restores of the platform's store that this node has noticed.
+    pub fn platform_restores(&self) -> u64 {
+        self.0.platform_restores.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of known endpoints in `state`.
     pub fn endpoints(&self, state: State) -> u64 {
         self.0.endpoints.get(state_index(state))
--- a/crates/cicadagw-node/src/peering/gossip.rs
+++ b/crates/cicadagw-node/src/peering/gossip.rs
@@ -261,6 +261,9 @@
         Notice::Stale(age) => {
             log::warn!(age_ms = age.get(), next = "the node refuses calls with keys until the platform or another node confirms the configuration"; "{notice}");
         }
+        Notice::PlatformRestored(era) => {
+            log::warn!(era = era.get(), next = "the node reads anew what it knew up to a revision of an earlier era"; "{notice}");
+        }
         Notice::PlatformAvailable | Notice::Watching(_) => log::info!("{notice}"),
         Notice::PlatformUnavailable {
             reason,
--- a/crates/cicadagw-node/src/peering/platform.rs
+++ b/crates/cicadagw-node/src/peering/platform.rs
@@ -1,7 +1,7 @@
 //! The platform duty: makes the calls to the platform and to other nodes that the gossip duty
 //! requests.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::io;
 use std::rc::Rc;
@@ -13,7 +13,7 @@
 use cicadagw_gossip::{Call, Member, Orders, Reply};
 use cicadagw_meter::{Meter, Operation, PlatformOutcome};
 use cicadagw_platform::http::Client;
-use cicadagw_platform::{Condition, Error, Freshness, Key, Object, Position, Revision, Store};
+use cicadagw_platform::{Condition, Era, Error, Freshness, Key, Object, Position, Revision, Store};
 use cicadagw_proxy::SNAPSHOT_PATH;
 use cicadagw_rollout::Status;
 use cicadagw_settings::Settings;
@@ -48,6 +48,7 @@
     let worker = Rc::new(Worker {
         adapter,
         client,
+        era: Cell::new(None),
         meter,
         ignored: RefCell::default(),
     });
@@ -61,6 +62,9 @@
         let replies = rings.replies.clone();
         actix::spawn(async move {
             let reply = worker.execute(call).await;
+            if let Some(era) = worker.notice_restore() {
+                replies.send(Reply::Restored(era)).await.ok();
+            }
             // Sending fails only when the gossip duty has ended, and then the reply is not needed.
             replies.send(reply).await.ok();
         });
@@ -71,6 +75,8 @@
 struct Worker {
     adapter: Adapter,
     client: Client,
+    /// The era of the platform's store when [`Worker::notice_restore`] was last called.
+    era: Cell<Option<Era>>,
     meter: Meter,
     /// The keys of the node objects that cannot be decoded, so that each is logged once.
     ignored: RefCell<BTreeSet<Key>>,
@@ -125,6 +131,18 @@
         }
     }
 
+    /// Returns the era of the platform's store if it has been restored from a copy since the last
+    /// call of this function, and counts that.
+    fn notice_restore(&self) -> Option<Era> {
+        let latest = self.client.era();
+        let known = self.era.replace(latest);
+        let restored = latest.filter(|latest| known.is_some_and(|known| known < *latest));
+        if restored.is_some() {
+            self.meter.count_platform_restore();
+        }
+        restored
+    }
+
     /// Writes the object that describes this node; with `create`, only if it does not exist yet.
     async fn register(&self, member: &Member, create: bool) -> Result<(), Error> {
         let value = serde_json::to_vec(member).expect("a member can be written as JSON");
@@ -232,8 +250,8 @@
     ) -> Result<Term, Error> {
         let key = Key::rollout(service);
         let bytes = (self.adapter.render_rollout)(status);
-        let written = self.client.put_status(&key, &bytes, Revision(term.get()));
-        written.await.map(|revision| Term::new(revision.0))
+        let written = self.client.put_status(&key, &bytes, Revision::from(term));
+        written.await.map(Term::from)
     }
 
     /// Asks whether there is a configuration after the revision `after`, or reads it if there is no
--- a/crates/cicadagw-platform/src/encoding/interface.rs
+++ b/crates/cicadagw-platform/src/encoding/interface.rs
@@ -10,6 +10,12 @@
 ///
 /// An implementation holds no state and makes no decisions.
 pub trait Encoding: Send + Sync {
+    /// Returns the name of the response field that holds the era of the store, in lower case; `None`
+    /// if the API counts no eras.
+    fn era_field(&self) -> Option<&'static str> {
+        None
+    }
+
     /// Encodes a read of an object.
     fn get(&self, key: &Key) -> Request;
 
--- a/crates/cicadagw-platform/src/encoding/message.rs
+++ b/crates/cicadagw-platform/src/encoding/message.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 use smallvec::SmallVec;
 
-use crate::{Error, Object};
+use crate::{Era, Error, Object};
 
 /// The maximum length of the part of a response body that an error quotes, in bytes.
 const REASON_MAX: usize = 256;
@@ -50,6 +50,8 @@
 pub struct Response {
     /// The body.
     pub body: Bytes,
+    /// The era of the store; that of the response before if the response names none.
+    pub era: Era,
     /// The status code.
     pub status: u16,
     /// The entity tag, if there is one.
--- a/crates/cicadagw-platform/src/encoding/path.rs
+++ b/crates/cicadagw-platform/src/encoding/path.rs
@@ -17,7 +17,11 @@
 
 /// Returns the path that waits up to `wait` for the object to have a revision above `after`.
 pub fn watch(key: &Key, after: Revision, wait: Span) -> String {
-    format!("{OBJECTS}{key}?after={after}&wait={}", wait.get())
+    format!(
+        "{OBJECTS}{key}?after={}&wait={}",
+        after.number(),
+        wait.get()
+    )
 }
 
 /// Returns the path that lists the keys which start with `prefix`.
--- a/crates/cicadagw-platform/src/http/client.rs
+++ b/crates/cicadagw-platform/src/http/client.rs
@@ -17,7 +17,7 @@
 use super::failure::Failure;
 use crate::encoding::{Effect, Encoding, Method, Native, Request, Response};
 use crate::{
-    Changes, Condition, Error, Freshness, Key, Object, Position, Revision, Store, Traffic,
+    Changes, Condition, Era, Error, Freshness, Key, Object, Position, Revision, Store, Traffic,
 };
 
 /// The maximum size of a response body, in bytes. An object has at most one megabyte; the response
@@ -42,6 +42,8 @@
     /// The index of the address that is tried first: that of the last call that did not fail to
     /// connect.
     preferred: Cell<usize>,
+    /// The latest era of the store that a response has named.
+    era: Cell<Option<Era>>,
     traffic: Traffic,
 }
 
@@ -85,6 +87,7 @@
             connect_timeout,
             http: RefCell::new(new_http_client(agent, connect_timeout)),
             preferred: Cell::new(0),
+            era: Cell::new(None),
             traffic,
         }
     }
@@ -94,6 +97,11 @@
         &self.traffic
     }
 
+    /// Returns the latest era of the store that a response has named; `None` without one.
+    pub const fn era(&self) -> Option<Era> {
+        self.era.get()
+    }
+
     /// Fetches the bytes that the node at `address` serves at `path`.
     ///
     /// # Errors
@@ -124,6 +132,7 @@
     ) -> Result<Option<Object>, Error> {
         let request = self.encoding.check(key, after);
         let response = self.call(&request, Effect::Read, timeout).await?;
+        require_era(&response, after)?;
         Ok(self.encoding.position(key, after, &response)?.object)
     }
 
@@ -142,6 +151,9 @@
         let wait = since.map_or(0, |(_, wait)| wait.get());
         let timeout = Span::new(wait.saturating_add(self.timeout.get()));
         let response = self.call(&request, Effect::Read, timeout).await?;
+        if let Some((after, _)) = since {
+            require_era(&response, after)?;
+        }
         self.encoding.changes(prefix, &response)
     }
 
@@ -159,6 +171,7 @@
         let request = self.encoding.put_status(key, status, revision);
         let request = request.ok_or_else(no_status)?;
         let response = self.call(&request, Effect::Write, self.timeout).await?;
+        require_era(&response, revision)?;
         self.encoding.written(&response)
     }
 
@@ -241,6 +254,7 @@
         let tag = tag.and_then(|tag| tag.to_str().ok()).map(Into::into);
         Ok(Response {
             body,
+            era: self.observe_era(response.headers()),
             status: response.status().as_u16(),
             tag,
         })
@@ -248,6 +262,16 @@
 }
 
 impl Client {
+    /// Returns the era that a response with `headers` names, or else the latest one, and keeps the
+    /// latest one.
+    fn observe_era(&self, headers: &HeaderMap) -> Era {
+        let latest = self.era.get();
+        let field = self.encoding.era_field();
+        let named = field.and_then(|field| headers.get(field)?.to_str().ok()?.parse().ok());
+        self.era.set(latest.max(named));
+        named.or(latest).unwrap_or_default()
+    }
+
     /// Drops the idle connections. Whatever made one connection fall silent or end, such as a
     /// failover of the platform, has likely affected the others as well.
     fn drop_idle_connections(&self) {
@@ -256,6 +280,19 @@
     }
 }
 
+/// Checks that the store has not been restored since the revision that the request named.
+///
+/// # Errors
+///
+/// Fails with [`Error::Restored`] if the response is one of another era.
+fn require_era(response: &Response, revision: Revision) -> Result<(), Error> {
+    if response.era == revision.era() {
+        Ok(())
+    } else {
+        Err(Error::Restored)
+    }
+}
+
 fn no_status() -> Error {
     Error::Refused("objects of this platform have no status".to_owned())
 }
@@ -306,6 +343,9 @@
     async fn put(&self, key: &Key, value: Bytes, condition: Condition) -> Result<Revision, Error> {
         let request = self.encoding.put(key, &value, condition);
         let response = self.call(&request, Effect::Write, self.timeout).await?;
+        if let Condition::Revision(revision) = condition {
+            require_era(&response, revision)?;
+        }
         self.encoding.written(&response)
     }
 
@@ -317,6 +357,7 @@
         let request = self.encoding.watch(key, after, wait);
         let timeout = Span::new(wait.get().saturating_add(self.timeout.get()));
         let response = self.call(&request, Effect::Read, timeout).await?;
+        require_era(&response, after)?;
         self.encoding.position(key, after, &response)
     }
 
--- a/crates/cicadagw-platform/src/lib.rs
+++ b/crates/cicadagw-platform/src/lib.rs
@@ -10,8 +10,9 @@
 mod store;
 mod traffic;
 
+pub use cicadagw_unit::{Era, Revision};
 pub use error::Error;
 pub use key::Key;
-pub use object::{Changes, Condition, Freshness, Object, Position, Revision, Tracked};
+pub use object::{Changes, Condition, Freshness, Object, Position, Tracked};
 pub use store::Store;
 pub use traffic::{Traffic, Volume};
--- a/crates/cicadagw-platform/src/object.rs
+++ b/crates/cicadagw-platform/src/object.rs
@@ -1,33 +1,10 @@
 //! Objects of the platform and the conditions on their access.
 
-use std::fmt;
-
 use bytes::Bytes;
+use cicadagw_unit::Revision;
 
 use crate::Key;
 
-/// The revision of an object; every write increases it.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Eq,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    serde::Deserialize,
-    serde::Serialize,
-)]
-#[serde(transparent)]
-pub struct Revision(pub u64);
-
-impl fmt::Display for Revision {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
-    }
-}
-
 /// An object at the revision at which it was read.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Object {
--- a/crates/cicadagw-platform/tests/broken.rs
+++ b/crates/cicadagw-platform/tests/broken.rs
@@ -119,7 +119,7 @@
         let fetched = client.fetch(address, "/snapshot").await;
 
         assert_eq!(read, Ok(Vec::new()));
-        assert_eq!(written, Ok(Revision(3)));
+        assert_eq!(written, Ok(Revision::new(3)));
         assert_eq!(fetched, Ok(Bytes::from_static(b"[]")));
     }
 }
--- a/crates/cicadagw-platform/tests/silence.rs
+++ b/crates/cicadagw-platform/tests/silence.rs
@@ -91,7 +91,7 @@
     let client = client(&server);
     let key = Key::head();
 
-    let watching = client.watch(&key, Revision(1), Span::seconds(20));
+    let watching = client.watch(&key, Revision::new(1), Span::seconds(20));
     let probing = async {
         let begin = Instant::now();
         loop {
--- a/crates/cicadagw-rollout/src/directive.rs
+++ b/crates/cicadagw-rollout/src/directive.rs
@@ -18,6 +18,7 @@
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub stopped: bool,
     /// The platform's revision of the status.
+    #[serde(flatten)]
     pub term: Term,
 }
 
--- a/crates/cicadagw-rollout/tests/split.rs
+++ b/crates/cicadagw-rollout/tests/split.rs
@@ -24,7 +24,7 @@
         service: "orders".parse().unwrap(),
         status: Some(status),
         stopped: false,
-        term: Term::new(5),
+        term: Term::from(cicadagw_unit::Revision::new(5)),
     }
 }
 
--- a/crates/cicadagw-unit/src/lib.rs
+++ b/crates/cicadagw-unit/src/lib.rs
@@ -13,4 +13,4 @@
 
 pub use digest::Digest;
 pub use error::Error;
-pub use version::{Sequence, Term, Version};
+pub use version::{Era, Revision, Sequence, Term, Version};
--- a/crates/cicadagw-unit/tests/text.rs
+++ b/crates/cicadagw-unit/tests/text.rs
@@ -7,7 +7,7 @@
 use cicadagw_unit::rate::{PerSecond, Permille, Throughput};
 use cicadagw_unit::size::{Bytes, Hops, Slots};
 use cicadagw_unit::time::{Span, Timestamp};
-use cicadagw_unit::{Digest, Sequence, Version, id};
+use cicadagw_unit::{Digest, Era, Revision, Sequence, Term, Version, id};
 use quickcheck::quickcheck;
 
 fn round_trips<T>(value: &T) -> bool
@@ -21,6 +21,10 @@
     fn numbers_round_trip(long: u64, middle: u32, short: u16, byte: u8) -> bool {
         round_trips(&Version::new(long))
             && round_trips(&Sequence::new(long))
+            && round_trips(&Era::new(long))
+            && round_trips(&Revision::new(long))
+            && round_trips(&Revision::new(long).in_era(Era::new(middle.into())))
+            && round_trips(&Term::from(Revision::new(long).in_era(Era::new(middle.into()))))
             && round_trips(&Bytes::new(long))
             && round_trips(&Timestamp::new(long))
             && round_trips(&Span::new(long))
