Confirm nothing about a revision of before a restore of the store

Cause: a node asks for changes after the revision that it holds, and takes "no change" for a confirmation of its configuration; other nodes take its word. After a restore that revision names another change. This path is the one that has to refuse calls with keys while a watch is late, so mending the watch did not mend it: an inquiry that failed with Error::Restored counted as a failed call, and the node asked for changes after the same revision again.

Change: an inquiry that fails with Error::Restored, and any response of a later era, make the node read the configuration as a whole for its next confirmation. The revision in an answer between nodes contains its era.

Why it works: a confirmation needs an answer of the era of the revision it is about, or a read; there is no third way.

--- a/crates/cicadagw-gossip/src/core/confirmation.rs
+++ b/crates/cicadagw-gossip/src/core/confirmation.rs
@@ -128,7 +128,7 @@
                     version: newest.unwrap_or(inquiry.version),
                 });
             }
-            Err(Error::Compacted) => {
+            Err(Error::Compacted | Error::Restored) => {
                 if let Some(freshness) = &mut self.freshness {
                     freshness.forget_history();
                 }
--- a/crates/cicadagw-gossip/src/core/reply.rs
+++ b/crates/cicadagw-gossip/src/core/reply.rs
@@ -50,6 +50,9 @@
         self.effects.push(Effect::Log(notice));
         let call = self.source.restart(now, &mut self.rng);
         self.effects.extend(call.map(Effect::Call));
+        if let Some(freshness) = &mut self.freshness {
+            freshness.forget_history();
+        }
     }
 
     /// Merges the nodes listed by the platform. The list may be older than the records that nodes
--- a/crates/cicadagw-gossip/tests/confirmation.rs
+++ b/crates/cicadagw-gossip/tests/confirmation.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 
 use cicadagw_gossip::{Call, Core, Effect, Event, Message, Reply, Stamp};
-use cicadagw_platform::{Error, Revision};
+use cicadagw_platform::{Era, Error, Revision};
 use cicadagw_unit::Version;
 use cicadagw_unit::time::{Span, Timestamp};
 use support::{Fleet, REVOCATION, TICK, address, new_strict_core, origin};
@@ -396,3 +396,71 @@
     assert!(second_at > first_at);
     assert_eq!(core.confirmed_age(now), now.since(first_at));
 }
+
+/// Guards against a node that takes the absence of changes after a revision of before a restore for a
+/// confirmation.
+#[test]
+fn a_restored_store_confirms_nothing_about_revisions_of_before() {
+    for announces_restores in [true, false] {
+        let mut run = Run::new(12);
+        run.fleet.announces_restores = announces_restores;
+        let copy = run.fleet.platform.copy();
+        run.publish(2);
+        run.publish(3);
+        run.advance(Span::seconds(4));
+        let nodes: Vec<_> = (0..12).collect();
+
+        run.fleet.platform.restore(copy);
+        run.publish(3);
+        run.publish(4);
+        let oldest = run.oldest(&nodes, Span::seconds(16));
+
+        assert!(oldest < REVOCATION, "{announces_restores}: {oldest}");
+        assert_eq!(run.fleet.versions(), vec![4; 12]);
+    }
+}
+
+/// Guards against a node that goes on to ask for changes after a revision of before a restore.
+#[test]
+fn after_a_restore_a_node_asks_for_the_whole_configuration() {
+    let (mut core, mut now, _) = watching_core();
+    let inquiry = |call: &Call| match call {
+        Call::ConfirmConfiguration(inquiry) => Some(*inquiry),
+        _ => None,
+    };
+    let first = tick_until(&mut core, &mut now, inquiry);
+
+    let restored = Reply::Confirmed(first, Err(Error::Restored));
+    core.step(now, Event::Reply(restored));
+    let second = tick_until(&mut core, &mut now, inquiry);
+
+    assert_eq!(first.after, Some(Revision::new(3)));
+    assert_eq!(second.after, None);
+    let limit = now.since(Timestamp::default());
+    assert!(limit < REVOCATION, "asked after {limit}");
+}
+
+/// Guards against a revision that loses its era on the way to another node.
+#[test]
+fn an_answer_contains_the_era_of_its_revision() {
+    let revision = Revision::new(3).in_era(Era::new(2));
+    let answer = Message::Answer {
+        age: Span::new(100),
+        from: "node-0001".parse().unwrap(),
+        number: u64::MAX,
+        revision,
+        version: Version::new(7),
+    };
+
+    let encoded = answer.encode();
+
+    assert_eq!(Message::decode(&encoded).unwrap(), answer);
+    let text = String::from_utf8(encoded).unwrap();
+    assert!(text.contains(r#""era":2,"revision":3"#), "{text}");
+    // A node of an earlier release sends no era.
+    let without = text.replace(r#""era":2,"#, "");
+    let Message::Answer { revision, .. } = Message::decode(without.as_bytes()).unwrap() else {
+        panic!("not an answer: {without}");
+    };
+    assert_eq!(revision, Revision::new(3));
+}
