Follow and keep the decisions of rollouts over a restore of the store

In a test, an order of a rollout that was written again after a restore was never followed, and a release that had been rolled back got calls again (16 in the test).

Cause: the orders are followed from a revision, as the configuration is, and a failure of that watch by a restore counted as any other failure, after which the same revision was asked for. A leader whose write names a revision of before the restore repeated it for good. A roll-back that the store had lost was replaced by the status of the copy, which goes on.

Change: the follower lists the orders anew; a leader gives up its rollout, as after a conflict, and it is taken up from what the store holds. A roll-back is kept if the store holds an earlier status of the same rollout in a later era.

--- a/crates/cicadagw-gossip/src/core/lead.rs
+++ b/crates/cicadagw-gossip/src/core/lead.rs
@@ -193,7 +193,7 @@
                     self.cease_to_lead(service);
                 }
             }
-            Err(Error::Conflict) => {
+            Err(Error::Conflict | Error::Restored) => {
                 self.cease_to_lead(service);
                 let refused = (now, condition);
                 self.rollouts.refused.insert(service.clone(), refused);
--- a/crates/cicadagw-gossip/src/core/reply.rs
+++ b/crates/cicadagw-gossip/src/core/reply.rs
@@ -53,6 +53,7 @@
         if let Some(freshness) = &mut self.freshness {
             freshness.forget_history();
         }
+        self.rollouts.follower.list_again();
     }
 
     /// Merges the nodes listed by the platform. The list may be older than the records that nodes
--- a/crates/cicadagw-gossip/src/core/rollouts.rs
+++ b/crates/cicadagw-gossip/src/core/rollouts.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use cicadagw_platform::Error;
-use cicadagw_rollout::{Directive, Entry, Report, Status};
+use cicadagw_platform::{Error, Revision};
+use cicadagw_rollout::{Directive, Entry, Phase, Report, Status};
 use cicadagw_unit::time::Timestamp;
 use cicadagw_unit::{Term, id};
 use rand::seq::IteratorRandom;
@@ -116,23 +116,28 @@
             Some(_) => self.cease_to_lead(&entry.service),
             None => {}
         }
-        let stop = self.own_stop(&entry);
+        let stop = self.lasting_stop(&entry);
         let service = entry.service.clone();
         self.rollouts.entries.insert(service, (now, entry));
         self.learn_rollout(&stop.unwrap_or(directive));
     }
 
-    /// Returns the stop by this node of the rollout of `entry` if it goes on there: a write before
-    /// the stop, whose response was lost, must not undo it.
-    fn own_stop(&self, entry: &Entry) -> Option<Directive> {
+    /// Returns the stop of the rollout of `entry` if it goes on there and must not: a write before a
+    /// stop by this node, whose response was lost, does not undo it, and neither does a restore of
+    /// the platform's store from a copy of before any stop.
+    fn lasting_stop(&self, entry: &Entry) -> Option<Directive> {
         let status = entry
             .current_status()
             .filter(|status| status.is_running())?;
         let known = self.rollouts.get(&entry.service)?;
-        let stopped = known.status.as_ref().filter(|_| known.stopped)?;
+        let stopped = known.status.as_ref()?;
         let is_own = |status: &Status| status.leader.as_ref() == Some(&self.own.node);
-        let is_same = stopped.started_ms == status.started_ms && is_own(stopped) && is_own(status);
-        is_same.then(|| Directive {
+        let is_own = known.stopped && is_own(stopped) && is_own(status);
+        let is_restored = Revision::from(known.term).era() < Revision::from(entry.term).era();
+        let is_undone = is_restored && known.phase() == Some(Phase::RolledBack);
+        let is_same = stopped.started_ms == status.started_ms && stopped.target == status.target;
+        (is_same && (is_own || is_undone)).then(|| Directive {
+            stopped: true,
             term: entry.term,
             ..known.clone()
         })
--- a/crates/cicadagw-gossip/src/rollouts.rs
+++ b/crates/cicadagw-gossip/src/rollouts.rs
@@ -171,7 +171,9 @@
                 self.failures = 0;
                 Event::Answered
             }
-            Err(Error::Compacted) => Event::Compacted,
+            // Only a watch names a revision, and a list in flight has replaced it.
+            Err(Error::Restored) if self.state == State::Reading => return None,
+            Err(Error::Compacted | Error::Restored) => Event::Compacted,
             Err(_) => Event::Failed,
         };
         self.step(now, event, rng)
--- a/crates/cicadagw-gossip/tests/restore.rs
+++ b/crates/cicadagw-gossip/tests/restore.rs
@@ -3,8 +3,9 @@
 
 mod support;
 
+use cicadagw_rollout::State;
 use cicadagw_unit::time::Span;
-use support::{Copy, Fleet};
+use support::{Behaviour, Copy, DURATION, Fleet, Load, TAKEOVER_MAX, has_ended, ordered, state};
 
 /// Time within which an accepted change must be in force on every node.
 const IN_FORCE_MAX: Span = Span::seconds(3);
@@ -68,3 +69,61 @@
 
     assert_eq!(fleet.versions(), vec![3; 12]);
 }
+
+/// Guards against an order that is ignored because the one before the restore has a greater revision.
+#[test]
+fn an_order_of_a_rollout_that_is_written_again_after_a_restore_is_followed() {
+    for announces_restores in [true, false] {
+        let mut fleet = Fleet::with_rollouts(16);
+        fleet.announces_restores = announces_restores;
+        let mut load = Load::new(&fleet, 400);
+        let copy = fleet.platform.copy();
+        fleet.order("v2", DURATION);
+        load.run(&mut fleet, COPY_AGE, |_| false);
+        for index in 8..16 {
+            fleet.start_backend(index, "v2");
+        }
+
+        let last = fleet.platform.revision;
+        fleet.platform.restore(copy);
+        fleet.order("v2", DURATION);
+        // Other writes have the revisions of before the restore.
+        fleet.platform.revision = fleet.platform.revision.max(last);
+        load.run(&mut fleet, DURATION.plus(TAKEOVER_MAX), has_ended);
+
+        assert_eq!(state(&fleet), Some(State::Done), "{announces_restores}");
+    }
+}
+
+/// Guards against a leader that is refused for good because it names a revision of before the restore.
+#[test]
+fn a_rollout_goes_on_after_the_store_has_lost_its_last_statuses() {
+    let (mut fleet, mut load) = ordered(Behaviour::Good);
+    load.run(&mut fleet, Span::seconds(2), has_ended);
+    let copy = fleet.platform.copy();
+    load.run(&mut fleet, COPY_AGE, has_ended);
+
+    let last = fleet.platform.revision;
+    fleet.platform.restore(copy);
+    fleet.platform.revision = last;
+    load.run(&mut fleet, DURATION.plus(TAKEOVER_MAX), has_ended);
+
+    assert_eq!(state(&fleet), Some(State::Done));
+}
+
+/// Guards against a bad release that gets calls again because the store has lost the roll-back.
+#[test]
+fn a_release_that_was_rolled_back_stays_so_although_the_store_has_lost_that() {
+    let (mut fleet, mut load) = ordered(Behaviour::BadAfter(Span::seconds(4)));
+    load.run(&mut fleet, Span::seconds(3), has_ended);
+    let copy = fleet.platform.copy();
+    load.run(&mut fleet, COPY_AGE, has_ended);
+    assert_eq!(state(&fleet), Some(State::RolledBack));
+    let exposed = load.exposed("v2");
+
+    fleet.platform.restore(copy);
+    load.run(&mut fleet, DURATION, |_| false);
+
+    assert_eq!(state(&fleet), Some(State::RolledBack));
+    assert_eq!(load.exposed("v2"), exposed);
+}
--- a/crates/cicadagw-gossip/tests/support/rollout.rs
+++ b/crates/cicadagw-gossip/tests/support/rollout.rs
@@ -140,7 +140,11 @@
                 self.platform.revision += 1;
                 let revision = Term::from(self.platform.at());
                 let entry = self.platform.orders.get_mut(service.as_str());
-                let entry = entry.filter(|entry| entry.order.is_some() && entry.term == term);
+                // The platform compares only the numbers of the revisions.
+                let is_expected =
+                    |held: Term| Revision::from(held).number() == Revision::from(term).number();
+                let is_restored = Revision::from(term).era() != self.platform.era;
+                let entry = entry.filter(|entry| entry.order.is_some() && is_expected(entry.term));
                 let entry = entry.filter(|_| !self.platform.refuses_status);
                 let written = entry.map(|entry| {
                     entry.status = Some(*status);
@@ -150,6 +154,7 @@
                 Reply::RolloutWritten(
                     service,
                     match written {
+                        _ if is_restored => Err(Error::Restored),
                         None => Err(Error::Conflict),
                         Some(()) if self.platform.loses_responses => {
                             Err(Error::Unknown("lost".to_owned()))
