Register again after a restore of the store

The platform forgot the record of each node that had registered after the copy was taken, for as long as the node ran, and with it the departures that the record names.

Cause: a node writes its record once and takes the acknowledgement for good.

Change: the notice of a restore makes the node write its record again, after up to 2 s, so that a fleet does not write at one moment. A node that does not watch the configuration notices the restore with its next list of nodes, every 20 to 30 s. The fleet's fake of the platform tells nodes of a restore as the platform duty does.

--- a/crates/cicadagw-gossip/src/core/reply.rs
+++ b/crates/cicadagw-gossip/src/core/reply.rs
@@ -54,6 +54,7 @@
             freshness.forget_history();
         }
         self.rollouts.follower.list_again();
+        self.registration.restored(now, &mut self.rng);
     }
 
     /// Merges the nodes listed by the platform. The list may be older than the records that nodes
--- a/crates/cicadagw-gossip/src/registration.rs
+++ b/crates/cicadagw-gossip/src/registration.rs
@@ -2,7 +2,7 @@
 
 use cicadagw_platform::Error;
 use cicadagw_unit::time::{Span, Timestamp};
-use rand::Rng;
+use rand::{Rng, RngExt};
 
 use crate::source::jittered;
 
@@ -26,6 +26,9 @@
 /// Interval between the lists soon after the start.
 const STARTUP_LIST_INTERVAL: Span = Span::new(700);
 
+/// Maximum delay of the write of a record that the platform may have lost in a restore.
+const REWRITE_DELAY_MAX: Span = Span::seconds(2);
+
 /// A request to the platform that is due.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Request {
@@ -101,6 +104,16 @@
         }
     }
 
+    /// Writes the record again after at most [`REWRITE_DELAY_MAX`]: the platform may have lost the
+    /// last write in a restore, which all nodes notice together.
+    pub(crate) fn restored(&mut self, now: Timestamp, rng: &mut impl Rng) {
+        // A write that is due anyway may publish a departure, and is not delayed.
+        if self.is_written {
+            let delay = rng.random_range(0..=REWRITE_DELAY_MAX.get());
+            self.rewrite(now.after(Span::new(delay)));
+        }
+    }
+
     /// Processes the response to a write; a list follows a successful one.
     pub(crate) fn written(
         &mut self,
--- a/crates/cicadagw-gossip/tests/restore.rs
+++ b/crates/cicadagw-gossip/tests/restore.rs
@@ -16,6 +16,10 @@
 /// How old the copy is when the store is restored from it.
 const COPY_AGE: Span = Span::seconds(4);
 
+/// Time in which every node, also one that watches nothing, calls the platform and then writes its
+/// record.
+const LISTED_MAX: Span = Span::seconds(35);
+
 /// Creates nodes that hold version 3, and a copy of the store in which version 1 is in force.
 fn fleet_ahead_of_copy(mut fleet: Fleet, publish: fn(&mut Fleet, u64)) -> (Fleet, Copy) {
     publish(&mut fleet, 1);
@@ -127,3 +131,19 @@
     assert_eq!(state(&fleet), Some(State::RolledBack));
     assert_eq!(load.exposed("v2"), exposed);
 }
+
+/// Guards against a node that the platform does not list any more, so that nodes that start later
+/// do not find it.
+#[test]
+fn nodes_whose_records_the_store_has_lost_write_them_again() {
+    let mut fleet = Fleet::new(12);
+    fleet.publish_configuration(1);
+    let copy = fleet.platform.copy();
+    fleet.run(SETTLING_TIME);
+    assert_eq!(fleet.platform.members.len(), 12);
+
+    fleet.platform.restore(copy);
+    fleet.run(LISTED_MAX);
+
+    assert_eq!(fleet.platform.members.len(), 12);
+}
--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -55,7 +55,7 @@
     /// Responses that arrive later, and when.
     delayed: Vec<(Timestamp, Reply)>,
     /// The era of the platform that the last response named.
-    era: Era,
+    era: Option<Era>,
 }
 
 /// The nodes, the network between them, and the platform.
@@ -155,13 +155,11 @@
 
     pub fn step(&mut self, index: usize, event: Event) {
         if let Event::Reply(reply) = &event
-            && self.announces_restores
             && is_response(reply)
-            && self.nodes[index].era != self.platform.era
         {
             let era = self.platform.era;
-            let known = std::mem::replace(&mut self.nodes[index].era, era);
-            if known > Era::default() {
+            let known = self.nodes[index].era.replace(era);
+            if self.announces_restores && known.is_some_and(|known| known < era) {
                 self.step(index, Event::Reply(Reply::Restored(era)));
             }
         }
@@ -277,7 +275,7 @@
             pending_watches: Vec::new(),
             pending_rollout_watch: None,
             delayed: Vec::new(),
-            era: Era::default(),
+            era: None,
         }
     }
 
