Acknowledge a departure once the platform has stored it

Cause: the node acknowledged as soon as it had applied the leaving. Its record went to other nodes and to the store afterwards, to the store with the next tick, up to 100 ms later.

Change: the acknowledgement of a leaving, and of a repeated one, waits until the store has the node's object with the departure; after 0.9 s the answer is 503 and the request may be repeated. The object is written at once, and failed writes are repeated sooner while a departure waits. The gossip duty tells the calls duty over a ring what is stored; after a restore of the store, nothing is. cicadagw_departures_total counts both outcomes.

Why it works: what is acknowledged is in the store, which a restarted process lists before it writes its object, so a kill at any moment loses nothing that was promised.

--- a/crates/cicadagw-admin/src/metrics.rs
+++ b/crates/cicadagw-admin/src/metrics.rs
@@ -364,6 +364,21 @@
                 instrument.observe(sources.calls.counts().limited_endpoints, &[]);
             },
         );
+        self.counter(
+            "departures",
+            "",
+            "Departures of local backend servers, by whether they were acknowledged",
+            |sources, instrument| {
+                let counts = sources.calls.counts();
+                let outcomes = [
+                    (counts.departures_acknowledged, "acknowledged"),
+                    (counts.departures_withheld, "withheld"),
+                ];
+                for (count, outcome) in outcomes {
+                    instrument.observe(count, &[KeyValue::new("outcome", outcome)]);
+                }
+            },
+        );
         self.counter(
             "connections_closed",
             "",
--- a/crates/cicadagw-endpoint/src/departure.rs
+++ b/crates/cicadagw-endpoint/src/departure.rs
@@ -34,6 +34,11 @@
         departures.any(|known| known.endpoint == *endpoint && known.started_ms >= started_ms)
     }
 
+    /// Returns the departure of the last start of an endpoint that has left.
+    pub fn get(&self, endpoint: &id::Endpoint) -> Option<&Departure> {
+        self.0.iter().find(|known| known.endpoint == *endpoint)
+    }
+
     /// Adds a departure as the last one; returns whether it was new.
     pub fn record(&mut self, departure: &Departure) -> bool {
         if self.contains(&departure.endpoint, departure.started_ms) {
--- a/crates/cicadagw-gossip/src/core/reply.rs
+++ b/crates/cicadagw-gossip/src/core/reply.rs
@@ -1,6 +1,7 @@
 //! Responses to requests to the platform and to other nodes.
 
-use cicadagw_platform::Era;
+use cicadagw_endpoint::Departures;
+use cicadagw_platform::{Era, Error, Revision};
 use cicadagw_unit::time::Timestamp;
 
 use super::Core;
@@ -10,10 +11,7 @@
     /// Processes the response to a request to the platform or to another node.
     pub(super) fn handle_reply(&mut self, now: Timestamp, reply: Reply) {
         match reply {
-            Reply::Registered(outcome) => {
-                self.registration.written(now, &outcome, &mut self.rng);
-                self.track_platform(now, &outcome);
-            }
+            Reply::Registered(outcome) => self.handle_registered(now, &outcome),
             Reply::Members(outcome) => {
                 let is_answered = outcome.is_ok();
                 self.track_platform(now, &outcome);
@@ -44,8 +42,25 @@
         }
     }
 
+    /// Processes the response to a write of this node's record, and tells which departures are stored.
+    fn handle_registered(&mut self, now: Timestamp, outcome: &Result<Revision, Error>) {
+        self.registration.written(now, outcome, &mut self.rng);
+        self.track_platform(now, outcome);
+        let Ok(revision) = outcome else { return };
+        if revision.era() < self.era {
+            // The platform has lost the write since.
+            self.registration.restored(now, &mut self.rng);
+        } else if self.stored != self.writing {
+            self.stored = self.writing.clone();
+            self.effects.push(Effect::Stored(self.stored.clone()));
+        }
+    }
+
     /// Discards what revisions of earlier eras say about the store.
     fn handle_restored(&mut self, now: Timestamp, era: Era) {
+        self.era = self.era.max(era);
+        self.stored = Departures::default();
+        self.effects.push(Effect::Stored(Departures::default()));
         let notice = Notice::PlatformRestored(era);
         self.effects.push(Effect::Log(notice));
         let call = self.source.restart(now, &mut self.rng);
--- a/crates/cicadagw-gossip/src/core/step.rs
+++ b/crates/cicadagw-gossip/src/core/step.rs
@@ -9,7 +9,7 @@
 use cicadagw_endpoint::{Departure, Departures, LocalUpdate, State};
 use cicadagw_rollout::Directive;
 use cicadagw_unit::time::{Span, Timestamp};
-use cicadagw_unit::{Version, id};
+use cicadagw_unit::{Era, Version, id};
 use cicadagw_view::Endpoints;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -75,6 +75,8 @@
     pub(super) confirmed_at: Timestamp,
     pub(super) effects: Vec<Effect>,
     pub(super) endpoints: Arc<Endpoints>,
+    /// The latest era of the platform's store that this node has been told of.
+    pub(super) era: Era,
     /// Earliest time of the next beacon.
     pub(super) beacon_due: Timestamp,
     /// Earliest time of the next fetch from another node.
@@ -100,7 +102,11 @@
     pub(super) rollouts: Rollouts,
     pub(super) snapshot: Option<Arc<Snapshot>>,
     pub(super) source: Source,
+    /// The departures from this host that the platform has stored.
+    pub(super) stored: Departures,
     pub(super) table: Table,
+    /// The departures that the last write of this node's record names.
+    pub(super) writing: Departures,
 }
 
 impl Core {
@@ -124,6 +130,7 @@
             confirmed_at: Timestamp::default(),
             effects: Vec::new(),
             endpoints: Arc::default(),
+            era: Era::default(),
             next_fetch: Timestamp::default(),
             beacon_due: Timestamp::default(),
             fetch_deadline: None,
@@ -143,7 +150,9 @@
             rollouts: Rollouts::new(setup.rollouts, setup.start_ms),
             snapshot: None,
             source: Source::default(),
+            stored: Departures::default(),
             table,
+            writing: Departures::default(),
         }
     }
 
@@ -211,14 +220,7 @@
         self.seek_confirmation(now);
         self.send_beacon(now);
         self.tick_rollouts(now);
-        match self.registration.tick(now) {
-            Some(Request::Write { create }) => self.effects.push(Effect::Call(Call::Register {
-                member: Box::new(self.own.clone()),
-                create,
-            })),
-            Some(Request::List) => self.effects.push(Effect::Call(Call::ListMembers)),
-            None => {}
-        }
+        self.tick_registration(now);
         self.push(now);
         self.update_quotas(now);
         if now >= self.digest_due {
@@ -236,6 +238,21 @@
         }
     }
 
+    /// Makes the request to the platform that is due for this node's record or the list of nodes.
+    fn tick_registration(&mut self, now: Timestamp) {
+        match self.registration.tick(now) {
+            Some(Request::Write { create }) => {
+                self.writing = self.own.departures.clone();
+                self.effects.push(Effect::Call(Call::Register {
+                    member: Box::new(self.own.clone()),
+                    create,
+                }));
+            }
+            Some(Request::List) => self.effects.push(Effect::Call(Call::ListMembers)),
+            None => {}
+        }
+    }
+
     /// Updates this node's record when the state of a backend server on this host changed, and
     /// broadcasts it.
     fn handle_local(&mut self, now: Timestamp, local: &LocalUpdate) {
@@ -264,13 +281,15 @@
             }),
             State::Gone => None,
         };
-        if has_departed {
-            self.registration.rewrite(now);
-        }
         if has_departed || self.own.backend != backend {
             self.own.backend = backend;
             self.broadcast(now);
         }
+        if has_departed {
+            // The backend server waits for the acknowledgement.
+            self.registration.rewrite_urgently(now);
+            self.tick_registration(now);
+        }
     }
 
     /// Processes a gossip message of another node.
--- a/crates/cicadagw-gossip/src/event.rs
+++ b/crates/cicadagw-gossip/src/event.rs
@@ -104,8 +104,8 @@
 /// The response to a [`Call`].
 #[derive(Debug)]
 pub enum Reply {
-    /// Response to [`Call::Register`].
-    Registered(Result<(), Error>),
+    /// Response to [`Call::Register`]: the revision of the object.
+    Registered(Result<Revision, Error>),
     /// Response to [`Call::ListMembers`].
     Members(Result<Vec<Member>, Error>),
     /// Response to [`Call::ReadConfiguration`], with the time at which the read was sent: the revision
@@ -151,6 +151,9 @@
     Call(Call),
     /// Give the calls duty an answer to its [`Event::Quota`].
     Grant(Grant),
+    /// Tell the calls duty which departures from this host the platform has stored; they replace
+    /// those told before.
+    Stored(Departures),
     /// Write a line to the log.
     Log(Notice),
     /// Publish the configuration and endpoints that proxied calls are routed by.
--- a/crates/cicadagw-gossip/src/registration.rs
+++ b/crates/cicadagw-gossip/src/registration.rs
@@ -1,6 +1,6 @@
 //! Registration of this node at the platform, and discovery of the other registered nodes.
 
-use cicadagw_platform::Error;
+use cicadagw_platform::{Error, Revision};
 use cicadagw_unit::time::{Span, Timestamp};
 use rand::{Rng, RngExt};
 
@@ -12,6 +12,9 @@
 /// Maximum wait after a failure.
 const BACKOFF_MAX: Span = Span::seconds(3);
 
+/// Maximum wait after a failure while a backend server waits for an acknowledgement.
+const URGENT_BACKOFF_MAX: Span = Span::new(300);
+
 /// Interval between two lists of the nodes, which find nodes whose gossip messages were lost.
 const LIST_INTERVAL: Span = Span::seconds(20);
 
@@ -55,6 +58,8 @@
     list_due: Timestamp,
     /// Whether the platform holds the current record, or a write of it is in flight.
     is_written: bool,
+    /// Maximum wait after a failure, without jitter.
+    backoff_max: Span,
     /// Whether the object is assumed not to exist yet.
     create: bool,
 }
@@ -69,6 +74,7 @@
             in_flight: false,
             list_due: Timestamp::new(0),
             is_written: false,
+            backoff_max: BACKOFF_MAX,
             create,
         }
     }
@@ -104,6 +110,14 @@
         }
     }
 
+    /// Writes the record again, which names a departure that is acknowledged when it is stored: until
+    /// then a failed write is repeated after [`URGENT_BACKOFF_MAX`] at the latest.
+    pub(crate) const fn rewrite_urgently(&mut self, now: Timestamp) {
+        self.is_written = false;
+        self.backoff_max = URGENT_BACKOFF_MAX;
+        self.due = now;
+    }
+
     /// Writes the record again after at most [`REWRITE_DELAY_MAX`]: the platform may have lost the
     /// last write in a restore, which all nodes notice together.
     pub(crate) fn restored(&mut self, now: Timestamp, rng: &mut impl Rng) {
@@ -118,14 +132,17 @@
     pub(crate) fn written(
         &mut self,
         now: Timestamp,
-        outcome: &Result<(), Error>,
+        outcome: &Result<Revision, Error>,
         rng: &mut impl Rng,
     ) {
         self.in_flight = false;
         match outcome {
-            Ok(()) => {
+            Ok(_) => {
                 // From now on the object exists.
                 self.create = false;
+                if self.is_written {
+                    self.backoff_max = BACKOFF_MAX;
+                }
                 self.failures = 0;
                 if self.lists == 0 {
                     self.list_due = now.after(FIRST_LIST_DELAY);
@@ -178,6 +195,6 @@
     fn back_off(&mut self, now: Timestamp, rng: &mut impl Rng) {
         let wait = BACKOFF_MIN.times(1 << self.failures.min(8));
         self.failures += 1;
-        self.due = now.after(jittered(wait.min(BACKOFF_MAX), rng));
+        self.due = now.after(jittered(wait.min(self.backoff_max), rng));
     }
 }
--- a/crates/cicadagw-gossip/tests/departure.rs
+++ b/crates/cicadagw-gossip/tests/departure.rs
@@ -5,7 +5,7 @@
 use cicadagw_endpoint::{Departure, Departures, LocalUpdate, State};
 use cicadagw_gossip::{Event, Member};
 use cicadagw_unit::time::Span;
-use support::{Fleet, local};
+use support::{Fleet, TICK, local};
 
 /// The number of nodes, and the one that restarts.
 const NODES: usize = 12;
@@ -14,6 +14,9 @@
 /// Time within which a change of an endpoint is known everywhere.
 const PROPAGATION_MAX: Span = Span::new(250);
 
+/// Time within which a departure is stored once the platform is available.
+const STORED_MAX: Span = Span::new(600);
+
 /// Time within which a restarted node and its peers know each other.
 const DISCOVERY_MAX: Span = Span::seconds(3);
 
@@ -228,3 +231,39 @@
     assert_eq!(fleet.versions(), vec![1; NODES]);
     assert!(!fleet.nodes[RESTARTED].view.departures.is_empty());
 }
+
+/// Guards against the acknowledgement of a departure that only processes know: it was forgotten when
+/// all of them were killed at once.
+#[test]
+fn a_departure_that_counts_as_stored_outlives_a_kill_of_all_nodes_at_that_moment() {
+    for unavailable in [Span::new(0), Span::new(700), Span::seconds(5)] {
+        let mut fleet = Fleet::new(NODES);
+        fleet.run(DISCOVERY_MAX);
+        fleet.step(RESTARTED, ready("i-leaving", 40));
+        fleet.run(PROPAGATION_MAX);
+        let is_stored = |fleet: &Fleet| {
+            let stored = &fleet.nodes[RESTARTED].stored;
+            stored.contains(&"i-leaving".parse().unwrap(), 40)
+        };
+
+        fleet.platform.unavailable_to = (0..NODES).collect();
+        fleet.step(RESTARTED, left("i-leaving", 40, State::Gone));
+        fleet.run(unavailable);
+        let is_early = unavailable > Span::new(0) && is_stored(&fleet);
+        fleet.platform.unavailable_to.clear();
+        let returned = fleet.now;
+        while !is_stored(&fleet) && fleet.now.since(returned) < STORED_MAX {
+            fleet.run(TICK);
+        }
+        let is_in_time = is_stored(&fleet);
+        for index in 0..NODES {
+            fleet.restart(index, 9);
+        }
+        fleet.step(RESTARTED, ready("i-leaving", 40));
+        fleet.run(DISCOVERY_MAX);
+
+        assert!(!is_early, "stored while the platform was unavailable");
+        assert!(is_in_time, "not stored in time after {unavailable}");
+        assert_eq!(fleet.endpoint_counts(), vec![0; NODES], "{unavailable}");
+    }
+}
--- a/crates/cicadagw-gossip/tests/restore.rs
+++ b/crates/cicadagw-gossip/tests/restore.rs
@@ -3,9 +3,13 @@
 
 mod support;
 
-use cicadagw_rollout::State;
+use cicadagw_endpoint::{LocalUpdate, State};
+use cicadagw_gossip::Event;
+use cicadagw_rollout::State as RolloutState;
 use cicadagw_unit::time::Span;
-use support::{Behaviour, Copy, DURATION, Fleet, Load, TAKEOVER_MAX, has_ended, ordered, state};
+use support::{
+    Behaviour, Copy, DURATION, Fleet, Load, TAKEOVER_MAX, has_ended, local, ordered, state,
+};
 
 /// Time within which an accepted change must be in force on every node.
 const IN_FORCE_MAX: Span = Span::seconds(3);
@@ -16,6 +20,9 @@
 /// How old the copy is when the store is restored from it.
 const COPY_AGE: Span = Span::seconds(4);
 
+/// Time in which a node that has noticed a restore writes its record.
+const REWRITTEN_MAX: Span = Span::new(2_200);
+
 /// Time in which every node, also one that watches nothing, calls the platform and then writes its
 /// record.
 const LISTED_MAX: Span = Span::seconds(35);
@@ -95,7 +102,11 @@
         fleet.platform.revision = fleet.platform.revision.max(last);
         load.run(&mut fleet, DURATION.plus(TAKEOVER_MAX), has_ended);
 
-        assert_eq!(state(&fleet), Some(State::Done), "{announces_restores}");
+        assert_eq!(
+            state(&fleet),
+            Some(RolloutState::Done),
+            "{announces_restores}"
+        );
     }
 }
 
@@ -112,7 +123,7 @@
     fleet.platform.revision = last;
     load.run(&mut fleet, DURATION.plus(TAKEOVER_MAX), has_ended);
 
-    assert_eq!(state(&fleet), Some(State::Done));
+    assert_eq!(state(&fleet), Some(RolloutState::Done));
 }
 
 /// Guards against a bad release that gets calls again because the store has lost the roll-back.
@@ -122,13 +133,13 @@
     load.run(&mut fleet, Span::seconds(3), has_ended);
     let copy = fleet.platform.copy();
     load.run(&mut fleet, COPY_AGE, has_ended);
-    assert_eq!(state(&fleet), Some(State::RolledBack));
+    assert_eq!(state(&fleet), Some(RolloutState::RolledBack));
     let exposed = load.exposed("v2");
 
     fleet.platform.restore(copy);
     load.run(&mut fleet, DURATION, |_| false);
 
-    assert_eq!(state(&fleet), Some(State::RolledBack));
+    assert_eq!(state(&fleet), Some(RolloutState::RolledBack));
     assert_eq!(load.exposed("v2"), exposed);
 }
 
@@ -147,3 +158,32 @@
 
     assert_eq!(fleet.platform.members.len(), 12);
 }
+
+/// Guards against an acknowledged departure that is forgotten because the store has lost it.
+#[test]
+fn a_departure_that_the_store_has_lost_is_written_again() {
+    let mut fleet = Fleet::new(12);
+    fleet.publish_configuration(1);
+    fleet.run(SETTLING_TIME);
+    let endpoint = "i-leaving".parse().unwrap();
+    let is_stored = |fleet: &Fleet| fleet.nodes[0].stored.contains(&endpoint, 0);
+    fleet.step(0, Event::Local(local("i-leaving", State::Ready)));
+    fleet.run(COPY_AGE);
+    let copy = fleet.platform.copy();
+    let left = LocalUpdate {
+        has_left: true,
+        ..local("i-leaving", State::Gone)
+    };
+    fleet.step(0, Event::Local(left));
+    fleet.run(COPY_AGE);
+    let before = is_stored(&fleet);
+
+    fleet.platform.restore(copy);
+    fleet.run(Span::new(1_200));
+    let noticed = is_stored(&fleet);
+    fleet.run(REWRITTEN_MAX);
+
+    assert_eq!((before, noticed, is_stored(&fleet)), (true, false, true));
+    let departures = &fleet.platform.members["node-0000"].departures;
+    assert!(departures.contains(&endpoint, 0));
+}
--- a/crates/cicadagw-gossip/tests/support/mod.rs
+++ b/crates/cicadagw-gossip/tests/support/mod.rs
@@ -18,6 +18,7 @@
 
 use cicadagw_call::quota::Grant;
 use cicadagw_config::Snapshot;
+use cicadagw_endpoint::Departures;
 use cicadagw_gossip::{Call, Core, Effect, Event, Member, Message, Notice, Reply};
 use cicadagw_platform::{Era, Error, Revision};
 use cicadagw_rollout::Entry;
@@ -45,6 +46,8 @@
     pub notices: Vec<String>,
     /// The answers to requests for tokens.
     pub grants: Vec<Grant>,
+    /// The departures that the platform has stored, as the calls duty knows.
+    pub stored: Departures,
     /// Number of requests that the platform has received from the node.
     pub requests: usize,
     /// The watches that wait for a change: their revisions, and when their waits are over.
@@ -171,6 +174,7 @@
             match effect {
                 Effect::Call(call) => self.call(index, call),
                 Effect::Grant(grant) => self.nodes[index].grants.push(grant),
+                Effect::Stored(departures) => self.nodes[index].stored = departures,
                 Effect::Log(notice) => self.nodes[index].log(&notice),
                 Effect::Publish(view) => self.nodes[index].view = view,
                 Effect::Send(to, message) => self.send(index, to, message),
@@ -271,6 +275,7 @@
             view: View::default(),
             notices: Vec::new(),
             grants: Vec::new(),
+            stored: Departures::default(),
             requests: 0,
             pending_watches: Vec::new(),
             pending_rollout_watch: None,
--- a/crates/cicadagw-gossip/tests/support/platform.rs
+++ b/crates/cicadagw-gossip/tests/support/platform.rs
@@ -141,7 +141,7 @@
                     let name = member.node.to_string();
                     self.platform.writes += 1;
                     self.platform.members.insert(name, *member);
-                    Ok(())
+                    Ok(self.platform.at())
                 })
             }
             Call::ListMembers => {
--- a/crates/cicadagw-node/src/peering/gossip.rs
+++ b/crates/cicadagw-node/src/peering/gossip.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cicadagw_admin::Request;
-use cicadagw_endpoint::State;
+use cicadagw_endpoint::{Departures, State};
 use cicadagw_gossip::{Call, Core, Effect, Event, Message, Notice, Reply};
 use cicadagw_meter::Meter;
 use cicadagw_platform::Error;
@@ -56,6 +56,7 @@
         meter: setup.meter,
         rings: setup.rings,
         socket,
+        stored: None,
         view: setup.view,
     };
     let mut datagram = vec![0; DATAGRAM_BUFFER_BYTES];
@@ -116,6 +117,8 @@
     meter: Meter,
     rings: rings::Gossip,
     socket: UdpSocket,
+    /// The departures that the platform has stored, if the calls duty has yet to be told.
+    stored: Option<Departures>,
     view: Shared,
 }
 
@@ -129,6 +132,7 @@
                 Effect::Call(call) => failed.extend(self.submit(call)),
                 // An answer that does not fit is lost, as a datagram may be.
                 Effect::Grant(grant) => drop(self.rings.quota_grants.try_send(grant)),
+                Effect::Stored(departures) => self.stored = Some(departures),
                 Effect::Log(notice) => log_notice(&notice),
                 Effect::Publish(view) => self.view.publish(view),
                 Effect::Send(to, message) => self.send(to, &message).await,
@@ -139,11 +143,22 @@
             // carry out.
             self.core.step(self.clock.now(), Event::Reply(reply));
         }
+        self.pass_on_stored();
         if is_tick {
             self.record_metrics();
         }
     }
 
+    /// Tells the calls duty which departures the platform has stored. What does not fit the ring is
+    /// sent after the next event, unless newer departures replace it.
+    fn pass_on_stored(&mut self) {
+        if let Some(departures) = self.stored.take()
+            && let Err(TrySendError::Full(departures)) = self.rings.stored.try_send(departures)
+        {
+            self.stored = Some(departures);
+        }
+    }
+
     /// Enqueues a call for the platform duty. Returns a failed reply if the ring is full or closed.
     fn submit(&self, call: Call) -> Option<Reply> {
         let (TrySendError::Full(call) | TrySendError::Closed(call)) =
--- a/crates/cicadagw-node/src/peering/node.rs
+++ b/crates/cicadagw-node/src/peering/node.rs
@@ -101,6 +101,7 @@
         .budget(settings.budget.clone())
         .calls(sockets.calls)
         .control(rings.locals)
+        .departures(rings.departures)
         .dialect(adapter.dialect.clone())
         .link_rate(peering.link_rate)
         .shutdown_delay(SHUTDOWN_DELAY.min(accepting_max))
--- a/crates/cicadagw-node/src/peering/platform.rs
+++ b/crates/cicadagw-node/src/peering/platform.rs
@@ -144,7 +144,7 @@
     }
 
     /// Writes the object that describes this node; with `create`, only if it does not exist yet.
-    async fn register(&self, member: &Member, create: bool) -> Result<(), Error> {
+    async fn register(&self, member: &Member, create: bool) -> Result<Revision, Error> {
         let value = serde_json::to_vec(member).expect("a member can be written as JSON");
         let condition = if create {
             Condition::Absent
@@ -152,8 +152,7 @@
             Condition::Always
         };
         let key = Key::node(&member.node);
-        let written = self.client.put(&key, Bytes::from(value), condition).await;
-        written.map(|_| ())
+        self.client.put(&key, Bytes::from(value), condition).await
     }
 
     /// Lists the nodes from a read that may be stale; objects that cannot be decoded are left out.
--- a/crates/cicadagw-node/src/peering/rings.rs
+++ b/crates/cicadagw-node/src/peering/rings.rs
@@ -1,7 +1,7 @@
 //! The rings between the duties of a peering node, with their capacities in messages.
 
 use cicadagw_call::quota::{Grant, Request};
-use cicadagw_endpoint::LocalUpdate;
+use cicadagw_endpoint::{Departures, LocalUpdate};
 use cicadagw_gossip::{Call, Reply};
 use cicadagw_meter::Meter;
 use cicadagw_proxy::Quota;
@@ -25,6 +25,9 @@
 /// Capacity of the ring of answers to these requests. When it is full, an answer is lost.
 const QUOTA_GRANTS_CAPACITY: usize = 256;
 
+/// Capacity of the ring of stored departures. When it is full, the newest message waits.
+const STORED_CAPACITY: usize = 8;
+
 /// The ring ends held by the gossip duty.
 pub(crate) struct Gossip {
     pub(crate) calls: Sender<Call>,
@@ -33,6 +36,7 @@
     pub(crate) quota_requests: Receiver<Request>,
     pub(crate) replies: Receiver<Reply>,
     pub(crate) reports: Receiver<Report>,
+    pub(crate) stored: Sender<Departures>,
 }
 
 /// The ring ends held by the platform duty.
@@ -45,9 +49,10 @@
 /// contains its counts.
 const REPORTS_CAPACITY: usize = 16;
 
-/// Every ring of a node, grouped by the duty that holds its end; `locals`, `quota` and `reports` are for
-/// the calls duty.
+/// Every ring of a node, grouped by the duty that holds its end; `departures`, `locals`, `quota` and
+/// `reports` are for the calls duty.
 pub(crate) struct Rings {
+    pub(crate) departures: Receiver<Departures>,
     pub(crate) gossip: Gossip,
     pub(crate) locals: Sender<LocalUpdate>,
     pub(crate) platform: Platform,
@@ -70,7 +75,10 @@
         let (reports_sender, reports) = channel("reports", REPORTS_CAPACITY);
         meter.add_ring(replies_sender.gauge().clone());
         meter.add_ring(reports_sender.gauge().clone());
+        let (stored, departures) = channel("departures", STORED_CAPACITY);
+        meter.add_ring(stored.gauge().clone());
         Self {
+            departures,
             gossip: Gossip {
                 calls,
                 locals,
@@ -78,6 +86,7 @@
                 quota_requests,
                 replies,
                 reports,
+                stored,
             },
             locals: locals_sender,
             platform: Platform {
--- a/crates/cicadagw-proxy/src/announce.rs
+++ b/crates/cicadagw-proxy/src/announce.rs
@@ -1,9 +1,11 @@
 //! Handles the announcements and deregistrations of local backend servers.
 
 use bytes::{Bytes, BytesMut};
+use cicadagw_call::lifecycle::Gone;
 use cicadagw_dialect::{Acknowledgement, DecodeError, Registration};
 use cicadagw_http::server::Reply;
 use cicadagw_http::{Body, Request};
+use cicadagw_unit::id;
 use cicadagw_unit::time::Span;
 use serde_json::json;
 
@@ -28,16 +30,26 @@
     match dialect.decode_registration(method, path, &body) {
         Ok(Registration::Announce(announcement)) => {
             let renew = Span::new(node.timing.renewal.get() / RENEWALS_PER_TIMEOUT);
-            into_reply(match node.announce(&announcement) {
-                Ok(()) => dialect.acknowledge(renew),
-                // The only error is `Gone`.
-                Err(_) => dialect.refuse_gone(&announcement.endpoint),
-            })
+            let endpoint = &announcement.endpoint;
+            match node.announce(&announcement) {
+                Ok(()) if announcement.is_draining => {
+                    acknowledge_departure(node, endpoint, dialect.acknowledge(renew)).await
+                }
+                Ok(()) => into_reply(dialect.acknowledge(renew)),
+                // A backend server that is gone may repeat an earlier request to leave.
+                Err(Gone) => {
+                    acknowledge_departure(node, endpoint, dialect.refuse_gone(endpoint)).await
+                }
+            }
         }
         Ok(Registration::Deregister {
             endpoint,
             started_ms,
-        }) => into_reply(dialect.acknowledge_end(node.deregister(&endpoint, started_ms))),
+        }) => {
+            let was_known = node.deregister(&endpoint, started_ms);
+            let acknowledgement = dialect.acknowledge_end(was_known);
+            acknowledge_departure(node, &endpoint, acknowledgement).await
+        }
         Err(DecodeError::NotFound) => Reply::new(404),
         Err(DecodeError::Malformed(findings)) => {
             log::warn!(findings:%; "rejected an invalid announcement");
@@ -50,6 +62,27 @@
     }
 }
 
+/// Acknowledges the departure of a backend server once the platform has stored it. Otherwise the
+/// backend server gets no acknowledgement, and may repeat its request; it gets no more calls either
+/// way.
+async fn acknowledge_departure(
+    node: &Node,
+    endpoint: &id::Endpoint,
+    acknowledgement: Acknowledgement,
+) -> Reply {
+    let is_stored = node.departed.wait_until_stored(endpoint).await;
+    node.stats.count_departure(is_stored);
+    if is_stored {
+        return into_reply(acknowledgement);
+    }
+    log::warn!(endpoint:%, next = "the backend server may repeat its request"; "did not acknowledge a departure that the platform has not stored in time");
+    let body = json!({ "error": "the platform has not stored the departure in time" }).to_string();
+    into_reply(Acknowledgement {
+        status: 503,
+        body: body.into(),
+    })
+}
+
 /// Reads the body of a request; fails with the status code of the response.
 async fn read(body: Body) -> Result<Bytes, u16> {
     let mut parts = match body {
--- a/crates/cicadagw-proxy/src/lib.rs
+++ b/crates/cicadagw-proxy/src/lib.rs
@@ -12,6 +12,7 @@
 mod call_guard;
 mod clock;
 mod delivery;
+mod departed;
 mod descriptor_limit;
 mod exchange;
 mod header;
--- a/crates/cicadagw-proxy/src/node.rs
+++ b/crates/cicadagw-proxy/src/node.rs
@@ -25,6 +25,7 @@
 use crate::backend::Backend;
 use crate::call_guard::CallGuard;
 use crate::clock::Clock;
+use crate::departed::Departed;
 use crate::outbox::Outbox;
 use crate::pacer::Pacer;
 use crate::parts::Parts;
@@ -40,6 +41,7 @@
 pub(crate) struct Node {
     pub(crate) budget: Budget,
     pub(crate) clock: Clock,
+    pub(crate) departed: Departed,
     pub(crate) dialect: Arc<dyn Dialect>,
     /// The memory that connections and calls in flight hold.
     pub(crate) ledger: Rc<Ledger>,
@@ -81,6 +83,7 @@
         Self {
             budget: parts.budget,
             clock,
+            departed: parts.departed,
             dialect: parts.dialect,
             ledger: parts.room.ledger(),
             abort: CancellationToken::new(),
--- a/crates/cicadagw-proxy/src/node/local.rs
+++ b/crates/cicadagw-proxy/src/node/local.rs
@@ -4,7 +4,7 @@
 
 use cicadagw_call::Reason;
 use cicadagw_call::lifecycle::{Announcement, Effect, Gone, State};
-use cicadagw_endpoint::{Departures, LocalUpdate, State as EndpointState};
+use cicadagw_endpoint::{Departure, Departures, LocalUpdate, State as EndpointState};
 use cicadagw_unit::id;
 use cicadagw_unit::size::Slots;
 
@@ -200,6 +200,12 @@
                     }
                 }
                 Effect::Publish(update) => {
+                    if update.has_left {
+                        self.departed.record(&Departure {
+                            endpoint: update.endpoint.clone(),
+                            started_ms: update.started_ms,
+                        });
+                    }
                     log::info!(endpoint:% = update.endpoint, service:% = update.service, state:? = update.state; "the state of a local backend server changed");
                     self.outbox.borrow_mut().push(update);
                 }
--- a/crates/cicadagw-proxy/src/parts.rs
+++ b/crates/cicadagw-proxy/src/parts.rs
@@ -14,6 +14,7 @@
 use cicadagw_unit::time::Span;
 use cicadagw_view::Shared;
 
+use crate::departed::Departed;
 use crate::room::Room;
 use crate::{Limits, Stats};
 
@@ -21,6 +22,7 @@
 pub(crate) struct Parts {
     pub(crate) budget: Budget,
     pub(crate) control: Sender<LocalUpdate>,
+    pub(crate) departed: Departed,
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) limits: Limits,
     pub(crate) shutdown_delay: Span,
--- a/crates/cicadagw-proxy/src/run.rs
+++ b/crates/cicadagw-proxy/src/run.rs
@@ -10,12 +10,13 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::departed::Departed;
 use crate::listener::Listener;
 use crate::listener_kind::ListenerKind;
 use crate::node::Node;
 use crate::parts::Parts;
 use crate::room::Room;
-use crate::{Setup, descriptor_limit, maintenance, quotas};
+use crate::{Setup, departed, descriptor_limit, maintenance, quotas};
 
 /// The maximum time for writing the last responses after the last call has ended.
 const LAST_RESPONSES_TIMEOUT: Duration = Duration::from_millis(500);
@@ -49,6 +50,7 @@
     let node = Rc::new(Node::new(Parts {
         budget: setup.budget,
         control: setup.control,
+        departed: Departed::new(setup.departures.is_some()),
         dialect: setup.dialect,
         limits: setup.limits,
         shutdown_delay: setup.shutdown_delay,
@@ -84,6 +86,14 @@
             closed.run_until_cancelled(receiving).await;
         });
     }
+    if let Some(departures) = setup.departures {
+        let node = node.clone();
+        let closed = closed.clone();
+        servers.spawn_local(async move {
+            let receiving = departed::receive(&node, &departures);
+            closed.run_until_cancelled(receiving).await;
+        });
+    }
     maintenance::run(&node, &setup.token).await;
     closed.cancel();
     servers.close();
--- a/crates/cicadagw-proxy/src/setup.rs
+++ b/crates/cicadagw-proxy/src/setup.rs
@@ -6,8 +6,8 @@
 use bon::Builder;
 use cicadagw_call::balancer::Locality;
 use cicadagw_dialect::{Dialect, Native};
-use cicadagw_endpoint::LocalUpdate;
-use cicadagw_ring::Sender;
+use cicadagw_endpoint::{Departures, LocalUpdate};
+use cicadagw_ring::{Receiver, Sender};
 use cicadagw_rollout::Report;
 use cicadagw_settings::Timing;
 use cicadagw_unit::id;
@@ -32,6 +32,9 @@
     pub calls: TcpListener,
     /// The channel to the control duty for state changes of local backend servers.
     pub control: Sender<LocalUpdate>,
+    /// The ring of the departures from this host that the platform has stored. Without it, a departure
+    /// is acknowledged as soon as this node knows it.
+    pub departures: Option<Receiver<Departures>>,
     /// The format of the headers, announcements and load reports of callers and backend servers.
     #[builder(default = Arc::new(Native))]
     pub dialect: Arc<dyn Dialect>,
--- a/crates/cicadagw-proxy/src/stats.rs
+++ b/crates/cicadagw-proxy/src/stats.rs
@@ -25,6 +25,8 @@
     added_latency: Histogram,
     answered: AtomicU64,
     connections_closed: AtomicU64,
+    departures_acknowledged: AtomicU64,
+    departures_withheld: AtomicU64,
     held_bytes: AtomicU64,
     in_flight: AtomicU64,
     limited: AtomicU64,
@@ -49,6 +51,10 @@
     pub answered: u64,
     /// Connections of clients that were closed or refused to make room for others.
     pub connections_closed: u64,
+    /// Departures of local backend servers that were acknowledged.
+    pub departures_acknowledged: u64,
+    /// Departures that were not acknowledged, since the platform had not stored them in time.
+    pub departures_withheld: u64,
     /// The memory that connections and calls of clients hold, in bytes.
     pub held_bytes: u64,
     /// Calls in flight, including those of other nodes.
@@ -114,6 +120,8 @@
         Counts {
             answered: read(&self.answered),
             connections_closed: read(&self.connections_closed),
+            departures_acknowledged: read(&self.departures_acknowledged),
+            departures_withheld: read(&self.departures_withheld),
             held_bytes: read(&self.held_bytes),
             in_flight: read(&self.in_flight),
             limited: read(&self.limited),
@@ -184,6 +192,16 @@
         self.limited.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts the request of a backend server that leaves, by whether it was acknowledged.
+    pub(crate) fn count_departure(&self, is_acknowledged: bool) {
+        let count = if is_acknowledged {
+            &self.departures_acknowledged
+        } else {
+            &self.departures_withheld
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Sets the number of known endpoints whose backend servers name a rate limit.
     pub(crate) fn set_limited_endpoints(&self, number: u64) {
         self.limited_endpoints.store(number, Ordering::Relaxed);
