Read a node's own record after a restart from a list that is not stale

A restarted node lists the nodes before it writes its record, so that it takes over the departures that an earlier process has acknowledged. The list was one that may be seconds old: if it lacked the last departure, the node replaced its record without it, and after a kill of all processes nothing named it any more.

Change: the first list of a process that is not the first one must be current. Later lists may be stale as before. It costs one call at its full price for each restart.

Evidence: a_departure_outlives_the_restart_of_all_nodes_although_stale_lists_ lack_it fails with a stale first list and passes.

--- a/crates/cicadagw-gossip/src/core/step.rs
+++ b/crates/cicadagw-gossip/src/core/step.rs
@@ -248,7 +248,10 @@
                     create,
                 }));
             }
-            Some(Request::List) => self.effects.push(Effect::Call(Call::ListMembers)),
+            Some(Request::List(freshness)) => {
+                self.effects
+                    .push(Effect::Call(Call::ListMembers(freshness)));
+            }
             None => {}
         }
     }
--- a/crates/cicadagw-gossip/src/event.rs
+++ b/crates/cicadagw-gossip/src/event.rs
@@ -7,7 +7,7 @@
 use cicadagw_call::quota::{Grant, Request};
 use cicadagw_config::Snapshot;
 use cicadagw_endpoint::{Departures, LocalUpdate};
-use cicadagw_platform::{Era, Error, Revision};
+use cicadagw_platform::{Era, Error, Freshness, Revision};
 use cicadagw_rollout::{Decision, Directive, Entry, Report, Status};
 use cicadagw_unit::time::{Span, Timestamp};
 use cicadagw_unit::{Term, Version, id};
@@ -44,8 +44,8 @@
         /// Whether the object is assumed not to exist yet: it is then created instead of updated.
         create: bool,
     },
-    /// List the nodes registered at the platform; the list may be seconds old.
-    ListMembers,
+    /// List the nodes registered at the platform; the argument tells whether the list may be stale.
+    ListMembers(Freshness),
     /// Read the current configuration from the platform, without waiting for a change.
     ReadConfiguration {
         /// When the read was sent, on the clock of events.
--- a/crates/cicadagw-gossip/src/registration.rs
+++ b/crates/cicadagw-gossip/src/registration.rs
@@ -1,6 +1,6 @@
 //! Registration of this node at the platform, and discovery of the other registered nodes.
 
-use cicadagw_platform::{Error, Revision};
+use cicadagw_platform::{Error, Freshness, Revision};
 use cicadagw_unit::time::{Span, Timestamp};
 use rand::{Rng, RngExt};
 
@@ -40,8 +40,8 @@
         /// Whether the object is assumed not to exist yet: it is then created instead of updated.
         create: bool,
     },
-    /// List the registered nodes; the list may be seconds old.
-    List,
+    /// List the registered nodes; the argument tells whether the list may be stale.
+    List(Freshness),
 }
 
 /// Schedules the registration of this node and the lists of the others.
@@ -86,10 +86,13 @@
         }
         self.in_flight = true;
         // An existing object is read before it is replaced: it may name departures that an earlier
-        // process of this node has acknowledged.
+        // process of this node has acknowledged, the last one just before it ended.
         let has_read = self.create || self.lists > 0;
-        if self.is_written || !has_read {
-            return Some(Request::List);
+        if !has_read {
+            return Some(Request::List(Freshness::Newest));
+        }
+        if self.is_written {
+            return Some(Request::List(Freshness::Stale));
         }
         self.is_written = true;
         Some(Request::Write {
--- a/crates/cicadagw-gossip/tests/departure.rs
+++ b/crates/cicadagw-gossip/tests/departure.rs
@@ -267,3 +267,24 @@
         assert_eq!(fleet.endpoint_counts(), vec![0; NODES], "{unavailable}");
     }
 }
+
+/// Guards against a restarted node that reads its object from stale data, and then replaces the object
+/// without the departure that it named.
+#[test]
+fn a_departure_outlives_the_restart_of_all_nodes_although_stale_lists_lack_it() {
+    let mut fleet = Fleet::new(NODES);
+    fleet.run(DISCOVERY_MAX);
+    fleet.step(RESTARTED, ready("i-leaving", 40));
+    fleet.run(PROPAGATION_MAX);
+    fleet.platform.stale_members = Some(fleet.platform.members.clone());
+    fleet.step(RESTARTED, left("i-leaving", 40, State::Gone));
+    fleet.run(PROPAGATION_MAX);
+
+    for index in 0..NODES {
+        fleet.restart(index, 9);
+    }
+    fleet.step(RESTARTED, ready("i-leaving", 40));
+    fleet.run(DISCOVERY_MAX);
+
+    assert_eq!(fleet.endpoint_counts(), vec![0; NODES]);
+}
--- a/crates/cicadagw-gossip/tests/support/platform.rs
+++ b/crates/cicadagw-gossip/tests/support/platform.rs
@@ -5,7 +5,7 @@
 
 use cicadagw_config::Snapshot;
 use cicadagw_gossip::{Call, Event, Member, Reply};
-use cicadagw_platform::{Era, Error, Revision};
+use cicadagw_platform::{Era, Error, Freshness, Revision};
 use cicadagw_rollout::Entry;
 use cicadagw_unit::time::{Span, Timestamp};
 use rand::RngExt;
@@ -29,6 +29,8 @@
 #[expect(clippy::struct_excessive_bools, reason = "each is a fault of its own")]
 pub struct Platform {
     pub members: BTreeMap<String, Member>,
+    /// What lists that may be stale contain, if that is not the current state.
+    pub stale_members: Option<BTreeMap<String, Member>>,
     pub config: Option<(Revision, Arc<Snapshot>)>,
     pub revision: u64,
     /// The number of restores.
@@ -115,7 +117,7 @@
         }
         let reply = match call {
             Call::Register { .. } if is_unavailable => Reply::Registered(Err(unavailable())),
-            Call::ListMembers if is_unavailable => Reply::Members(Err(unavailable())),
+            Call::ListMembers(_) if is_unavailable => Reply::Members(Err(unavailable())),
             Call::ReadConfiguration { at } if is_unavailable => Reply::Read(at, Err(unavailable())),
             Call::WatchConfiguration { .. } if is_unavailable => Reply::Watched(Err(unavailable())),
             Call::CheckConfiguration { .. } if is_unavailable => Reply::Checked(Err(unavailable())),
@@ -144,8 +146,11 @@
                     Ok(self.platform.at())
                 })
             }
-            Call::ListMembers => {
-                Reply::Members(Ok(self.platform.members.values().cloned().collect()))
+            Call::ListMembers(freshness) => {
+                let stale = self.platform.stale_members.as_ref();
+                let stale = stale.filter(|_| freshness == Freshness::Stale);
+                let members = stale.unwrap_or(&self.platform.members);
+                Reply::Members(Ok(members.values().cloned().collect()))
             }
             Call::ReadConfiguration { at } => Reply::Read(
                 at,
@@ -202,7 +207,7 @@
         let error = || Error::Unavailable("timeout".to_owned());
         let (timeout, reply) = match call {
             Call::Register { .. } => (CALL_TIMEOUT, Reply::Registered(Err(error()))),
-            Call::ListMembers => (CALL_TIMEOUT, Reply::Members(Err(error()))),
+            Call::ListMembers(_) => (CALL_TIMEOUT, Reply::Members(Err(error()))),
             Call::ReadConfiguration { at } => (CALL_TIMEOUT, Reply::Read(*at, Err(error()))),
             Call::WatchConfiguration { wait, .. } => {
                 (wait.plus(CALL_TIMEOUT), Reply::Watched(Err(error())))
--- a/crates/cicadagw-node/src/peering/gossip.rs
+++ b/crates/cicadagw-node/src/peering/gossip.rs
@@ -170,7 +170,7 @@
         };
         Some(match call {
             Call::Register { .. } => Reply::Registered(Err(error())),
-            Call::ListMembers => Reply::Members(Err(error())),
+            Call::ListMembers(_) => Reply::Members(Err(error())),
             Call::ReadConfiguration { at } => Reply::Read(at, Err(error())),
             Call::WatchConfiguration { .. } => Reply::Watched(Err(error())),
             Call::CheckConfiguration { .. } => Reply::Checked(Err(error())),
--- a/crates/cicadagw-node/src/peering/platform.rs
+++ b/crates/cicadagw-node/src/peering/platform.rs
@@ -90,7 +90,10 @@
                 let registering = self.register(&member, create);
                 Reply::Registered(self.observe(Operation::Put, registering).await)
             }
-            Call::ListMembers => Reply::Members(self.observe(Operation::Get, self.members()).await),
+            Call::ListMembers(freshness) => {
+                let listing = self.members(freshness);
+                Reply::Members(self.observe(Operation::Get, listing).await)
+            }
             Call::ReadConfiguration { at } => {
                 Reply::Read(at, self.observe(Operation::Get, self.read()).await)
             }
@@ -155,12 +158,9 @@
         self.client.put(&key, Bytes::from(value), condition).await
     }
 
-    /// Lists the nodes from a read that may be stale; objects that cannot be decoded are left out.
-    async fn members(&self) -> Result<Vec<Member>, Error> {
-        let objects = self
-            .client
-            .objects(Key::NODE_PREFIX, Freshness::Stale)
-            .await?;
+    /// Lists the nodes; objects that cannot be decoded are left out.
+    async fn members(&self, freshness: Freshness) -> Result<Vec<Member>, Error> {
+        let objects = self.client.objects(Key::NODE_PREFIX, freshness).await?;
         let members = objects
             .iter()
             .filter_map(|object| self.decode_member(object));
