Write the log from a thread of its own, and drop lines instead of waiting

Cause: each line was written to the standard output in the thread that logged it, under a lock. A full pipe stopped that thread, and every other one at its next line. The rate limit bounds the volume of the log, not the wait.

Change: an appender has only a Sink to write to, whose calls never wait: a bounded ring, emptied by a thread that is the only one to write. The tests of the appender end the logger before they look at what it has written, since it is written by another thread; what they check is unchanged.

Why it works: no thread that serves calls holds anything that writes.

--- a/crates/cicadagw-admin/src/metrics.rs
+++ b/crates/cicadagw-admin/src/metrics.rs
@@ -48,6 +48,7 @@
         instruments.add_traffic();
         instruments.add_platform();
         instruments.add_platform_restores();
+        instruments.add_log();
         instruments.add_rings();
         instruments.add_endpoints();
         instruments.add_rollouts();
@@ -195,6 +196,15 @@
         );
     }
 
+    fn add_log(&self) {
+        self.counter(
+            "log_lines_dropped",
+            "",
+            "Log lines that were dropped since the standard output did not take them in time",
+            |sources, instrument| instrument.observe((sources.dropped_lines)(), &[]),
+        );
+    }
+
     fn add_platform_restores(&self) {
         self.counter(
             "platform_restores",
--- a/crates/cicadagw-admin/src/run.rs
+++ b/crates/cicadagw-admin/src/run.rs
@@ -36,6 +36,7 @@
         calls,
         cancel,
         control,
+        dropped_lines,
         links,
         listener,
         metrics: metrics_listener,
@@ -47,6 +48,7 @@
     } = setup;
     let sources = Sources {
         calls,
+        dropped_lines,
         links,
         meter,
         node,
--- a/crates/cicadagw-admin/src/setup.rs
+++ b/crates/cicadagw-admin/src/setup.rs
@@ -37,6 +37,9 @@
     pub node: id::Node,
     /// Sets the log level of the process.
     pub set_level: fn(Level),
+    /// Returns the number of log lines that were dropped.
+    #[builder(default = || 0)]
+    pub dropped_lines: fn() -> u64,
     /// Cancelled when the node begins to drain.
     pub stop: CancellationToken,
     /// The bearer token that every other request must present, if any.
--- a/crates/cicadagw-admin/src/sources.rs
+++ b/crates/cicadagw-admin/src/sources.rs
@@ -13,6 +13,8 @@
 pub(crate) struct Sources {
     /// The counters of the calls duty.
     pub(crate) calls: Arc<Stats>,
+    /// Returns the number of log lines that were dropped.
+    pub(crate) dropped_lines: fn() -> u64,
     /// The counters of the links duty.
     pub(crate) links: Traffic,
     /// The counters of the control and platform duties.
--- a/crates/cicadagw-dev/src/process/child.rs
+++ b/crates/cicadagw-dev/src/process/child.rs
@@ -1,7 +1,7 @@
 //! Child processes and their lifecycle.
 
 use std::fs::File;
-use std::io::{self, BufRead, BufReader};
+use std::io::{self, BufRead, BufReader, PipeReader, Write, pipe};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -23,6 +23,9 @@
     exit: Receiver<ExitStatus>,
     /// The exit status, once it was received.
     status: Option<ExitStatus>,
+    /// The other end of its output, if that is a pipe which is not read; it stays open while the
+    /// process runs.
+    unread: Option<PipeReader>,
 }
 
 impl Process {
@@ -39,6 +42,27 @@
         Self::reap(name, child, path)
     }
 
+    /// Starts `command`, whose output is a pipe that is full and never read. The log stays empty.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the pipe cannot be created or the process cannot be started.
+    pub fn start_unread(name: &str, command: &mut Command, dir: &Path) -> io::Result<Self> {
+        let (reader, mut writer) = pipe()?;
+        command.stdout(writer.try_clone()?);
+        command.stderr(writer.try_clone()?);
+        // Waits in a write while the pipe is full, and ends when the reader is dropped.
+        thread::Builder::new()
+            .name(format!("fill-{name}"))
+            .spawn(move || while writer.write_all(&[b'\n'; 64]).is_ok() {})?;
+        let child = command.stdin(Stdio::null()).spawn()?;
+        // The command would keep the write end open.
+        command.stdout(Stdio::null()).stderr(Stdio::null());
+        let mut process = Self::reap(name, child, dir.join(format!("{name}.log")))?;
+        process.unread = Some(reader);
+        Ok(process)
+    }
+
     /// Starts the test server `command` and waits until it prints its listen address; standard
     /// error is appended to the file `{name}.log` in `dir`.
     ///
@@ -91,6 +115,7 @@
             log_path,
             exit,
             status: None,
+            unread: None,
         })
     }
 
--- a/crates/cicadagw-log/src/lib.rs
+++ b/crates/cicadagw-log/src/lib.rs
@@ -1,5 +1,8 @@
 //! Logs as JSON lines on the standard output, each naming its node.
 //!
+//! A thread of its own writes the lines. If nobody reads the output, lines are dropped, and no other
+//! thread waits.
+//!
 //! Repeated messages are rate-limited: a message that is logged too often within a second is
 //! counted, and one line reports how many repeats were suppressed.
 
@@ -7,7 +10,8 @@
 pub mod limit;
 mod lines;
 mod origin;
+mod sink;
 
-pub use install::{Error, install, set_level};
+pub use install::{Error, dropped_lines, flush, install, set_level};
 pub use lines::Lines;
 pub use origin::Origin;
--- a/crates/cicadagw-log/tests/lines.rs
+++ b/crates/cicadagw-log/tests/lines.rs
@@ -1,6 +1,7 @@
 //! Lines are JSON, name their node, and are limited when they repeat.
 
 use std::io::Write;
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::sync::{Arc, Mutex};
 
 use cicadagw_log::limit::BURST;
@@ -10,12 +11,15 @@
 use serde_json::Value;
 
 /// A writer that keeps everything in memory.
-#[derive(Clone, Default)]
-struct Memory(Arc<Mutex<Vec<u8>>>);
+struct Memory {
+    bytes: Arc<Mutex<Vec<u8>>>,
+    /// Is closed when the logger has written everything and ends.
+    _ended: SyncSender<()>,
+}
 
 impl Write for Memory {
     fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
-        self.0.lock().unwrap().write(bytes)
+        self.bytes.lock().unwrap().write(bytes)
     }
 
     fn flush(&mut self) -> std::io::Result<()> {
@@ -23,9 +27,37 @@
     }
 }
 
-impl Memory {
-    fn lines(&self) -> Vec<Value> {
-        let bytes = self.0.lock().unwrap().clone();
+/// A logger that writes to memory.
+struct Fixture {
+    bytes: Arc<Mutex<Vec<u8>>>,
+    ended: Receiver<()>,
+    logger: Logger,
+}
+
+impl Fixture {
+    fn new() -> Self {
+        let (sender, ended) = sync_channel(1);
+        let bytes = Arc::<Mutex<Vec<u8>>>::default();
+        let memory = Memory {
+            bytes: bytes.clone(),
+            _ended: sender,
+        };
+        let lines = Lines::start(memory, &"kochi-a-1".parse().unwrap()).unwrap();
+        let logger = logforth::core::builder()
+            .dispatch(|dispatch| dispatch.filter(Origin).append(lines))
+            .build();
+        Self {
+            bytes,
+            ended,
+            logger,
+        }
+    }
+
+    /// Ends the logger, and returns the lines that it has written.
+    fn lines(self) -> Vec<Value> {
+        drop(self.logger);
+        self.ended.recv().unwrap_err();
+        let bytes = self.bytes.lock().unwrap().clone();
         let text = String::from_utf8(bytes).unwrap();
         text.lines()
             .map(|line| serde_json::from_str(line).unwrap())
@@ -33,14 +65,6 @@
     }
 }
 
-fn logger(memory: &Memory) -> Logger {
-    let node = "kochi-a-1".parse().unwrap();
-    let lines = Lines::new(memory.clone(), &node);
-    logforth::core::builder()
-        .dispatch(|dispatch| dispatch.filter(Origin).append(lines))
-        .build()
-}
-
 fn log(logger: &Logger, level: Level) {
     log_from(logger, "cicadagw_control::core", level);
 }
@@ -56,11 +80,11 @@
 
 #[test]
 fn a_line_holds_its_level_message_and_node() {
-    let memory = Memory::default();
+    let fixture = Fixture::new();
 
-    log(&logger(&memory), Level::Info);
+    log(&fixture.logger, Level::Info);
 
-    let lines = memory.lines();
+    let lines = fixture.lines();
     assert_eq!(lines[0]["level"], "INFO");
     assert_eq!(lines[0]["message"], "adopted a snapshot");
     assert_eq!(lines[0]["diags"]["node"], "kochi-a-1");
@@ -68,17 +92,16 @@
 
 #[test]
 fn suppressed_lines_are_reported_by_a_flush_at_the_latest() {
-    let memory = Memory::default();
-    let logger = logger(&memory);
+    let fixture = Fixture::new();
     // However the lines are spread over windows, each is either written or reported as suppressed.
     let count = 3 * BURST;
 
     for _ in 0..count {
-        log(&logger, Level::Info);
+        log(&fixture.logger, Level::Info);
     }
-    logger.flush();
+    fixture.logger.flush();
 
-    let lines = memory.lines();
+    let lines = fixture.lines();
     let suppressed: u64 = lines
         .iter()
         .filter_map(|line| line["kvs"]["repeats"].as_u64())
@@ -97,13 +120,12 @@
 
 #[test]
 fn lines_of_libraries_below_warnings_are_dropped() {
-    let memory = Memory::default();
-    let logger = logger(&memory);
+    let fixture = Fixture::new();
 
-    log_from(&logger, "actix_server::worker", Level::Info);
-    log_from(&logger, "actix_server::worker", Level::Warn);
+    log_from(&fixture.logger, "actix_server::worker", Level::Info);
+    log_from(&fixture.logger, "actix_server::worker", Level::Warn);
 
-    let lines = memory.lines();
+    let lines = fixture.lines();
     assert_eq!(lines.len(), 1);
     assert_eq!(lines[0]["level"], "WARN");
 }
--- a/crates/cicadagw-node/src/node.rs
+++ b/crates/cicadagw-node/src/node.rs
@@ -59,6 +59,7 @@
         .calls(stats.clone())
         .cancel(cancel.clone())
         .control(request_sender)
+        .dropped_lines(cicadagw_log::dropped_lines)
         .links(traffic)
         .listener(sockets.admin)
         .meter(meter.clone())
--- a/crates/cicadagw-node/src/peering/node.rs
+++ b/crates/cicadagw-node/src/peering/node.rs
@@ -82,6 +82,7 @@
         .calls(stats.clone())
         .cancel(cancel.clone())
         .control(request_sender)
+        .dropped_lines(cicadagw_log::dropped_lines)
         .links(cicadagw_link::Traffic::default())
         .listener(sockets.admin)
         .meter(meter.clone())
--- a/crates/cicadagw/src/commands/run.rs
+++ b/crates/cicadagw/src/commands/run.rs
@@ -26,14 +26,15 @@
     let stop = CancellationToken::new();
     let reload = Reload::new(path.to_owned(), settings.clone());
     listen_for_signals(stop.clone(), reload)?;
-    match &settings.peering {
+    let outcome = match &settings.peering {
         Some(peering) => {
             let adapter = adapter(peering.dialect);
             cicadagw_node::peering::run(&settings, peering, &adapter, &stop)
         }
         None => cicadagw_node::run(&settings, &stop),
-    }
-    .map_err(Error::Node)
+    };
+    cicadagw_log::flush();
+    outcome.map_err(Error::Node)
 }
 
 /// Returns the platform-specific parts of a node for the platform that speaks `dialect`.
