Refuse announcements of another service than that of the host

Cause: the node took the service from the announcement with the highest number, and the instance's own heartbeats for older ones.

Evidence: a_heartbeat_of_another_writer_does_not_move_an_instance_to_another_ service (real node) failed without the check, and passes.

Change: where the settings name the service of the host's backend server, an announcement of another service is answered 400, logged, and changes nothing.

--- a/crates/cicadagw-proxy/src/announce.rs
+++ b/crates/cicadagw-proxy/src/announce.rs
@@ -28,6 +28,14 @@
     let path = std::str::from_utf8(&head.target).unwrap_or_default();
     let dialect = &node.dialect;
     match dialect.decode_registration(method, path, &body) {
+        Ok(Registration::Announce(announcement)) if node.is_foreign(&announcement) => {
+            log::warn!(endpoint:% = announcement.endpoint, service:% = announcement.service, next = "it is ignored"; "an announcement names another service than that of this host");
+            let error = "the service is not that of this host";
+            into_reply(Acknowledgement {
+                status: 400,
+                body: json!({ "error": error }).to_string().into(),
+            })
+        }
         Ok(Registration::Announce(announcement)) => {
             let renew = Span::new(node.timing.renewal.get() / RENEWALS_PER_TIMEOUT);
             let endpoint = &announcement.endpoint;
--- a/crates/cicadagw-proxy/src/node/local.rs
+++ b/crates/cicadagw-proxy/src/node/local.rs
@@ -26,6 +26,13 @@
         }
     }
 
+    /// Returns whether an announcement cannot be one of a backend server on this host, whose service
+    /// the settings name: another program has written it.
+    pub(crate) fn is_foreign(&self, announcement: &Announcement) -> bool {
+        let service = self.service.as_ref();
+        service.is_some_and(|service| *service != announcement.service)
+    }
+
     /// Applies the announcement of a local backend server; fails if its endpoint is already gone.
     pub(crate) fn announce(&self, announcement: &Announcement) -> Result<(), Gone> {
         // Other nodes may have told meanwhile what had left before this process started.
