Name the service of a host's backend servers apart from that of its callers

The check of foreign announcements had used the callers' service.

Change: the calls duty gets the service of the backend servers as a parameter of its own, which a peering node sets from its settings.

--- a/crates/cicadagw-node/src/peering/node.rs
+++ b/crates/cicadagw-node/src/peering/node.rs
@@ -99,6 +99,7 @@
     let accepting_max = Span::new(SHUTDOWN_DELAY_SHARE.of(timing.drain.get()));
     let calls = cicadagw_proxy::Setup::builder()
         .announce(sockets.announce)
+        .backend_service(peering.service.clone())
         .budget(settings.budget.clone())
         .calls(sockets.calls)
         .control(rings.locals)
--- a/crates/cicadagw-proxy/src/node.rs
+++ b/crates/cicadagw-proxy/src/node.rs
@@ -39,6 +39,8 @@
 
 /// The shared state of the proxy.
 pub(crate) struct Node {
+    /// The service of the backend servers on this host, if it has those of one service only.
+    backend_service: Option<id::Service>,
     pub(crate) budget: Budget,
     pub(crate) clock: Clock,
     pub(crate) departed: Departed,
@@ -81,6 +83,7 @@
     pub(crate) fn new(parts: Parts) -> Self {
         let clock = Clock::start();
         Self {
+            backend_service: parts.backend_service,
             budget: parts.budget,
             clock,
             departed: parts.departed,
--- a/crates/cicadagw-proxy/src/node/local.rs
+++ b/crates/cicadagw-proxy/src/node/local.rs
@@ -26,10 +26,10 @@
         }
     }
 
-    /// Returns whether an announcement cannot be one of a backend server on this host, whose service
-    /// the settings name: another program has written it.
+    /// Returns whether an announcement cannot be one of a backend server on this host: another program
+    /// has written it.
     pub(crate) fn is_foreign(&self, announcement: &Announcement) -> bool {
-        let service = self.service.as_ref();
+        let service = self.backend_service.as_ref();
         service.is_some_and(|service| *service != announcement.service)
     }
 
--- a/crates/cicadagw-proxy/src/parts.rs
+++ b/crates/cicadagw-proxy/src/parts.rs
@@ -20,6 +20,7 @@
 
 /// The parameters of [`Node::new`](crate::node::Node::new).
 pub(crate) struct Parts {
+    pub(crate) backend_service: Option<id::Service>,
     pub(crate) budget: Budget,
     pub(crate) control: Sender<LocalUpdate>,
     pub(crate) departed: Departed,
--- a/crates/cicadagw-proxy/src/run.rs
+++ b/crates/cicadagw-proxy/src/run.rs
@@ -48,6 +48,7 @@
     };
     let room = Room::new(&setup.budget, descriptor_limit::read());
     let node = Rc::new(Node::new(Parts {
+        backend_service: setup.backend_service,
         budget: setup.budget,
         control: setup.control,
         departed: Departed::new(setup.departures.is_some()),
--- a/crates/cicadagw-proxy/src/setup.rs
+++ b/crates/cicadagw-proxy/src/setup.rs
@@ -25,6 +25,9 @@
 pub struct Setup {
     /// The bound socket for the announcements of local backend servers.
     pub announce: TcpListener,
+    /// The service of the backend servers on this host; announcements of others are refused. Without
+    /// it, the host may have backend servers of any service.
+    pub backend_service: Option<id::Service>,
     /// The limits from the settings, of which the proxy uses the hop limit.
     #[builder(default)]
     pub budget: cicadagw_settings::Budget,
