Take in no nodes from the platform's list that have left

Cause: a node that stops did not say so in its object, so a restart of all nodes brought every machine that had ever been there back as a member. The watchers, beacons and random digests were spread over machines that were gone.

Evidence: nodes_that_have_left_are_no_members_after_a_restart_of_all_others fails without the change (132 members instead of 12).

Change: a node that stops writes its object, which says that it leaves, also where no quotas are enforced; a node that is listed so, and not known, is not taken in; beacons and random digests do not go to nodes that are leaving.

--- a/crates/cicadagw-gossip/src/core/configuration.rs
+++ b/crates/cicadagw-gossip/src/core/configuration.rs
@@ -35,6 +35,7 @@
             .table
             .iter()
             .filter(|member| member.region == self.own.region && member.node != self.own.node)
+            .filter(|member| !member.is_leaving)
             .map(|member| member.gossip)
             .collect();
         self.beacon_due = now.after(watchers::beacon_interval(others.len()));
--- a/crates/cicadagw-gossip/src/core/dissemination.rs
+++ b/crates/cicadagw-gossip/src/core/dissemination.rs
@@ -108,7 +108,10 @@
     pub(super) fn random_peer(&mut self) -> Option<SocketAddr> {
         let is_local_turn = self.rng.random_range(0..4) < LOCAL_DIGESTS_OF_FOUR;
         let own = &self.own;
-        let others = || self.table.iter().filter(|member| member.node != own.node);
+        let others = || {
+            let all = self.table.iter();
+            all.filter(|member| member.node != own.node && !member.is_leaving)
+        };
         let local = others()
             .filter(|member| is_local_turn == (member.region == own.region))
             .choose(&mut self.rng);
--- a/crates/cicadagw-gossip/src/core/reply.rs
+++ b/crates/cicadagw-gossip/src/core/reply.rs
@@ -73,14 +73,15 @@
     }
 
     /// Merges the nodes listed by the platform. The list may be older than the records that nodes
-    /// send themselves, so only nodes that are not in the table yet are added.
+    /// send themselves, so only nodes that are not in the table yet are added. Those that have left are
+    /// not: one that starts again introduces itself.
     fn merge_listed(&mut self, now: Timestamp, members: Vec<Member>) {
         let mut has_changed = false;
         for member in members {
             let is_known = self.table.get(&member.node).is_some();
             if member.node == self.own.node {
                 self.refute(now, &member);
-            } else if !is_known {
+            } else if !is_known && !member.is_leaving {
                 has_changed |= self.merge(now, &member);
             }
         }
--- a/crates/cicadagw-gossip/src/core/step.rs
+++ b/crates/cicadagw-gossip/src/core/step.rs
@@ -198,10 +198,8 @@
             Event::Reply(reply) => self.handle_reply(now, reply),
             Event::Shutdown => {
                 self.own.is_leaving = true;
-                // Nodes that start later find this one at the platform; it must own no quota then.
-                if self.has_quotas() {
-                    self.registration.rewrite(now);
-                }
+                // Nodes that start later find this one at the platform, and must not count on it.
+                self.registration.rewrite(now);
                 self.broadcast(now);
             }
         }
--- a/crates/cicadagw-gossip/tests/fleet.rs
+++ b/crates/cicadagw-gossip/tests/fleet.rs
@@ -397,3 +397,32 @@
         );
     }
 }
+
+/// Guards against nodes that have left and count as members after a restart of all others: these
+/// waited for them to watch the platform and to pass on configurations.
+#[test]
+fn nodes_that_have_left_are_no_members_after_a_restart_of_all_others() {
+    const LIVE: usize = 12;
+    const REPLACED: usize = 120;
+    let mut fleet = Fleet::new(LIVE + REPLACED);
+    fleet.publish_configuration(1);
+    fleet.run(Span::seconds(5));
+    for index in LIVE..LIVE + REPLACED {
+        fleet.step(index, Event::Shutdown);
+    }
+    fleet.run(Span::seconds(1));
+    fleet.frozen = (LIVE..LIVE + REPLACED).collect();
+
+    for index in 0..LIVE {
+        fleet.restart_now(index);
+    }
+    fleet.run(Span::seconds(4));
+    fleet.publish_configuration(2);
+    fleet.run(Span::seconds(3));
+
+    assert_eq!(fleet.versions()[..LIVE], [2; LIVE]);
+    let members = fleet.nodes[..LIVE]
+        .iter()
+        .map(|node| node.core.table().iter().count());
+    assert_eq!(members.collect::<Vec<_>>(), [LIVE; LIVE]);
+}
