Replace a node's object only under the revision that was read

In a test, an instance whose departure had been acknowledged got requests again after a restart.

Cause: the platform may carry out a write seconds after its response counts as lost. A node replaced its object whatever it contained, so a late write of an earlier record took an acknowledged departure from it.

Change: the object is read, and replaced under the revision read; a write that is carried out late then fails. It costs a read for each write of the record: at the start, for a departure and at the stop.

--- a/crates/cicadagw-gossip/src/source.rs
+++ b/crates/cicadagw-gossip/src/source.rs
@@ -32,9 +32,8 @@
         Due = "due",
         /// The request succeeded.
         Answered = "answered",
-        /// The platform no longer has the history since the requested revision, because it has been
-    /// compacted or the platform restored from a copy, or it has no
-        /// configuration yet.
+        /// The platform no longer has the history since the requested revision, because that was
+        /// compacted or its store was restored from a copy, or it has no configuration yet.
         Compacted = "compacted",
         /// The request failed.
         Failed = "failed",
--- a/crates/cicadagw-node/src/peering/platform.rs
+++ b/crates/cicadagw-node/src/peering/platform.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use bytes::Bytes;
 use cicadagw_config::{Snapshot, part};
 use cicadagw_gossip::{Call, Member, Orders, Reply};
 use cicadagw_meter::{Meter, Operation, PlatformOutcome};
@@ -147,15 +146,26 @@
     }
 
     /// Writes the object that describes this node; with `create`, only if it does not exist yet.
+    ///
+    /// The platform may carry out a write seconds after its response counts as lost. So that an earlier
+    /// one cannot undo a later one, each names the revision that it replaces.
     async fn register(&self, member: &Member, create: bool) -> Result<Revision, Error> {
         let value = serde_json::to_vec(member).expect("a member can be written as JSON");
-        let condition = if create {
-            Condition::Absent
-        } else {
-            Condition::Always
-        };
         let key = Key::node(&member.node);
-        self.client.put(&key, Bytes::from(value), condition).await
+        if create {
+            return self.client.put(&key, value.into(), Condition::Absent).await;
+        }
+        let reading = self.observe(Operation::Get, self.client.get(&key));
+        let object = reading.await?.ok_or(Error::Conflict)?;
+        let condition = Condition::Revision(object.revision);
+        let written = self.client.put(&key, value.into(), condition).await;
+        written.map_err(|error| match error {
+            // Whether the object exists is known.
+            Error::Conflict => {
+                Error::Unavailable("an earlier write was carried out late".to_owned())
+            }
+            error => error,
+        })
     }
 
     /// Lists the nodes; objects that cannot be decoded are left out.
