Read response heads in a module of their own

The reader of response heads moves to head_reader.rs, and the step of a client connection to its chart's module.

--- a/crates/cicadagw-http/src/lib.rs
+++ b/crates/cicadagw-http/src/lib.rs
@@ -10,6 +10,7 @@
 mod encode;
 mod fields;
 mod framing;
+mod head_reader;
 pub mod ledger;
 pub mod lifecycle;
 mod parse;
--- a/crates/cicadagw-http/src/lifecycle.rs
+++ b/crates/cicadagw-http/src/lifecycle.rs
@@ -65,3 +65,12 @@
     });
     &CHART
 }
+
+/// Moves a client connection; `is_reusable` says whether it can serve another request.
+pub(crate) fn step(state: State, event: Event, is_reusable: bool) -> State {
+    chart()
+        .step(state, event, |guard| match guard {
+            Guard::Reusable => is_reusable,
+        })
+        .to
+}
