Wait for a server that has no room for more of a long request

Cause: a connection is given up when sent bytes stay unacknowledged for 300 ms, or 1.5 s between nodes (TCP_USER_TIMEOUT). The kernel applies that also while the receive window of a server that does not read is full, although the server acknowledges each probe.

Change: the timeout is lifted for a body over 32 kB once the server is known to be alive: the connection is new, the server has responded on it in the last 100 ms, or it sends any response to this request. Instances send no interim response, so a long request to one takes no connection that has been idle for longer.

Ruled out: TCP_INFO, which needs unsafe code; /proc/net/tcp, a walk over the whole table of the kernel for each look.

A server that falls silent in the middle of a long body is noticed at the deadline.

--- a/crates/cicadagw-http/src/client.rs
+++ b/crates/cicadagw-http/src/client.rs
@@ -30,6 +30,10 @@
     pool: Weak<Pool>,
     state: State,
     is_reused: bool,
+    /// Whether the connection was opened just now, or the server has just responded on it.
+    pub(crate) is_alive: bool,
+    /// Whether [`Options::tcp_user_timeout`](crate::pool::Options::tcp_user_timeout) is in force.
+    pub(crate) is_bounded: bool,
 }
 
 /// A request to send.
@@ -47,6 +51,20 @@
     pub has_responded: &'o Cell<bool>,
 }
 
+impl Request<'_> {
+    /// Returns whether the body is long; see [`Framing::is_long`].
+    ///
+    /// The kernel applies `TCP_USER_TIMEOUT` also while the receive window of the server is full,
+    /// although the server acknowledges each probe. The timeout is therefore lifted for a long request
+    /// once the server is known to be alive: the connection is new, or the server has just responded
+    /// on it, or responds to this request, be it with an interim response.
+    fn is_long(&self) -> bool {
+        let buffered = Framing::Length(self.buffered.len() as u64);
+        let streamed = self.streamed.as_ref().map(|(_, framing)| *framing);
+        streamed.unwrap_or(buffered).is_long()
+    }
+}
+
 /// The reason why there is no response to a request that may have been executed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Loss {
@@ -109,9 +127,15 @@
             pool,
             state: State::Idle,
             is_reused: false,
+            is_alive: true,
+            is_bounded: true,
         }
     }
 
+    pub(crate) const fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
     /// Returns whether the connection has served an earlier request.
     pub const fn is_reused(&self) -> bool {
         self.is_reused
@@ -139,12 +163,18 @@
         self.step(Event::Send, false);
         let method = request.method;
         let has_responded = request.has_responded;
+        let is_long = request.is_long();
+        self.is_bounded = !is_long;
+        if is_long && self.is_alive {
+            lift_silence_bound(&self.stream);
+        }
         let (mut reader, mut writer) = self.stream.split();
         let mut incoming = HeadReader {
             buffer: &mut self.buffer,
             state: &mut self.state,
             method,
             has_responded,
+            is_long,
         };
         let mut is_sent = false;
         let mut is_broken = false;
@@ -267,6 +297,13 @@
     }
 }
 
+/// Lets the bytes sent on a connection stay unacknowledged until the request's own deadline.
+pub(crate) fn lift_silence_bound(stream: &TcpStream) {
+    if let Err(error) = socket2::SockRef::from(stream).set_tcp_user_timeout(None) {
+        log::debug!(error:%; "the timeout of unacknowledged bytes cannot be changed");
+    }
+}
+
 /// Parses the `timeout` of a `keep-alive` field: how long the server keeps an idle connection open,
 /// in whole seconds. Returns one second less, since the server starts counting earlier.
 fn keep_alive(value: &str) -> Option<Duration> {
--- a/crates/cicadagw-http/src/framing.rs
+++ b/crates/cicadagw-http/src/framing.rs
@@ -22,6 +22,21 @@
     Close,
 }
 
+impl Framing {
+    /// The maximum length of a short body, in bytes. With its head it fits into the receive window of
+    /// a server that does not read.
+    const SHORT_BYTES_MAX: u64 = 32 << 10;
+
+    /// Returns whether a body may be longer than the receive window of a server that does not read.
+    pub const fn is_long(self) -> bool {
+        match self {
+            Self::Empty => false,
+            Self::Length(length) => length > Self::SHORT_BYTES_MAX,
+            Self::Chunked | Self::Close => true,
+        }
+    }
+}
+
 /// An incremental decoder that extracts a message body from a connection's receive buffer.
 #[derive(Clone, Debug)]
 pub struct Decoder(State);
--- a/crates/cicadagw-http/src/head_reader.rs
+++ b/crates/cicadagw-http/src/head_reader.rs
@@ -7,7 +7,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::tcp::ReadHalf;
 
-use crate::client::{Loss, READ_BYTES};
+use crate::client::{Loss, READ_BYTES, lift_silence_bound};
 use crate::lifecycle::{Event, State, step};
 use crate::parse::{self, Response as ResponseHead};
 use crate::{Decoder, Framing, Step};
@@ -28,6 +28,8 @@
     pub(crate) state: &'h mut State,
     pub(crate) method: &'h [u8],
     pub(crate) has_responded: &'h Cell<bool>,
+    /// Whether the body of the request is long; see [`Framing::is_long`].
+    pub(crate) is_long: bool,
 }
 
 impl HeadReader<'_> {
@@ -40,6 +42,9 @@
         for _ in 0..=SKIPPED_RESPONSES_MAX {
             let head = self.next(reader).await?;
             self.has_responded.set(true);
+            if self.is_long {
+                lift_silence_bound(reader.as_ref());
+            }
             if (100..200).contains(&head.status) {
                 if head.status == 101 {
                     return Err(self.mark_unusable());
--- a/crates/cicadagw-http/src/pool.rs
+++ b/crates/cicadagw-http/src/pool.rs
@@ -11,6 +11,9 @@
 
 use crate::client::Connection;
 
+/// The maximum idle time of a connection that counts as alive without new evidence.
+pub const ALIVE_IDLE_MAX: Duration = Duration::from_millis(100);
+
 /// Timeouts of the connections to a server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Options {
@@ -19,7 +22,8 @@
     /// The maximum time for which an idle connection is kept.
     pub idle_timeout: Duration,
     /// The time after which a connection with unacknowledged sent bytes is considered lost
-    /// (`TCP_USER_TIMEOUT`).
+    /// (`TCP_USER_TIMEOUT`). It does not apply to a request with a long body once the server is known
+    /// to be alive; see [`Framing::is_long`](crate::Framing::is_long).
     pub tcp_user_timeout: Duration,
 }
 
@@ -53,8 +57,8 @@
         self.address
     }
 
-    /// Returns a connection that was idle for less than `idle_max`, preferring the most recently
-    /// used one, or opens a new connection.
+    /// Returns the most recently used connection if it was idle for less than `idle_max`, or else
+    /// opens a new one in its place.
     ///
     /// # Errors
     ///
@@ -63,13 +67,19 @@
     pub async fn open(self: &Rc<Self>, idle_max: Duration) -> io::Result<Connection> {
         let now = Instant::now();
         loop {
-            let Some(entry) = self.idle.borrow_mut().pop() else {
+            let Some(mut entry) = self.idle.borrow_mut().pop() else {
                 return self.connect().await;
             };
-            let is_fresh = now < entry.expires && now.duration_since(entry.since) < idle_max;
-            if is_fresh && entry.connection.is_usable() {
-                return Ok(entry.connection);
+            if now >= entry.expires || !entry.connection.is_usable() {
+                continue;
+            }
+            let idle = now.duration_since(entry.since);
+            if idle >= idle_max {
+                // The remaining connections have been idle for longer.
+                return self.connect().await;
             }
+            entry.connection.is_alive = idle < ALIVE_IDLE_MAX;
+            return Ok(entry.connection);
         }
     }
 
@@ -92,7 +102,18 @@
 
     /// Puts a connection back into the pool. `server_idle_timeout` is the idle timeout announced by the
     /// server, if any.
-    pub(crate) fn put_back(&self, connection: Connection, server_idle_timeout: Option<Duration>) {
+    pub(crate) fn put_back(
+        &self,
+        mut connection: Connection,
+        server_idle_timeout: Option<Duration>,
+    ) {
+        if !connection.is_bounded {
+            if let Err(error) = self.bound_silence(connection.stream()) {
+                log::debug!(error:%; "closed a connection whose options cannot be set");
+                return;
+            }
+            connection.is_bounded = true;
+        }
         let since = Instant::now();
         let idle = server_idle_timeout.map_or(self.options.idle_timeout, |server_idle_timeout| {
             server_idle_timeout.min(self.options.idle_timeout)
@@ -111,8 +132,13 @@
         );
         let stream = connecting.await.map_err(|_| io::ErrorKind::TimedOut)??;
         stream.set_nodelay(true)?;
-        let socket = socket2::SockRef::from(&stream);
-        socket.set_tcp_user_timeout(Some(self.options.tcp_user_timeout))?;
+        self.bound_silence(&stream)?;
         Ok(Connection::new(stream, Rc::downgrade(self)))
     }
+
+    /// Sets the time after which unacknowledged bytes end a connection.
+    fn bound_silence(&self, stream: &TcpStream) -> io::Result<()> {
+        let socket = socket2::SockRef::from(stream);
+        socket.set_tcp_user_timeout(Some(self.options.tcp_user_timeout))
+    }
 }
--- a/crates/cicadagw-proxy/src/delivery.rs
+++ b/crates/cicadagw-proxy/src/delivery.rs
@@ -10,6 +10,7 @@
 use cicadagw_call::{Load, Reason};
 use cicadagw_dialect::HeaderNames;
 use cicadagw_http::client::Incoming;
+use cicadagw_http::pool::ALIVE_IDLE_MAX;
 use cicadagw_http::{Fields, Ledger, Response as ResponseHead};
 use cicadagw_unit::rate::{CallRate, Priority};
 use cicadagw_unit::time::{Span, Timestamp};
@@ -174,11 +175,7 @@
     let has_responded = Cell::new(false);
     let destination = Destination {
         pool: &backend.pool,
-        idle_max: if call.is_idempotent() {
-            IDLE_MAX
-        } else {
-            IDLE_MAX_NON_IDEMPOTENT
-        },
+        idle_max: idle_max(call),
         deadline: node.clock.instant(call.deadline),
         has_responded: &has_responded,
         echo_field: names.attempt,
@@ -252,6 +249,20 @@
     }
 }
 
+/// Returns how long a connection to the backend server may have been idle to be reused for a call.
+///
+/// A backend server need not respond before it has finished its work, so a long call is sent only on
+/// a connection on which it is known to be alive.
+fn idle_max(call: Call<'_>) -> Duration {
+    if call.upload.framing().is_long() {
+        ALIVE_IDLE_MAX
+    } else if call.is_idempotent() {
+        IDLE_MAX
+    } else {
+        IDLE_MAX_NON_IDEMPOTENT
+    }
+}
+
 /// Processes what a response says of the state of the backend server: its pace of work, its rate
 /// limit, and whether it is leaving. A refusal need not repeat the limit, so only a response to an executed request ends
 /// it.
--- a/crates/cicadagw-proxy/tests/support/mod.rs
+++ b/crates/cicadagw-proxy/tests/support/mod.rs
@@ -11,6 +11,7 @@
 pub mod caller;
 pub mod early;
 pub mod endless;
+pub mod late_reader;
 pub mod memory;
 pub mod mesh;
 pub mod refusing;
