Let a body of unknown length wait for the link once

Cause: the link was reserved anew for each part of 16 kB of such a body, behind everything that others had reserved meanwhile, so that the body waited for the backlog ten times and more. That held also for a body that was complete in memory.

Change: a Transfer reserves the link for what is known of its length, and then for a quarter of what has been sent; what is not used is given back. A body that is complete when it is passed on has a known length.

--- a/crates/cicadagw-call/src/pacing.rs
+++ b/crates/cicadagw-call/src/pacing.rs
@@ -28,6 +28,24 @@
     free_at: Duration,
 }
 
+/// What is known of the length of a response body, in bytes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Extent {
+    /// The body has this length.
+    Exactly(u64),
+    /// The body has this length or a larger one.
+    AtLeast(u64),
+}
+
+/// The transfer of one response body over the link.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Transfer {
+    extent: Extent,
+    /// The number of bytes sent, or about to be sent.
+    sent: u64,
+    reservation: Option<Reservation>,
+}
+
 /// A reservation of link time for one response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Reservation {
@@ -65,6 +83,62 @@
             left: length,
         }
     }
+
+    /// Gives back the link time for `length` bytes that were reserved.
+    fn give_back(&mut self, now: Duration, length: u64) {
+        let unused = transmission_time(length, self.bytes_per_second);
+        self.free_at = self
+            .free_at
+            .saturating_sub(unused)
+            .max(now.min(self.free_at));
+    }
+}
+
+impl Transfer {
+    /// Creates the transfer of a body of `extent`.
+    pub const fn new(extent: Extent) -> Self {
+        Self {
+            extent,
+            sent: 0,
+            reservation: None,
+        }
+    }
+
+    /// Returns when the next part of the body, of `length` bytes, may be sent. The first bytes, up to
+    /// [`UNPACED_MAX`], are not delayed.
+    ///
+    /// The rest waits for the link once for each reservation, behind everything reserved before, and
+    /// not once for each part.
+    pub fn schedule(&mut self, link: &mut Link, now: Duration, length: u64) -> Duration {
+        let sent = self.sent;
+        self.sent += length;
+        if self.sent <= UNPACED_MAX.get() {
+            link.reserve(now, length);
+            return now;
+        }
+        let current = self.reservation.filter(|current| !current.is_used_up());
+        let expected = || expected_rest(self.extent, sent).max(length);
+        let mut reservation = current.unwrap_or_else(|| link.reserve(now, expected()));
+        let begin = reservation.schedule(length);
+        self.reservation = Some(reservation);
+        begin
+    }
+
+    /// Ends the transfer, and gives back the link time that it has reserved and not used.
+    pub fn end(&mut self, link: &mut Link, now: Duration) {
+        if let Some(reservation) = self.reservation.take() {
+            link.give_back(now, reservation.left);
+        }
+    }
+}
+
+/// Returns how much of a body of `extent` is expected to follow the first `sent` bytes: of a longer
+/// body than is known, a quarter of what has been sent.
+fn expected_rest(extent: Extent, sent: u64) -> u64 {
+    match extent {
+        Extent::Exactly(length) => length.saturating_sub(sent),
+        Extent::AtLeast(length) => length.saturating_sub(sent).max(sent / 4),
+    }
 }
 
 impl Reservation {
--- a/crates/cicadagw-proxy/src/pacer.rs
+++ b/crates/cicadagw-proxy/src/pacer.rs
@@ -2,8 +2,9 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
-use cicadagw_call::pacing::{Link, Reservation, UNPACED_MAX};
+use cicadagw_call::pacing::{Extent, Link, Transfer};
 use cicadagw_unit::rate::Throughput;
 use cicadagw_unit::time::Span;
 use tokio::time::{Instant, sleep_until};
@@ -31,60 +32,65 @@
         link.map_or(Span::new(0), |link| link.backlog(self.epoch.elapsed()))
     }
 
-    /// Reserves the link for `length` bytes; returns `None` if nothing is paced.
-    pub(crate) fn reserve(&self, length: usize) -> Option<Reservation> {
+    /// Reserves the link for a short response of `length` bytes, which is not delayed.
+    pub(crate) fn reserve(&self, length: usize) {
+        self.update(|link, now| link.reserve(now, length as u64));
+    }
+
+    /// Returns when the next `length` bytes of a transfer may be sent; `None` if nothing is paced.
+    fn schedule(&self, transfer: &mut Transfer, length: usize) -> Option<Instant> {
+        let begin = self.update(|link, now| transfer.schedule(link, now, length as u64));
+        begin.map(|begin| self.epoch + begin)
+    }
+
+    fn end(&self, transfer: &mut Transfer) {
+        self.update(|link, now| transfer.end(link, now));
+    }
+
+    /// Changes the state of the link, if there is one.
+    fn update<T>(&self, change: impl FnOnce(&mut Link, Duration) -> T) -> Option<T> {
         let cell = self.link.as_ref()?;
         let mut link = cell.get();
-        let reservation = link.reserve(self.epoch.elapsed(), length as u64);
+        let result = change(&mut link, self.epoch.elapsed());
         cell.set(link);
-        Some(reservation)
+        Some(result)
     }
 }
 
-/// The pacing state of one response.
+/// The pacing state of one response. Dropping it gives back the link time that is not used.
 pub(crate) struct Pace {
     pacer: Option<Rc<Pacer>>,
-    /// The body length in bytes, if it is known.
-    length: Option<usize>,
-    /// The number of bytes sent, or about to be sent.
-    sent: usize,
-    reservation: Option<Reservation>,
+    transfer: Transfer,
 }
 
 impl Pace {
-    pub(crate) const fn new(pacer: Option<Rc<Pacer>>, length: Option<usize>) -> Self {
+    pub(crate) const fn new(pacer: Option<Rc<Pacer>>, extent: Extent) -> Self {
         Self {
             pacer,
-            length,
-            sent: 0,
-            reservation: None,
+            transfer: Transfer::new(extent),
         }
     }
 
-    /// Waits until a part of `length` bytes may be sent. The first bytes of a body, up to the size
-    /// of a short response, are not delayed.
+    /// Waits until a part of `length` bytes may be sent.
     pub(crate) async fn wait(&mut self, length: usize) {
-        let rest = self.length.map(|total| total.saturating_sub(self.sent));
-        self.sent += length;
-        let Some(pacer) = &self.pacer else {
+        let transfer = &mut self.transfer;
+        let Some(begin) = self
+            .pacer
+            .as_ref()
+            .and_then(|pacer| pacer.schedule(transfer, length))
+        else {
             return;
         };
-        if self.sent as u64 <= UNPACED_MAX.get() {
-            pacer.reserve(length);
-            return;
-        }
-        // A body of unknown length reserves the link separately for each part.
-        let is_used_up = self
-            .reservation
-            .is_none_or(|reservation| reservation.is_used_up());
-        if is_used_up || rest.is_none() {
-            self.reservation = pacer.reserve(rest.unwrap_or(length));
+        if begin > Instant::now() {
+            sleep_until(begin).await;
         }
-        if let Some(reservation) = &mut self.reservation {
-            let begin = pacer.epoch + reservation.schedule(length as u64);
-            if begin > Instant::now() {
-                sleep_until(begin).await;
-            }
+    }
+}
+
+impl Drop for Pace {
+    fn drop(&mut self) {
+        if let Some(pacer) = &self.pacer {
+            pacer.end(&mut self.transfer);
         }
     }
 }
--- a/crates/cicadagw-proxy/src/response.rs
+++ b/crates/cicadagw-proxy/src/response.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cicadagw_call::pacing::UNPACED_MAX;
+use cicadagw_call::pacing::{Extent, UNPACED_MAX};
 use cicadagw_http::body::{Sender, Truncated};
 use cicadagw_http::client::{self, Incoming};
 use cicadagw_http::ledger::Held;
@@ -20,7 +20,7 @@
 
 /// How long after the deadline of its call a body may still arrive: the backend server has responded,
 /// and its response is delivered even if the transfer makes it late.
-const TRANSFER_GRACE: Duration = Duration::from_millis(200);
+pub(crate) const TRANSFER_GRACE: Duration = Duration::from_millis(200);
 
 /// The memory that is counted for a body while it is streamed, in bytes.
 const STREAMED_BYTES: usize = 64 << 10;
@@ -117,6 +117,16 @@
         self.length.unwrap_or(self.buffered.len() as u64)
     }
 
+    /// Returns what is known of the body length.
+    fn extent(&self) -> Extent {
+        let buffered = self.buffered.len() as u64;
+        match self.length {
+            Some(length) => Extent::Exactly(length),
+            None if self.incoming.is_none() => Extent::Exactly(buffered),
+            None => Extent::AtLeast(buffered),
+        }
+    }
+
     /// Buffers the body until it is complete, larger than `size_max` bytes or than `ledger` allows,
     /// `time_max` is over, or the deadline of the call has passed, so that a truncation is noticed before anything is
     /// forwarded to the caller.
@@ -169,14 +179,12 @@
             reply.held = self.held.take();
             return reply;
         }
-        let is_complete = self.incoming.is_none();
         let (sender, parts) = body::channel();
-        reply.body = Body::Streamed {
-            length: self
-                .length
-                .or(is_complete.then_some(buffered_length as u64)),
-            parts,
+        let length = match self.extent() {
+            Extent::Exactly(length) => Some(length),
+            Extent::AtLeast(_) => None,
         };
+        reply.body = Body::Streamed { length, parts };
         tokio::task::spawn_local(self.forward(sender));
         reply
     }
@@ -186,8 +194,7 @@
         if let Some(held) = &mut self.held {
             held.set(self.buffered.len() + STREAMED_BYTES);
         }
-        let length = self.length.and_then(|length| length.try_into().ok());
-        let mut pace = Pace::new(self.pacer.clone(), length);
+        let mut pace = Pace::new(self.pacer.clone(), self.extent());
         for part in std::mem::take(&mut self.buffered).into_parts() {
             pace.wait(part.len()).await;
             if sender.send(part).await.is_err() {
--- a/crates/cicadagw-proxy/tests/support/mesh.rs
+++ b/crates/cicadagw-proxy/tests/support/mesh.rs
@@ -13,6 +13,7 @@
 use cicadagw_proxy::{Limits, Quota, Setup, Stats, run};
 use cicadagw_ring::{Receiver, Sender, channel};
 use cicadagw_settings::{Budget, Timing};
+use cicadagw_unit::rate::Throughput;
 use cicadagw_unit::size::{Bytes, Hops, Slots};
 use cicadagw_unit::time::{Span, Timestamp};
 use cicadagw_unit::{Sequence, Version, id};
@@ -60,6 +61,7 @@
     dialect: Arc<dyn Dialect>,
     shutdown_delay: Span,
     drain: Span,
+    link_rate: Option<Throughput>,
     records: BTreeMap<id::Endpoint, Record>,
     revocation: Option<Span>,
     snapshot: Arc<Snapshot>,
@@ -89,6 +91,7 @@
             dialect: Arc::new(Native),
             shutdown_delay: Span::new(0),
             drain: Timing::default().drain,
+            link_rate: None,
             records: BTreeMap::new(),
             revocation: None,
             snapshot: snapshot(1, CONFIG),
@@ -129,6 +132,11 @@
         self.drain = span;
     }
 
+    /// Sets the throughput of the links of nodes started from now on.
+    pub fn set_link_rate(&mut self, rate: Throughput) {
+        self.link_rate = Some(rate);
+    }
+
     /// Starts a node.
     pub fn node(&self, name: &str) -> Node {
         let calls = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -166,6 +174,7 @@
                 requests: request_sender,
             })
             .ready(ready)
+            .maybe_link_rate(self.link_rate)
             .maybe_revocation(self.revocation)
             .seed(7)
             .service("shop".parse().unwrap())
