Bound calls that a stopping node takes by the time of its end

Cause: a stopping node takes calls for some seconds more, and passed the caller's whole time on, 5 s where 4 were left. The instance's node admits a call if its response is expected within that time.

Evidence: call_taken_by_a_stopping_node_is_to_be_answered_before_the_node_ends: the instance was told 29,995 ms by a node that ends after 2,500.

Change: the deadline of such a call is at most the time up to which the node can deliver. Calls without a response are aborted when they were.

--- a/crates/cicadagw-proxy/src/ingress.rs
+++ b/crates/cicadagw-proxy/src/ingress.rs
@@ -220,10 +220,15 @@
         let account = access.account(found.is_public, request.key.as_ref(), is_stale)?;
         (found.target.clone(), account.cloned())
     };
+    let deadline = request.deadline(target.policy.timeout);
+    // A response that cannot arrive before this node ends would be cut.
+    let deadline = node
+        .serves_until()
+        .map_or(deadline, |end| deadline.min(end));
     Ok(Routed {
-        deadline: request.deadline(target.policy.timeout),
         priority: access.priority(account.as_ref(), target.policy.priority),
         account,
+        deadline,
         target,
     })
 }
--- a/crates/cicadagw-proxy/src/node.rs
+++ b/crates/cicadagw-proxy/src/node.rs
@@ -33,7 +33,9 @@
 use crate::quotas::Quotas;
 use crate::reporter::Reporter;
 use crate::request::Request;
+use crate::response::TRANSFER_GRACE;
 use crate::routing::Routing;
+use crate::run::LAST_RESPONSES_TIMEOUT;
 use crate::service_calls::ServiceCalls;
 use crate::{Limits, Stats, stats};
 
@@ -186,6 +188,13 @@
         at.is_some_and(|at| self.clock.now().after(span) >= at)
     }
 
+    /// Returns the time up to which the node, which is shutting down, can deliver a response.
+    pub(crate) fn serves_until(&self) -> Option<Timestamp> {
+        let at = self.aborts_at.get()?;
+        let delivery = LAST_RESPONSES_TIMEOUT.saturating_sub(TRANSFER_GRACE);
+        Some(at.after(delivery.into()))
+    }
+
     /// Returns the current configuration snapshot, if there is one.
     pub(crate) fn snapshot(&self) -> Option<Arc<Snapshot>> {
         self.view.load().snapshot.clone()
--- a/crates/cicadagw-proxy/src/run.rs
+++ b/crates/cicadagw-proxy/src/run.rs
@@ -19,7 +19,7 @@
 use crate::{Setup, departed, descriptor_limit, maintenance, quotas};
 
 /// The maximum time for writing the last responses after the last call has ended.
-const LAST_RESPONSES_TIMEOUT: Duration = Duration::from_millis(500);
+pub(crate) const LAST_RESPONSES_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Serves calls and announcements until the token of `setup` is cancelled, then finishes the calls
 /// in flight and returns.
--- a/crates/cicadagw-proxy/tests/reports.rs
+++ b/crates/cicadagw-proxy/tests/reports.rs
@@ -129,3 +129,26 @@
     assert_eq!((late.status, late.reason()), (503, "draining"));
     assert_eq!(backend.received().len(), 1);
 }
+
+// Guards against a response that is admitted to the busy link of another node although the node that
+// took the call ends before its turn.
+#[tokio::test]
+async fn call_taken_by_a_stopping_node_is_to_be_answered_before_the_node_ends() {
+    let mut mesh = Mesh::new();
+    mesh.set_dialect(Arc::new(Strict));
+    mesh.set_shutdown_delay(Span::seconds(20));
+    mesh.set_drain(Span::new(2_000));
+    let (near, far) = (mesh.node("near"), mesh.node("far"));
+    let backend = Scripted::start(sealed).await;
+    far.announce("orders-1", backend.address, "ready").await;
+    mesh.propagate(&far).await;
+
+    near.start_shutdown();
+    while get("/ready").send(near.ready).await.status == 200 {}
+    let answered = order(&near, "a1").await;
+
+    let received = backend.received();
+    let left: u64 = received[0].headers["t-left"].parse().unwrap();
+    assert_eq!(answered.status, 200);
+    assert!(left <= 2_300, "{left} ms");
+}
