--- a/crates/cicadagw-dev/src/process/child.rs
+++ b/crates/cicadagw-dev/src/process/child.rs
@@ -146,13 +146,15 @@
     ///
     /// # Errors
     ///
-    /// Fails if the process has exited.
+    /// Fails if the process has exited; the error contains the end of its log.
     pub fn signal(&mut self, signal: Signal) -> io::Result<()> {
-        if self.wait(Span::default()).is_some() {
-            return Err(io::Error::other(format!(
-                "process {} has already exited",
-                self.name
-            )));
+        if let Some(status) = self.wait(Span::default()) {
+            let error = format!(
+                "process {} has already exited: {status}\n{}",
+                self.name,
+                self.log_tail()
+            );
+            return Err(io::Error::other(error));
         }
         signal.send(self.pid)
     }
