Write a node's record without reading it first

Cause: each write of a node's record names the revision that it replaces, and the record was read for that before each start, departure and stop.

Change: the revision is kept from the last write, or from the list that a restarted node takes first. It is forgotten before each write, since one whose response is lost may still be carried out. The record is read only when it is not known, or the platform refuses it.

Evidence: a_departure_is_written_without_reading_the_record_first fails without the change (one read). an_acknowledged_departure_is_not_undone_by_an_earlier_write and the tests of restores pass.

--- a/crates/cicadagw-node/src/peering/platform.rs
+++ b/crates/cicadagw-node/src/peering/platform.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use bytes::Bytes;
 use cicadagw_config::{Snapshot, part};
 use cicadagw_gossip::{Call, Member, Orders, Reply};
 use cicadagw_meter::{Meter, Operation, PlatformOutcome};
@@ -50,6 +51,8 @@
         era: Cell::new(None),
         meter,
         ignored: RefCell::default(),
+        key: Key::node(&settings.node),
+        written: Cell::new(None),
     });
     loop {
         let call = tokio::select! {
@@ -79,6 +82,10 @@
     meter: Meter,
     /// The keys of the node objects that cannot be decoded, so that each is logged once.
     ignored: RefCell<BTreeSet<Key>>,
+    /// The key of the object that describes this node.
+    key: Key,
+    /// The revision of that object, unless another one may have been written since.
+    written: Cell<Option<Revision>>,
 }
 
 impl Worker {
@@ -150,16 +157,27 @@
     /// The platform may carry out a write seconds after its response counts as lost. So that an earlier
     /// one cannot undo a later one, each names the revision that it replaces.
     async fn register(&self, member: &Member, create: bool) -> Result<Revision, Error> {
-        let value = serde_json::to_vec(member).expect("a member can be written as JSON");
-        let key = Key::node(&member.node);
+        let value: Bytes = serde_json::to_vec(member)
+            .expect("a member can be written as JSON")
+            .into();
         if create {
-            return self.client.put(&key, value.into(), Condition::Absent).await;
+            return self.replace(&value, Condition::Absent).await;
         }
-        let reading = self.observe(Operation::Get, self.client.get(&key));
+        if let Some(revision) = self.written.get() {
+            let writing = self.replace(&value, Condition::Revision(revision));
+            match writing.await {
+                // The revision is not that of the object any longer.
+                Err(Error::Conflict | Error::Restored) => {
+                    let outcome = PlatformOutcome::Answered;
+                    self.meter.count_platform_call(Operation::Put, outcome);
+                }
+                written => return written,
+            }
+        }
+        let reading = self.observe(Operation::Get, self.client.get(&self.key));
         let object = reading.await?.ok_or(Error::Conflict)?;
-        let condition = Condition::Revision(object.revision);
-        let written = self.client.put(&key, value.into(), condition).await;
-        written.map_err(|error| match error {
+        let writing = self.replace(&value, Condition::Revision(object.revision));
+        writing.await.map_err(|error| match error {
             // Whether the object exists is known.
             Error::Conflict => {
                 Error::Unavailable("an earlier write was carried out late".to_owned())
@@ -168,9 +186,23 @@
         })
     }
 
+    /// Writes the object that describes this node under `condition`, and keeps its revision.
+    async fn replace(&self, value: &Bytes, condition: Condition) -> Result<Revision, Error> {
+        // A write whose response is lost may still be carried out.
+        self.written.set(None);
+        let written = self.client.put(&self.key, value.clone(), condition).await?;
+        self.written.set(Some(written));
+        Ok(written)
+    }
+
     /// Lists the nodes; objects that cannot be decoded are left out.
     async fn members(&self, freshness: Freshness) -> Result<Vec<Member>, Error> {
         let objects = self.client.objects(Key::NODE_PREFIX, freshness).await?;
+        // The list may be stale, so it counts only where nothing better is known.
+        if self.written.get().is_none() {
+            let own = objects.iter().find(|object| object.key == self.key);
+            self.written.set(own.map(|own| own.revision));
+        }
         let members = objects
             .iter()
             .filter_map(|object| self.decode_member(object));
