Stop buffering a body before the deadline of its call

Cause: a node buffers the start of a body until the deadline at most, and its deadline is 5 ms before that of the node that waits for it. The head of an unfinished body set out when the other node was about to give up. The load decided that race only.

Change: buffering ends 50 ms before the deadline.

--- a/crates/cicadagw-proxy/src/response.rs
+++ b/crates/cicadagw-proxy/src/response.rs
@@ -22,6 +22,10 @@
 /// and its response is delivered even if the transfer makes it late.
 pub(crate) const TRANSFER_GRACE: Duration = Duration::from_millis(200);
 
+/// How long before the deadline of its call the buffering of a body ends, so that the head reaches the
+/// node that waits for it in time.
+const BUFFER_MARGIN: Duration = Duration::from_millis(50);
+
 /// The memory that is counted for a body while it is streamed, in bytes.
 const STREAMED_BYTES: usize = 64 << 10;
 
@@ -128,8 +132,8 @@
     }
 
     /// Buffers the body until it is complete, larger than `size_max` bytes or than `ledger` allows,
-    /// `time_max` is over, or the deadline of the call has passed, so that a truncation is noticed before anything is
-    /// forwarded to the caller.
+    /// `time_max` is over, or the deadline of the call is near, so that a truncation is noticed before
+    /// anything is forwarded to the caller.
     ///
     /// # Errors
     ///
@@ -145,7 +149,9 @@
             self.held = Some(held);
             return Ok(());
         }
-        let until = self.deadline.min(Instant::now() + time_max);
+        let now = Instant::now();
+        let left = self.deadline.saturating_duration_since(now);
+        let until = now + left.saturating_sub(BUFFER_MARGIN).min(time_max);
         while let Some(incoming) = &mut self.incoming
             && self.buffered.len() as u64 <= ledger.buffer_max(size_max)
         {
